Lay out the repository and the contracts between its parts

Cause: an empty repository. Conclusion: the parts can now be written side by side against one contract.

--- /dev/null
+++ b/bin/savoryknotctl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/cli/Main.js'
--- /dev/null
+++ b/src/common/Disposable.ts
@@ -0,0 +1,39 @@
+/** Base class of objects that own other disposable objects. */
+import type { IDisposable } from './Types.js'
+
+/** Disposes everything that was registered with it, the newest first. */
+export abstract class Disposable implements IDisposable {
+  private readonly _owned: IDisposable[] = []
+  private _isDisposed = false
+
+  /** True once `dispose` was called. */
+  public get isDisposed (): boolean {
+    return this._isDisposed
+  }
+
+  /** Releases everything registered. A second call has no effect. */
+  public dispose (): void {
+    if (this._isDisposed) return
+    this._isDisposed = true
+    while (this._owned.length > 0) this._owned.pop()?.dispose()
+  }
+
+  /** Takes ownership of `object`; it is disposed at once if this object already is. */
+  protected register<TObject extends IDisposable> (object: TObject): TObject {
+    if (this._isDisposed) object.dispose()
+    else this._owned.push(object)
+    return object
+  }
+}
+
+/** Makes a disposable from a function, which runs at most once. */
+export function toDisposable (release: () => void): IDisposable {
+  let isReleased = false
+  return {
+    dispose: () => {
+      if (isReleased) return
+      isReleased = true
+      release()
+    }
+  }
+}
--- /dev/null
+++ b/src/common/Ids.ts
@@ -0,0 +1,43 @@
+/** Makes and checks branded identifiers. */
+import { createHash, randomBytes } from 'node:crypto'
+import type { ContentHash, Timestamp, Milliseconds, NodeId, RequestId, SubmissionId } from './Types.js'
+
+/** Lower-case letters, digits and inner hyphens; 1 to 63 characters. */
+const NAME_PATTERN = /^[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?$/
+
+const ID_BYTES = 12
+
+/** Tells whether `text` may name a service, resource, route, team, failure domain or region. */
+export function isName (text: string): boolean {
+  return NAME_PATTERN.test(text)
+}
+
+/** SHA-256 of a document's text. */
+export function hashContent (text: string | Uint8Array): ContentHash {
+  return createHash('sha256').update(text).digest('hex') as ContentHash
+}
+
+/** A new random node id. */
+export function createNodeId (): NodeId {
+  return randomBytes(ID_BYTES).toString('hex') as NodeId
+}
+
+/** A new random submission id. */
+export function createSubmissionId (): SubmissionId {
+  return randomBytes(ID_BYTES).toString('hex') as SubmissionId
+}
+
+/** A new random request id. */
+export function createRequestId (): RequestId {
+  return randomBytes(ID_BYTES).toString('base64url') as RequestId
+}
+
+/** The point in time `duration` after `time`. */
+export function addDuration (time: Timestamp, duration: Milliseconds): Timestamp {
+  return time + duration as Timestamp
+}
+
+/** The duration from `start` to `end`. */
+export function durationBetween (start: Timestamp, end: Timestamp): Milliseconds {
+  return end - start as Milliseconds
+}
--- /dev/null
+++ b/src/common/SavoryknotError.ts
@@ -0,0 +1,26 @@
+/** Base class of the errors that savoryknot raises itself. */
+
+/** Where an error arose. */
+export interface IErrorOrigin {
+  /** The step that failed, for example `platform.transact` or `gate.connect`. */
+  readonly step: string
+  /** The node, address or store on the other side, if there was one. */
+  readonly peer?: string
+  /** The error that caused this one. */
+  readonly cause?: unknown
+}
+
+/** An error that carries the step and the peer at which it arose. */
+export class SavoryknotError extends Error {
+  /** The step that failed. */
+  public readonly step: string
+  /** The other side, if there was one. */
+  public readonly peer: string | undefined
+
+  constructor (message: string, origin: IErrorOrigin) {
+    super(message, { cause: origin.cause })
+    this.name = new.target.name
+    this.step = origin.step
+    this.peer = origin.peer
+  }
+}
--- /dev/null
+++ b/src/documents/Services.ts
@@ -0,0 +1,58 @@
+/** Interfaces of acceptance, of the reading of accepted documents, and of the building of snapshots. */
+import { createServiceKey } from '../common/Services.js'
+import type { ChangeSequence, ContentHash, DocumentVersion, ServiceName, Timestamp } from '../common/Types.js'
+import type {
+  IAcceptedChange, IRejection, ISnapshot, ISubmission, IVersionedText, ParseResult, SubmissionOutcome
+} from './Types.js'
+
+/** Accepts documents by one conditional transaction. */
+export interface IAcceptanceService {
+  /** Rejects with a platform error if the outcome could not be learned; repeat with the same id. */
+  submit (submission: ISubmission, now: Timestamp): Promise<SubmissionOutcome>
+}
+
+/** Reads accepted documents from the platform. */
+export interface IAcceptedDocuments {
+  /** Accepted changes after `after` in order of sequence, at most `limit`. */
+  changesAfter (after: ChangeSequence, limit: number): Promise<readonly IAcceptedChange[]>
+  /** The newest version of every service together with the sequence that it reflects. */
+  readAll (): Promise<IAcceptedSet>
+  /** Text by hash; undefined if the store lacks it. The hash has been verified. */
+  readText (hash: ContentHash): Promise<string | undefined>
+  /** Newest accepted change of a service. */
+  readNewest (service: ServiceName): Promise<IAcceptedChange | undefined>
+  /** Accepted changes of a service, the newest first. */
+  readHistory (service: ServiceName, limit: number): Promise<readonly IAcceptedChange[]>
+  readVersion (service: ServiceName, version: DocumentVersion): Promise<IAcceptedChange | undefined>
+}
+
+/** Newest version of every service. */
+export interface IAcceptedSet {
+  readonly sequence: ChangeSequence
+  readonly changes: readonly IAcceptedChange[]
+}
+
+/** Parses and checks the text of a document by itself, without the others. */
+export interface IDocumentParser {
+  parse (text: string): ParseResult
+}
+
+/** Result of building a snapshot. */
+export interface ISnapshotBuild {
+  /** The previous snapshot itself if nothing could be applied. */
+  readonly snapshot: ISnapshot
+  readonly rejections: readonly IRejection[]
+}
+
+/** Builds immutable snapshots: monotonic by version, hash verified, references closed. */
+export interface ISnapshotBuilder {
+  /** The snapshot without documents. */
+  readonly empty: ISnapshot
+  /** Applies as many of `candidates` as can be applied whole. */
+  build (previous: ISnapshot, candidates: readonly IVersionedText[]): ISnapshotBuild
+}
+
+export const IAcceptanceService = createServiceKey<IAcceptanceService>('documents.acceptance')
+export const IAcceptedDocuments = createServiceKey<IAcceptedDocuments>('documents.accepted')
+export const IDocumentParser = createServiceKey<IDocumentParser>('documents.parser')
+export const ISnapshotBuilder = createServiceKey<ISnapshotBuilder>('documents.snapshot-builder')
--- /dev/null
+++ b/src/membership/Services.ts
@@ -0,0 +1,89 @@
+/** Interfaces of the transport, the overlay, the member view and the roles. */
+import { createServiceKey } from '../common/Services.js'
+import type {
+  EndpointId, FailureDomain, IDisposable, IEvent, NetworkAddress, NodeId, ServiceName, Timestamp
+} from '../common/Types.js'
+import type { ReceivedPeerMessage, PeerMessage } from '../generated/savoryknot/PeerMessage.js'
+import type { EndpointState, IDomainView, IEndpoint, INodeRecord, IRoutableEndpoint, Role } from './Types.js'
+
+/** One bidirectional stream of messages to another process. */
+export interface IPeerChannel extends IDisposable {
+  /** Address of the other side, for logs and errors. */
+  readonly remoteAddress: NetworkAddress
+  /** Queues a message. Returns false if the channel is closed or its send buffer is full; the message is then dropped. */
+  send (message: PeerMessage): boolean
+  readonly onMessage: IEvent<ReceivedPeerMessage>
+  /** Fires once. */
+  readonly onClosed: IEvent<void>
+}
+
+/** Opens and accepts channels. Benches and tests wrap it to inject latency and cuts. */
+export interface IPeerTransport {
+  /** Accepts channels at the node's own peer address. */
+  listen (accept: (channel: IPeerChannel) => void): Promise<void>
+  /** Opens a channel; rejects with `PeerUnreachableError`. */
+  dial (address: NetworkAddress): Promise<IPeerChannel>
+  close (): Promise<void>
+}
+
+/** A channel whose other side has introduced itself. */
+export interface IPeerLink {
+  readonly peer: INodeRecord
+  /** True if the peer is in this node's failure domain. */
+  readonly isLocal: boolean
+  send (message: PeerMessage): boolean
+  readonly onMessage: IEvent<ReceivedPeerMessage>
+  readonly onClosed: IEvent<void>
+}
+
+/** Keeps the bounded-degree overlay inside the failure domain and, on gateways, the links to other domains. */
+export interface IOverlayService {
+  readonly links: readonly IPeerLink[]
+  readonly onLinkOpened: IEvent<IPeerLink>
+}
+
+/** The member view of this node. */
+export interface IMembershipService {
+  readonly self: INodeRecord
+  /** All records, also those of nodes that are dead or left until they are forgotten. */
+  readonly members: ReadonlyMap<NodeId, INodeRecord>
+  /** Endpoints of a service that may get calls: serving, on a node that is alive or suspect. The array is replaced, never changed. */
+  endpoints (service: ServiceName): readonly IRoutableEndpoint[]
+  domains (now: Timestamp): readonly IDomainView[]
+  /** Fires after records changed, with the services whose endpoints changed. */
+  readonly onEndpointsChanged: IEvent<ReadonlySet<ServiceName>>
+  /** Fires with every record that replaced an older one. */
+  readonly onRecordChanged: IEvent<INodeRecord>
+  /** Announces an endpoint of this node, or a new state of it. */
+  announceEndpoint (endpoint: IEndpoint, now: Timestamp): void
+  setEndpointState (id: EndpointId, state: EndpointState, now: Timestamp): void
+  /** Announces that this node leaves. */
+  leave (now: Timestamp): Promise<void>
+}
+
+/** Roles by rendezvous hashing over the member view. Two nodes may hold one role at once; nothing depends on it but the amount of work. */
+export interface IRoleService {
+  /** Holders of a role, the highest-ranked first. Source readers are ranked in a region, the other roles in a failure domain. */
+  holders (role: Role, failureDomain: FailureDomain): readonly NodeId[]
+  isHeldBySelf (role: Role): boolean
+  readonly onChanged: IEvent<Role>
+}
+
+/** Small messages that every node in every failure domain gets, at least once each. */
+export interface IBroadcastService {
+  publish (topic: string, payload: Uint8Array): void
+  readonly onMessage: IEvent<IBroadcastMessage>
+}
+
+/** One message of the broadcast service. */
+export interface IBroadcastMessage {
+  readonly topic: string
+  readonly origin: NodeId
+  readonly payload: Uint8Array
+}
+
+export const IPeerTransport = createServiceKey<IPeerTransport>('membership.transport')
+export const IOverlayService = createServiceKey<IOverlayService>('membership.overlay')
+export const IMembershipService = createServiceKey<IMembershipService>('membership.members')
+export const IRoleService = createServiceKey<IRoleService>('membership.roles')
+export const IBroadcastService = createServiceKey<IBroadcastService>('membership.broadcast')
--- /dev/null
+++ b/src/platform/Services.ts
@@ -0,0 +1,28 @@
+/** Interfaces of the platform's services. A deployment fits its own by implementing these two. */
+import { createServiceKey } from '../common/Services.js'
+import type {
+  IRow, IRowReference, IRowScan, IStoredObject, ITransaction, ObjectExpectation, ObjectKey, ObjectWriteOutcome, TransactionOutcome
+} from './Types.js'
+
+/**
+ * Transactional table service. Transactions are serializable, and a read sees every transaction
+ * that was answered before the read began.
+ *
+ * Every method rejects with `PlatformUnavailableError` if it is certain that nothing was written,
+ * and with `OutcomeUnknownError` if a write may have taken effect.
+ */
+export interface ITableService {
+  read (reference: IRowReference): Promise<IRow | undefined>
+  scan (scan: IRowScan): Promise<readonly IRow[]>
+  transact (transaction: ITransaction): Promise<TransactionOutcome>
+}
+
+/** Object store. Errors are those of `ITableService`. */
+export interface IObjectStore {
+  get (key: ObjectKey): Promise<IStoredObject | undefined>
+  put (key: ObjectKey, content: Uint8Array, expected: ObjectExpectation): Promise<ObjectWriteOutcome>
+  delete (key: ObjectKey): Promise<void>
+}
+
+export const ITableService = createServiceKey<ITableService>('platform.table')
+export const IObjectStore = createServiceKey<IObjectStore>('platform.objects')
