Add savoryknotctl, the operator port, the keys of a node and the metrics port

Cause: operators drive the system only through documents and need a tool, a port and keys. Change: the commands of savoryknotctl with exit codes, the operator RPC server with its handlers, mutual TLS with certificates that name a node or a team, keys for a trial, and an HTTP port for metrics, health and readiness. Conclusion: the daemon can be wired on top.

--- /dev/null
+++ b/src/cli/Commands.ts
@@ -0,0 +1,38 @@
+/** All commands of `savoryknotctl`. */
+import type { IClockService } from '../common/Services.js'
+import type { IDocumentParser } from '../documents/Services.js'
+import { BurnCommand } from './commands/BurnCommand.js'
+import { CheckCommand } from './commands/CheckCommand.js'
+import { DeleteCommand } from './commands/DeleteCommand.js'
+import { DiffCommand } from './commands/DiffCommand.js'
+import { EndpointsCommand } from './commands/EndpointsCommand.js'
+import { HistoryCommand } from './commands/HistoryCommand.js'
+import { KeysCommand } from './commands/KeysCommand.js'
+import { NodesCommand } from './commands/NodesCommand.js'
+import { ShowCommand } from './commands/ShowCommand.js'
+import { StatusCommand } from './commands/StatusCommand.js'
+import { SubmitCommand } from './commands/SubmitCommand.js'
+import type { ICommand } from './Types.js'
+
+/** What the commands need. */
+export interface ICommandsOptions {
+  readonly parser: IDocumentParser
+  readonly clock: IClockService
+}
+
+/** In the order of the help. */
+export function createCommands (options: ICommandsOptions): readonly ICommand[] {
+  return [
+    new CheckCommand(options.parser),
+    new SubmitCommand(options.parser),
+    new DeleteCommand(),
+    new ShowCommand(),
+    new HistoryCommand(),
+    new DiffCommand(),
+    new StatusCommand(options.clock),
+    new EndpointsCommand(),
+    new BurnCommand(),
+    new NodesCommand(),
+    new KeysCommand(options.clock)
+  ]
+}
--- /dev/null
+++ b/src/cli/commands/BurnCommand.ts
@@ -0,0 +1,38 @@
+/** `savoryknotctl burn`: burn of service-level objectives. */
+import type { ReceivedBurnStatus } from '../../generated/savoryknot/BurnStatus.js'
+import { formatTable } from '../Table.js'
+import { EXIT_CODE, type ExitCode, type ICommand, type ICommandContext } from '../Types.js'
+import { optionalService } from './Arguments.js'
+
+const MS_PER_MINUTE = 60_000
+const MINUTES_PER_HOUR = 60
+const BURN_DIGITS = 2
+
+/** Prints burn rates of several windows by failure domain. */
+export class BurnCommand implements ICommand {
+  public readonly usage = 'burn [service]'
+  public readonly summary = 'Show burn rates of service-level objectives by failure domain'
+  public readonly options = []
+  public readonly example = 'savoryknotctl burn status'
+
+  public async run (context: ICommandContext, values: readonly string[]): Promise<ExitCode> {
+    const { reports } = await context.client().burn(optionalService(values[0]))
+    if (context.isJson) context.output.line(JSON.stringify(reports))
+    else printReports(context, reports)
+    return EXIT_CODE.done
+  }
+}
+
+function printReports (context: ICommandContext, reports: readonly ReceivedBurnStatus[]): void {
+  const rows = reports.flatMap((report) => report.windows.map((window) => [
+    report.service, report.failureDomain, `${report.objective} %`, formatWindow(window.windowMs),
+    String(window.good), String(window.bad), window.burnRate.toFixed(BURN_DIGITS)
+  ]))
+  for (const line of formatTable(['SERVICE', 'DOMAIN', 'OBJECTIVE', 'WINDOW', 'GOOD', 'BAD', 'BURN'], rows)) context.output.line(line)
+}
+
+/** Whole hours where they fit, else minutes. */
+function formatWindow (windowMs: number): string {
+  const minutes = windowMs / MS_PER_MINUTE
+  return minutes % MINUTES_PER_HOUR === 0 ? `${minutes / MINUTES_PER_HOUR} h` : `${minutes} min`
+}
--- /dev/null
+++ b/src/daemon/MetricsServer.ts
@@ -0,0 +1,59 @@
+/** HTTP server for metrics, health and readiness. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { collectDefaultMetrics } from 'prom-client'
+import type { IMetricsService, IService } from '../common/Services.js'
+import type { NetworkAddress } from '../common/Types.js'
+import { listenAt } from './Listening.js'
+
+const REQUEST_TIMEOUT_MS = 5_000
+
+/** What the metrics server needs. */
+export interface IMetricsServerOptions {
+  readonly address: NetworkAddress
+  readonly metrics: IMetricsService
+  /** True while the node takes calls: it has caught up and does not leave. */
+  readonly isReady: () => boolean
+}
+
+/** `/metrics` in the Prometheus format, `/health` while the process lives, `/ready` while it takes calls. */
+export class MetricsServer implements IService {
+  private readonly _server: Server
+
+  constructor (private readonly _options: IMetricsServerOptions) {
+    collectDefaultMetrics({ register: _options.metrics.registry, prefix: 'savoryknot_' })
+    this._server = createServer((request, response) => { void this._answer(request, response) })
+    this._server.requestTimeout = REQUEST_TIMEOUT_MS
+  }
+
+  public async start (): Promise<void> {
+    await listenAt(this._server, this._options.address)
+  }
+
+  public async stop (): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this._server.close(() => resolve())
+      this._server.closeAllConnections()
+    })
+  }
+
+  private async _answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    switch (request.url) {
+      case '/metrics': return this._writeMetrics(response)
+      case '/health': return writeText(response, 200, 'alive\n')
+      case '/ready': return this._options.isReady() ? writeText(response, 200, 'ready\n') : writeText(response, 503, 'not ready\n')
+      default: return writeText(response, 404, 'there are /metrics, /health and /ready\n')
+    }
+  }
+
+  private async _writeMetrics (response: ServerResponse): Promise<void> {
+    const { registry } = this._options.metrics
+    const text = await registry.metrics()
+    response.setHeader('content-type', registry.contentType)
+    response.end(text)
+  }
+}
+
+function writeText (response: ServerResponse, status: number, text: string): void {
+  response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' })
+  response.end(text)
+}
--- /dev/null
+++ b/src/daemon/keys/KeyFiles.ts
@@ -0,0 +1,69 @@
+/** Reads and checks the certificate, key and authority files of a process. */
+import { createPrivateKey, X509Certificate } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import { readIdentity } from '../../common/CertificateIdentity.js'
+import type { Timestamp } from '../../common/Types.js'
+import { KeyFileError } from './KeyErrors.js'
+
+/** Names of the files, in PEM. */
+export interface IKeyFileNames {
+  readonly certificate: string
+  readonly key: string
+  readonly authority: string
+}
+
+/** Contents of the files, checked. */
+export interface IKeyMaterial {
+  readonly certificate: Buffer
+  readonly key: Buffer
+  readonly authority: Buffer
+}
+
+/** Reads the files. Throws `KeyFileError` if they cannot be used as a node's keys. */
+export function readKeyFiles (names: IKeyFileNames, now: Timestamp): IKeyMaterial {
+  const material = {
+    certificate: readPart(names.certificate),
+    key: readPart(names.key),
+    authority: readPart(names.authority)
+  }
+  checkMaterial(names, material, now)
+  return material
+}
+
+function readPart (file: string): Buffer {
+  try {
+    return readFileSync(file)
+  } catch (error) {
+    throw new KeyFileError(`${file}: ${(error as Error).message}`, { step: 'keys.read', cause: error })
+  }
+}
+
+function checkMaterial (names: IKeyFileNames, material: IKeyMaterial, now: Timestamp): void {
+  const certificate = parseCertificate(names.certificate, material.certificate)
+  const authority = parseCertificate(names.authority, material.authority)
+  if (!isKeyOf(certificate, material.key)) throw refusal(names.key, 'is not the key of the certificate')
+  if (!certificate.verify(authority.publicKey)) throw refusal(names.certificate, 'is not signed by the authority')
+  if (now < Date.parse(certificate.validFrom)) throw refusal(names.certificate, `is not valid before ${certificate.validFrom}`)
+  if (now > Date.parse(certificate.validTo)) throw refusal(names.certificate, `expired at ${certificate.validTo}`)
+  if (readIdentity(certificate.subjectAltName)?.kind !== 'node') throw refusal(names.certificate, 'is not a node certificate')
+}
+
+function parseCertificate (file: string, content: Buffer): X509Certificate {
+  try {
+    return new X509Certificate(content)
+  } catch (error) {
+    throw new KeyFileError(`${file}: is not a certificate in PEM`, { step: 'keys.check', cause: error })
+  }
+}
+
+function isKeyOf (certificate: X509Certificate, key: Buffer): boolean {
+  try {
+    return certificate.checkPrivateKey(createPrivateKey(key))
+  } catch {
+    return false
+  }
+}
+
+function refusal (file: string, reason: string): KeyFileError {
+  return new KeyFileError(`${file}: ${reason}`, { step: 'keys.check' })
+}
