--- /dev/null
+++ b/src/documents/AcceptanceService.ts
@@ -0,0 +1,138 @@
+/** Accepts documents and deletions by one conditional transaction each. */
+import type { IClockService, ILogService, IRandomService } from '../common/Services.js'
+import type { Milliseconds, Timestamp } from '../common/Types.js'
+import { OutcomeUnknownError, PlatformUnavailableError } from '../platform/PlatformErrors.js'
+import type { IObjectStore, ITableService } from '../platform/Services.js'
+import { AcceptanceAttempt, type AttemptOutcome } from './AcceptanceAttempt.js'
+import { checkSubmission, type ICheckedSubmission } from './CheckedSubmission.js'
+import { DOCUMENT_ACCEPTED, DOCUMENT_REFUSED, SUBMISSION_RETRIED, SUBMISSION_UNDECIDED } from './Events.js'
+import type { IAcceptanceService, IDocumentParser } from './Services.js'
+import { textObject } from './store/Tables.js'
+import type { ISubmission, SubmissionOutcome } from './Types.js'
+
+/** How acceptance meets contention and lost answers. */
+export interface IAcceptanceOptions {
+  /** Most transactions tried for one submission. */
+  readonly attempts: number
+  /** Most answers of the store that may be lost before the submission is given up as unknown. */
+  readonly lostAnswers: number
+  /** Upper bound of the first backoff; full jitter. */
+  readonly backoff: Milliseconds
+  /** Upper bound of every backoff. */
+  readonly backoffLimit: Milliseconds
+}
+
+/** Defaults of `AcceptanceService`. */
+export const DEFAULT_ACCEPTANCE_OPTIONS: IAcceptanceOptions = Object.freeze({
+  attempts: 20, lostAnswers: 3, backoff: 10 as Milliseconds, backoffLimit: 500 as Milliseconds
+})
+
+/** What acceptance needs. */
+export interface IAcceptanceServices {
+  readonly table: ITableService
+  readonly objects: IObjectStore
+  readonly parser: IDocumentParser
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly log: ILogService
+}
+
+/**
+ * A submission without new references costs 2 reads and 2 writes: the document row and the head row are
+ * read, the text is put, the transaction is sent. Each target of a reference that is new adds 2 reads;
+ * each target of a reference that is dropped adds 1, and so does the removal of an exported resource.
+ */
+export class AcceptanceService implements IAcceptanceService {
+  private readonly _services: IAcceptanceServices
+  private readonly _options: IAcceptanceOptions
+
+  constructor (services: IAcceptanceServices, options: Partial<IAcceptanceOptions> = {}) {
+    this._services = services
+    this._options = { ...DEFAULT_ACCEPTANCE_OPTIONS, ...options }
+  }
+
+  public async submit (submission: ISubmission, now: Timestamp): Promise<SubmissionOutcome> {
+    const checked = checkSubmission(submission, this._services.parser)
+    const outcome: SubmissionOutcome = 'submission' in checked
+      ? await new Acceptance(this._services, this._options, checked, now).run()
+      : { kind: 'invalid', faults: checked }
+    this._log(submission, outcome)
+    return outcome
+  }
+
+  private _log (submission: ISubmission, outcome: SubmissionOutcome): void {
+    const fields = { step: 'documents.accept', service: submission.service, submission: submission.id, author: submission.author }
+    if (outcome.kind === 'accepted') {
+      const { version, hash, sequence } = outcome.change
+      this._services.log.log(DOCUMENT_ACCEPTED, { ...fields, version, hash, sequence, isRepeat: outcome.isRepeat })
+    } else {
+      this._services.log.log(DOCUMENT_REFUSED, { ...fields, kind: outcome.kind })
+    }
+  }
+}
+
+/** Runs one submission through as many attempts as it needs. */
+class Acceptance {
+  private _isTextStored = false
+  /** True once a transaction was sent whose answer was lost. */
+  private _isUncertain = false
+  private _lostAnswers = 0
+
+  constructor (
+    private readonly _services: IAcceptanceServices,
+    private readonly _options: IAcceptanceOptions,
+    private readonly _checked: ICheckedSubmission,
+    private readonly _now: Timestamp
+  ) {}
+
+  public async run (): Promise<SubmissionOutcome> {
+    try {
+      return await this._run()
+    } catch (cause) {
+      if (!this._isUncertain || cause instanceof OutcomeUnknownError) throw cause
+      // The last attempt wrote nothing, but an earlier one may have.
+      throw new OutcomeUnknownError('the submission may have been accepted', { step: 'documents.accept', peer: 'table service', cause })
+    }
+  }
+
+  private async _run (): Promise<SubmissionOutcome> {
+    for (let attempt = 1; attempt <= this._options.attempts; attempt++) {
+      const outcome = await this._attempt()
+      if (outcome.kind !== 'overtaken') return outcome
+      await this._backOff(attempt)
+    }
+    throw new PlatformUnavailableError('too many other changes at the same time', { step: 'documents.accept', peer: 'table service' })
+  }
+
+  private async _attempt (): Promise<AttemptOutcome> {
+    const attempt = new AcceptanceAttempt(this._services.table, this._checked, this._now)
+    try {
+      const prepared = await attempt.prepare()
+      if (prepared.kind !== 'ready') return prepared
+      // The text goes first: a change in the log always has its text.
+      await this._storeText()
+      return await attempt.commit()
+    } catch (error) {
+      this._isUncertain ||= attempt.isSent
+      this._lostAnswers++
+      if (!(error instanceof OutcomeUnknownError) || this._lostAnswers >= this._options.lostAnswers) throw error
+      this._services.log.log(SUBMISSION_UNDECIDED, { step: error.step, peer: error.peer, submission: this._checked.submission.id })
+      // The conditions make a second commit of the same submission impossible, so it is safe to try again.
+      return { kind: 'overtaken' }
+    }
+  }
+
+  private async _storeText (): Promise<void> {
+    const { submission, hash } = this._checked
+    if (submission.text === undefined || this._isTextStored) return
+    await this._services.objects.put(textObject(hash), Buffer.from(submission.text), 'absent')
+    this._isTextStored = true
+  }
+
+  private async _backOff (attempt: number): Promise<void> {
+    const { service, id } = this._checked.submission
+    this._services.log.log(SUBMISSION_RETRIED, { step: 'documents.accept', service, submission: id, attempt })
+    const limit = Math.min(this._options.backoffLimit, this._options.backoff * 2 ** (attempt - 1))
+    await this._services.clock.sleep(this._services.random.fraction() * limit as Milliseconds)
+  }
+}
--- /dev/null
+++ b/src/documents/DocumentParser.ts
@@ -0,0 +1,191 @@
+/** Parses the text of a document and checks everything that can be checked without the other documents. */
+import type { z } from 'zod'
+import type { ResourceName, RouteName } from '../common/Types.js'
+import type { IDocumentParser } from './Services.js'
+import type {
+  IDocumentFault, ILimitResource, IPoolResource, IRetryResource, IRoute, IServiceDocument, ParseResult, Resource
+} from './Types.js'
+import {
+  KNOWN_FORMAT, LIMIT_SECTION, MAXIMUM_DOCUMENT_BYTES, OBJECTIVE_SECTION, POOL_SECTION,
+  RETRY_SECTION, ROUTE_SECTION, SERVICE_SECTION, STOP_SECTION
+} from './DocumentSchema.js'
+import { checkOwnReferences } from './OwnReferences.js'
+import { excerpt } from './ini/IniLines.js'
+import { readIni, type IniValues } from './ini/IniReader.js'
+
+/** Most faults listed for one document. */
+const MAXIMUM_FAULTS = 200
+const FORMAT_PATTERN = /^\d{1,9}$/
+
+/** Needs no running service. Lists every fault, not the first alone. */
+export class DocumentParser implements IDocumentParser {
+  public parse (text: string): ParseResult {
+    const unreadable = checkText(text)
+    if (unreadable !== undefined) return { isValid: false, faults: [unreadable] }
+    return new DocumentReading(text).result()
+  }
+}
+
+/** Refuses a text that should not be looked at more closely. */
+function checkText (text: string): IDocumentFault | undefined {
+  const bytes = Buffer.byteLength(text)
+  if (bytes > MAXIMUM_DOCUMENT_BYTES) {
+    return { section: '', key: '', message: `document has ${bytes} bytes; expected at most ${MAXIMUM_DOCUMENT_BYTES}` }
+  }
+  // A lone surrogate would be stored as another text than the one that was submitted.
+  if (Buffer.from(text).toString() !== text) return { section: '', key: '', message: 'text is not valid Unicode' }
+  return undefined
+}
+
+/** Reading of one text. */
+class DocumentReading {
+  private readonly _faults: IDocumentFault[] = []
+  private readonly _sections: ReadonlyMap<string, IniValues>
+
+  constructor (text: string) {
+    const read = readIni(text)
+    this._sections = read.sections
+    this._faults.push(...read.faults)
+  }
+
+  public result (): ParseResult {
+    const newer = this._checkFormat()
+    if (newer !== undefined) return { isValid: false, faults: [newer] }
+    const document = this._readDocument()
+    if (document === undefined || this._faults.length > 0) return { isValid: false, faults: boundFaults(this._faults) }
+    return { isValid: true, document }
+  }
+
+  /** A newer format gives one fault alone, since its other sections may not be known here. */
+  private _checkFormat (): IDocumentFault | undefined {
+    const format = this._sections.get('service')?.format ?? ''
+    if (!FORMAT_PATTERN.test(format) || Number(format) <= KNOWN_FORMAT) return undefined
+    const message = `document has format ${Number(format)}; this program reads formats up to ${KNOWN_FORMAT}`
+    return { section: 'service', key: 'format', message }
+  }
+
+  private _readDocument (): IServiceDocument | undefined {
+    const service = this._readSection('service', SERVICE_SECTION)
+    const objective = this._readSection('objective', OBJECTIVE_SECTION)
+    const stop = this._readSection('stop', STOP_SECTION)
+    const resources: Resource[] = []
+    const routes: IRoute[] = []
+    for (const section of this._sections.keys()) this._readNamed(section, resources, routes)
+    this._checkNames(resources)
+    if (service !== undefined) this._faults.push(...checkOwnReferences(service.name, routes, new Set(this._sections.keys())))
+    if (service === undefined || objective === undefined || stop === undefined) return undefined
+    return Object.freeze({
+      format: service.format,
+      service: service.name,
+      owner: service.owner,
+      objective,
+      resources,
+      routes,
+      stop: { drainGrace: stop['drain-grace'] }
+    })
+  }
+
+  /** Reads a section `kind.name`, or adds a fault if its kind is unknown. */
+  private _readNamed (section: string, resources: Resource[], routes: IRoute[]): void {
+    if (section === 'service' || section === 'objective' || section === 'stop') return
+    const [kind, name] = section.split('.')
+    if (name === undefined) return this._addUnknownSection(section, kind)
+    switch (kind) {
+      case 'pool': return append(resources, this._readPool(section, name as ResourceName))
+      case 'retry': return append(resources, this._readRetry(section, name as ResourceName))
+      case 'limit': return append(resources, this._readLimit(section, name as ResourceName))
+      case 'route': return append(routes, this._readRoute(section, name as RouteName))
+      default: return this._addUnknownSection(section, kind)
+    }
+  }
+
+  private _readPool (section: string, name: ResourceName): IPoolResource | undefined {
+    const values = this._readSection(section, POOL_SECTION)
+    if (values === undefined) return undefined
+    return {
+      kind: 'pool',
+      name,
+      isExported: values.exported,
+      slots: values.slots,
+      connections: values.connections,
+      queue: values.queue,
+      queueTimeout: values['queue-timeout'],
+      slowStart: values['slow-start'],
+      balancing: values.balancing,
+      spillAt: values['spill-at'],
+      ejectionCeiling: values['ejection-ceiling'],
+      healthPath: values['health-path'],
+      healthInterval: values['health-interval']
+    }
+  }
+
+  private _readRetry (section: string, name: ResourceName): IRetryResource | undefined {
+    const values = this._readSection(section, RETRY_SECTION)
+    if (values === undefined) return undefined
+    const { exported, attempts, budget, backoff } = values
+    return { kind: 'retry', name, isExported: exported, attempts, budget, backoff, backoffLimit: values['backoff-limit'] }
+  }
+
+  private _readLimit (section: string, name: ResourceName): ILimitResource | undefined {
+    const values = this._readSection(section, LIMIT_SECTION)
+    if (values === undefined) return undefined
+    const { exported, rate } = values
+    return { kind: 'limit', name, isExported: exported, requestBytes: values['request-bytes'], responseBytes: values['response-bytes'], rate }
+  }
+
+  private _readRoute (section: string, name: RouteName): IRoute | undefined {
+    const values = this._readSection(section, ROUTE_SECTION)
+    return values === undefined ? undefined : { name, ...values }
+  }
+
+  private _readSection<TValues> (section: string, schema: z.ZodType<TValues>): TValues | undefined {
+    const values = this._sections.get(section)
+    if (values === undefined) {
+      this._addFault(section, '', 'section is missing')
+      return undefined
+    }
+    const result = schema.safeParse(values)
+    if (result.success) return result.data
+    for (const issue of result.error.issues) this._addIssue(section, issue)
+    return undefined
+  }
+
+  private _addIssue (section: string, issue: z.core.$ZodIssue): void {
+    if (issue.code === 'unrecognized_keys') {
+      for (const key of issue.keys) this._addFault(section, key, 'unknown key')
+    } else {
+      this._addFault(section, issue.path.join('.'), issue.message)
+    }
+  }
+
+  /** References name no kind, so a name stands for one resource only. */
+  private _checkNames (resources: readonly Resource[]): void {
+    const kinds = new Map<ResourceName, string>()
+    for (const { kind, name } of resources) {
+      const other = kinds.get(name)
+      if (other === undefined) kinds.set(name, kind)
+      else this._addFault(`${kind}.${name}`, '', `name is already used by [${other}.${name}]; expected a name that no other resource here has`)
+    }
+  }
+
+  private _addUnknownSection (section: string, kind: string): void {
+    const expected = '[service], [objective], [stop], [pool.NAME], [retry.NAME], [limit.NAME] or [route.NAME]'
+    this._addFault(section, '', `unknown section of kind ${excerpt(kind)}; expected ${expected}`)
+  }
+
+  private _addFault (section: string, key: string, message: string): void {
+    this._faults.push({ section, key, message })
+  }
+}
+
+/** Adds an item unless it could not be read. */
+function append<TItem> (items: TItem[], item: TItem | undefined): void {
+  if (item !== undefined) items.push(item)
+}
+
+/** Keeps an answer about a hostile text small. */
+function boundFaults (faults: readonly IDocumentFault[]): readonly IDocumentFault[] {
+  if (faults.length <= MAXIMUM_FAULTS) return faults
+  const message = `${faults.length - MAXIMUM_FAULTS} further faults are not listed`
+  return [...faults.slice(0, MAXIMUM_FAULTS), { section: '', key: '', message }]
+}
--- /dev/null
+++ b/src/documents/Events.ts
@@ -0,0 +1,34 @@
+/** Events of documents/, numbers 3000 to 3999. */
+import type { IEventDefinition } from '../common/Services.js'
+
+export const DOCUMENT_ACCEPTED: IEventDefinition = Object.freeze({
+  number: 3001,
+  name: 'document-accepted',
+  level: 'info',
+  meaning: 'A version of a document was accepted. With isRepeat it had been accepted before under the same submission.'
+})
+
+export const DOCUMENT_REFUSED: IEventDefinition = Object.freeze({
+  number: 3002,
+  name: 'document-refused',
+  level: 'info',
+  meaning: 'A submission was refused; kind tells whether it was invalid, in conflict with a newer version, or not of the owning team.'
+})
+
+export const SUBMISSION_RETRIED: IEventDefinition = Object.freeze({
+  number: 3003,
+  name: 'submission-retried',
+  level: 'info',
+  meaning: 'The transaction of a submission is tried again after a backoff, because another change came first or an answer was lost. Harmless.'
+})
+
+export const SUBMISSION_UNDECIDED: IEventDefinition = Object.freeze({
+  number: 3004,
+  name: 'submission-undecided',
+  level: 'warn',
+  meaning: 'The answer of the store to a write was lost. The submission is tried again; its row decides, so it cannot be accepted twice.'
+})
+
+export const DOCUMENTS_EVENTS: readonly IEventDefinition[] = Object.freeze([
+  DOCUMENT_ACCEPTED, DOCUMENT_REFUSED, SUBMISSION_RETRIED, SUBMISSION_UNDECIDED
+])
--- /dev/null
+++ b/src/documents/ini/IniLines.ts
@@ -0,0 +1,83 @@
+/** Checks the lines of an INI text for what the `ini` package accepts silently: duplicates, stray lines, odd names. */
+import type { IDocumentFault } from '../Types.js'
+
+/** The lines that are well formed, and the faults of the others. */
+export interface ICheckedLines {
+  /** INI text without the faulty lines. */
+  readonly text: string
+  /** Names of the sections in their order. */
+  readonly sections: readonly string[]
+  readonly faults: readonly IDocumentFault[]
+}
+
+const NAME = '[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?'
+/** `kind` or `kind.name`. */
+const SECTION_PATTERN = new RegExp(`^${NAME}(?:\\.${NAME})?$`)
+const KEY_PATTERN = new RegExp(`^${NAME}$`)
+// eslint-disable-next-line no-control-regex
+const CONTROL_PATTERN = /[\u0000-\u0008\u000b-\u001f\u007f]/
+const BYTE_ORDER_MARK = '\ufeff'
+/** Longest excerpt of the text in a fault, in characters. */
+const EXCERPT_CHARACTERS = 60
+
+/** Walks over the lines of one text. */
+export class IniLines {
+  private readonly _lines: string[] = []
+  private readonly _sections = new Set<string>()
+  private readonly _keys = new Set<string>()
+  private readonly _faults: IDocumentFault[] = []
+  private _section = ''
+
+  /** Checks each line of `text`; takes time linear in its length. */
+  public static check (text: string): ICheckedLines {
+    const lines = new IniLines()
+    const body = text.startsWith(BYTE_ORDER_MARK) ? text.slice(1) : text
+    for (const line of body.split(/[\r\n]+/)) lines._checkLine(line.trim())
+    return { text: lines._lines.join('\n'), sections: [...lines._sections], faults: lines._faults }
+  }
+
+  private _checkLine (line: string): void {
+    if (line === '' || line.startsWith(';') || line.startsWith('#')) return
+    if (CONTROL_PATTERN.test(line)) this._addFault('', `control character in the line ${excerpt(line)}`)
+    else if (line.startsWith('[')) this._checkSection(line)
+    else this._checkPair(line)
+  }
+
+  private _checkSection (line: string): void {
+    const name = line.endsWith(']') ? line.slice(1, -1) : ''
+    if (!SECTION_PATTERN.test(name)) {
+      this._section = excerpt(line)
+      this._addFault('', 'malformed section; expected [kind] or [kind.name] of lower-case letters, digits and hyphens')
+      this._lines.push('[malformed]')
+      return
+    }
+    this._section = name
+    if (this._sections.has(name)) this._addFault('', 'section stands twice; expected once')
+    this._sections.add(name)
+    this._lines.push(line)
+  }
+
+  private _checkPair (line: string): void {
+    const separator = line.indexOf('=')
+    if (separator < 0) return this._addFault('', `stray line ${excerpt(line)}; expected key = value`)
+    const key = line.slice(0, separator).trim()
+    const value = line.slice(separator + 1).trim()
+    const place = `${this._section}\n${key}`
+    if (!KEY_PATTERN.test(key)) this._addFault(excerpt(key), 'malformed key; expected lower-case letters, digits and hyphens')
+    else if (this._section === '') this._addFault(key, 'key stands before the first section')
+    else if (this._keys.has(place)) this._addFault(key, 'key stands twice in its section; expected once')
+    else if (value.startsWith('"') || value.startsWith("'")) this._addFault(key, 'quoted value; expected a value without quotes')
+    else this._lines.push(line)
+    this._keys.add(place)
+  }
+
+  private _addFault (key: string, message: string): void {
+    this._faults.push({ section: this._section, key, message })
+  }
+}
+
+/** The beginning of `text` as a JSON string, fit for one line of a message. */
+export function excerpt (text: string): string {
+  const isLong = text.length > EXCERPT_CHARACTERS
+  return JSON.stringify(isLong ? `${text.slice(0, EXCERPT_CHARACTERS)}...` : text)
+}
--- /dev/null
+++ b/src/documents/store/Tables.ts
@@ -0,0 +1,60 @@
+/** Tables and keys under which documents are kept in the platform. */
+import type { ChangeSequence, ContentHash, DocumentVersion, ServiceName, SubmissionId } from '../../common/Types.js'
+import type { IRowReference, ObjectKey, RowKey, TableName } from '../../platform/Types.js'
+
+/** Newest version of each service, by service. */
+export const DOCUMENTS_TABLE = 'documents' as TableName
+/** Accepted changes, by sequence. */
+export const CHANGES_TABLE = 'changes' as TableName
+/** All versions of each service, by service and version, the newest first. */
+export const VERSIONS_TABLE = 'versions' as TableName
+/** Accepted submissions, by id. */
+export const SUBMISSIONS_TABLE = 'submissions' as TableName
+/** Services that refer to a service, by the service referred to. */
+export const DEPENDENTS_TABLE = 'dependents' as TableName
+const HEAD_TABLE = 'change-head' as TableName
+
+/** The row that holds the sequence of the newest change. */
+export const HEAD_ROW: IRowReference = Object.freeze({ table: HEAD_TABLE, key: 'head' as RowKey })
+/** Below every key of the tables here. */
+export const FIRST_KEY = '' as RowKey
+
+/** Digits of a number in a key, so that the order of keys is the order of numbers. */
+const KEY_DIGITS = 16
+const HIGHEST_VERSION = Number.MAX_SAFE_INTEGER
+
+export function documentRow (service: ServiceName): IRowReference {
+  return { table: DOCUMENTS_TABLE, key: service as string as RowKey }
+}
+
+export function dependentsRow (service: ServiceName): IRowReference {
+  return { table: DEPENDENTS_TABLE, key: service as string as RowKey }
+}
+
+export function submissionRow (id: SubmissionId): IRowReference {
+  return { table: SUBMISSIONS_TABLE, key: id as string as RowKey }
+}
+
+export function changeRow (sequence: ChangeSequence): IRowReference {
+  return { table: CHANGES_TABLE, key: changeKey(sequence) }
+}
+
+export function changeKey (sequence: number): RowKey {
+  return String(sequence).padStart(KEY_DIGITS, '0') as RowKey
+}
+
+export function versionRow (service: ServiceName, version: DocumentVersion): IRowReference {
+  // Counted down, so that a scan gives the newest first.
+  const countdown = String(HIGHEST_VERSION - version).padStart(KEY_DIGITS, '0')
+  return { table: VERSIONS_TABLE, key: `${service}/${countdown}` as RowKey }
+}
+
+/** First and end key of all versions of a service. */
+export function versionKeys (service: ServiceName): { readonly fromKey: RowKey, readonly beforeKey: RowKey } {
+  // '0' is the character after '/'.
+  return { fromKey: `${service}/` as RowKey, beforeKey: `${service}0` as RowKey }
+}
+
+export function textObject (hash: ContentHash): ObjectKey {
+  return `text/${hash}` as ObjectKey
+}
