Share the reading of INI texts and units

Cause: the daemon's settings need the same line checks, units and zod values as documents. Change: IniLines, IniText, IniValues and Units move to src/common; Units is free of zod.

--- a/src/documents/ini/IniLines.ts
+++ b/src/common/IniLines.ts
@@ -1,5 +1,13 @@
 /** Checks the lines of an INI text for what the `ini` package accepts silently: duplicates, stray lines, odd names. */
-import type { IDocumentFault } from '../Types.js'
+
+/** One fault of an INI text. */
+export interface IIniFault {
+  readonly section: string
+  /** Empty if the fault is the section's as a whole. */
+  readonly key: string
+  /** What was found and what was expected. */
+  readonly message: string
+}
 
 /** The lines that are well formed, and the faults of the others. */
 export interface ICheckedLines {
@@ -7,7 +15,7 @@
   readonly text: string
   /** Names of the sections in their order. */
   readonly sections: readonly string[]
-  readonly faults: readonly IDocumentFault[]
+  readonly faults: readonly IIniFault[]
 }
 
 const NAME = '[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?'
@@ -25,7 +33,7 @@
   private readonly _lines: string[] = []
   private readonly _sections = new Set<string>()
   private readonly _keys = new Set<string>()
-  private readonly _faults: IDocumentFault[] = []
+  private readonly _faults: IIniFault[] = []
   private _section = ''
 
   /** Checks each line of `text`; takes time linear in its length. */
--- a/src/documents/ini/IniReader.ts
+++ b/src/common/IniText.ts
@@ -1,7 +1,6 @@
 /** Reads an INI text into sections of plain text values. */
 import { parse } from 'ini'
-import { IniLines } from './IniLines.js'
-import type { IDocumentFault } from '../Types.js'
+import { IniLines, type IIniFault } from './IniLines.js'
 
 /** Values of one section by key. */
 export type IniValues = Readonly<Record<string, string>>
@@ -10,7 +9,7 @@
 export interface IIniText {
   /** By section name, in the order of the text. */
   readonly sections: ReadonlyMap<string, IniValues>
-  readonly faults: readonly IDocumentFault[]
+  readonly faults: readonly IIniFault[]
 }
 
 /** Reads `text`. Every fault of its form is listed. */
--- a/src/documents/ini/Values.ts
+++ b/src/common/IniValues.ts
@@ -1,8 +1,13 @@
 /** zod schemas of the values in INI texts, each with its description, what is expected, and its default. */
 import { z } from 'zod'
-import { isName } from '../../common/Ids.js'
-import type { Brand, Milliseconds } from '../../common/Types.js'
+import { isName } from './Ids.js'
 import { excerpt } from './IniLines.js'
+import type { Brand, Milliseconds } from './Types.js'
+import {
+  EXPECTED_FLAG, expectedCount, expectedDuration, expectedPercent, expectedSize,
+  parseCount, parseDuration, parseFlag, parsePercent, parseSize,
+  type IValueBounds, type ParsedValue
+} from './Units.js'
 
 /** Texts about one key. */
 export interface IValueTexts {
@@ -12,12 +17,6 @@
   readonly default?: string
 }
 
-/** Bounds of a number, both included. */
-export interface IValueBounds {
-  readonly minimum: number
-  readonly maximum: number
-}
-
 /** What the reference page tells about one key. */
 export interface IValueMeta {
   readonly description: string
@@ -27,12 +26,6 @@
   readonly isOptional?: boolean
 }
 
-const MILLISECONDS_BY_UNIT: ReadonlyMap<string, number> = new Map([['ms', 1], ['s', 1_000], ['min', 60_000], ['h', 3_600_000], ['d', 86_400_000]])
-const BYTES_BY_UNIT: ReadonlyMap<string, number> = new Map([['B', 1], ['KiB', 1_024], ['MiB', 1_048_576], ['GiB', 1_073_741_824]])
-const MEASURE_PATTERN = /^(\d{1,9}) ([A-Za-z]{1,3})$/
-const PERCENT_PATTERN = /^(\d{1,3}(?:\.\d{1,6})?) %$/
-const COUNT_PATTERN = /^\d{1,9}$/
-
 /** A schema that turns text into a value; `parse` answers undefined for a text that is not as expected. */
 export function textValue<TValue> (texts: IValueTexts, expected: string, parse: (text: string) => TValue | undefined): z.ZodType<TValue> {
   const schema = z.string({ error: `missing; expected ${expected}` }).transform((text, context): TValue => {
@@ -54,36 +47,27 @@
 
 /** A whole number without unit. */
 export function countValue (texts: IValueTexts, bounds: IValueBounds): z.ZodType<number> {
-  const expected = `a whole number from ${bounds.minimum} to ${bounds.maximum}`
-  return textValue(texts, expected, (text) => COUNT_PATTERN.test(text) ? within(Number(text), bounds) : undefined)
+  return textValue(texts, expectedCount(bounds), (text) => valueOf(parseCount(text, bounds)))
 }
 
 /** A duration such as `800 ms`; the bounds are in milliseconds. */
 export function durationValue (texts: IValueTexts, bounds: IValueBounds): z.ZodType<Milliseconds> {
-  const range = `from ${writeMeasure(bounds.minimum, MILLISECONDS_BY_UNIT)} to ${writeMeasure(bounds.maximum, MILLISECONDS_BY_UNIT)}`
-  const expected = `a duration such as 800 ms (units ${[...MILLISECONDS_BY_UNIT.keys()].join(', ')}) ${range}`
-  return textValue(texts, expected, (text) => readMeasure(text, MILLISECONDS_BY_UNIT, bounds) as Milliseconds | undefined)
+  return textValue(texts, expectedDuration(bounds), (text) => valueOf(parseDuration(text, bounds)))
 }
 
 /** A size such as `16 KiB`; the bounds are in bytes. */
 export function sizeValue (texts: IValueTexts, bounds: IValueBounds): z.ZodType<number> {
-  const range = `from ${writeMeasure(bounds.minimum, BYTES_BY_UNIT)} to ${writeMeasure(bounds.maximum, BYTES_BY_UNIT)}`
-  const expected = `a size such as 16 KiB (units ${[...BYTES_BY_UNIT.keys()].join(', ')}) ${range}`
-  return textValue(texts, expected, (text) => readMeasure(text, BYTES_BY_UNIT, bounds))
+  return textValue(texts, expectedSize(bounds), (text) => valueOf(parseSize(text, bounds)))
 }
 
 /** A share such as `99.9 %`. */
 export function percentValue (texts: IValueTexts, bounds: IValueBounds): z.ZodType<number> {
-  const expected = `a share such as 10 % from ${bounds.minimum} % to ${bounds.maximum} %`
-  return textValue(texts, expected, (text) => {
-    const match = PERCENT_PATTERN.exec(text)
-    return match === null ? undefined : within(Number(match[1]), bounds)
-  })
+  return textValue(texts, expectedPercent(bounds), (text) => valueOf(parsePercent(text, bounds)))
 }
 
 /** `yes` or `no`. */
 export function flagValue (texts: IValueTexts): z.ZodType<boolean> {
-  return textValue(texts, 'yes or no', (text) => text === 'yes' ? true : text === 'no' ? false : undefined)
+  return textValue(texts, EXPECTED_FLAG, (text) => valueOf(parseFlag(text)))
 }
 
 /** One of a few words. */
@@ -97,21 +81,6 @@
   return textValue(texts, expected, (text) => isName(text) ? text as TName : undefined)
 }
 
-function within (value: number, bounds: IValueBounds): number | undefined {
-  return value >= bounds.minimum && value <= bounds.maximum ? value : undefined
-}
-
-function readMeasure (text: string, units: ReadonlyMap<string, number>, bounds: IValueBounds): number | undefined {
-  const match = MEASURE_PATTERN.exec(text)
-  const factor = match === null ? undefined : units.get(match[2])
-  return match === null || factor === undefined ? undefined : within(Number(match[1]) * factor, bounds)
-}
-
-/** Writes a measure in the largest unit that gives a whole number. */
-function writeMeasure (value: number, units: ReadonlyMap<string, number>): string {
-  let text = String(value)
-  for (const [unit, factor] of units) {
-    if (value % factor === 0 && (value !== 0 || factor === 1)) text = `${value / factor} ${unit}`
-  }
-  return text
+function valueOf<TValue> (parsed: ParsedValue<TValue>): TValue | undefined {
+  return parsed.isValid ? parsed.value : undefined
 }
--- a/src/documents/DocumentParser.ts
+++ b/src/documents/DocumentParser.ts
@@ -10,8 +10,8 @@
   RETRY_SECTION, ROUTE_SECTION, SERVICE_SECTION, STOP_SECTION
 } from './DocumentSchema.js'
 import { checkOwnReferences } from './OwnReferences.js'
-import { excerpt } from './ini/IniLines.js'
-import { readIni, type IniValues } from './ini/IniReader.js'
+import { excerpt } from '../common/IniLines.js'
+import { readIni, type IniValues } from '../common/IniText.js'
 
 /** Most faults listed for one document. */
 const MAXIMUM_FAULTS = 200
--- a/src/documents/DocumentSchema.ts
+++ b/src/documents/DocumentSchema.ts
@@ -3,7 +3,7 @@
 import type { ServiceName, TeamName } from '../common/Types.js'
 import {
   choiceValue, countValue, describeValue, durationValue, flagValue, nameValue, percentValue, sizeValue, textValue
-} from './ini/Values.js'
+} from '../common/IniValues.js'
 import type { IResourceReference, RepeatRule, RequestClass } from './Types.js'
 import { parseMethod, parsePath, parseReference } from './RoutePattern.js'
 
--- a/src/documents/Types.ts
+++ b/src/documents/Types.ts
@@ -1,4 +1,5 @@
 /** Shapes of a service's document, of its faults, of accepted changes and of snapshots. */
+import type { IIniFault } from '../common/IniLines.js'
 import type {
   ChangeSequence, ContentHash, DocumentVersion, Milliseconds, ResourceName, RouteName, ServiceName, SubmissionId, TeamName, Timestamp
 } from '../common/Types.js'
@@ -120,13 +121,7 @@
 }
 
 /** One fault of a document. */
-export interface IDocumentFault {
-  readonly section: string
-  /** Empty if the fault is the section's as a whole. */
-  readonly key: string
-  /** What was found and what was expected. */
-  readonly message: string
-}
+export type IDocumentFault = IIniFault
 
 /** Result of parsing; either a document or at least one fault. */
 export type ParseResult =
