Add the HTTP adapters between calls and connections

Requests are checked for framing that two parsers could read differently, for oversized heads and for hop-by-hop fields; an answer that does not match its length, or that is aborted, breaks the connection, so a part never looks whole.

--- /dev/null
+++ b/src/gate/HeaderRules.ts
@@ -0,0 +1,112 @@
+/** Rules for HTTP header fields and request targets: hop-by-hop fields, limits, and guards against request smuggling. */
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
+
+/** Limits on the head of a request. */
+export interface IHeaderRulesOptions {
+  /** Most header fields of one request. */
+  readonly maximumFields: number
+  /** Largest sum of the bytes of names and values. */
+  readonly maximumBytes: number
+  /** Longest request target in bytes. */
+  readonly maximumTargetBytes: number
+}
+
+/** Defaults of `HeaderRules`. */
+export const DEFAULT_HEADER_RULES_OPTIONS: IHeaderRulesOptions = Object.freeze({
+  maximumFields: 100,
+  maximumBytes: 16_384,
+  maximumTargetBytes: 8_192
+})
+
+/** Fields that concern one connection only; `expect` is answered by the server itself. */
+const HOP_BY_HOP_FIELDS: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization',
+  'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'http2-settings'
+])
+
+/** Values of `connection` that name no further field. */
+const PLAIN_CONNECTION_VALUES: ReadonlySet<string> = new Set(['keep-alive', 'close', 'Keep-Alive', 'Close'])
+
+/** Visible ASCII only: no space, control character or byte above 0x7E. */
+const TARGET_PATTERN = /^\/[\x21-\x7e]*$/
+
+const FORBIDDEN_IN_VALUE = /[\0\r\n]/
+const DIGITS_PATTERN = /^\d{1,15}$/
+
+/** Tells whether a field with this lower-case name concerns one connection only. */
+export function isHopByHop (name: string): boolean {
+  return HOP_BY_HOP_FIELDS.has(name)
+}
+
+/** Lower-case names that the `connection` field lists beside the usual options. */
+export function namesInConnection (value: string | undefined): ReadonlySet<string> | undefined {
+  if (value === undefined || PLAIN_CONNECTION_VALUES.has(value)) return undefined
+  return new Set(value.toLowerCase().split(',').map((name) => name.trim()))
+}
+
+/** A copy of `headers` without the fields that concern one connection only. */
+export function endToEndHeaders (headers: IncomingHttpHeaders): IncomingHttpHeaders {
+  const listed = namesInConnection(headers.connection)
+  const kept: IncomingHttpHeaders = {}
+  for (const name in headers) {
+    if (HOP_BY_HOP_FIELDS.has(name)) continue
+    if (listed !== undefined && listed.has(name)) continue
+    kept[name] = headers[name]
+  }
+  return kept
+}
+
+/** Size of a message body by its `content-length`; undefined if there is no such field or it is not a number. */
+export function contentLength (headers: IncomingHttpHeaders): number | undefined {
+  const text = headers['content-length']
+  if (text === undefined || !DIGITS_PATTERN.test(text)) return undefined
+  return Number(text)
+}
+
+/** Checks the head of requests. */
+export class HeaderRules {
+  private readonly _options: IHeaderRulesOptions
+
+  constructor (options: Partial<IHeaderRulesOptions> = {}) {
+    this._options = { ...DEFAULT_HEADER_RULES_OPTIONS, ...options }
+  }
+
+  /** What is wrong with the head of `message`; undefined if nothing is. */
+  public faultOf (message: IncomingMessage): string | undefined {
+    const target = message.url ?? ''
+    if (target.length > this._options.maximumTargetBytes) return 'request target too long'
+    if (!TARGET_PATTERN.test(target)) return 'request target is not a path'
+    return this._faultOfFields(message.rawHeaders) ?? faultOfFraming(message)
+  }
+
+  private _faultOfFields (fields: readonly string[]): string | undefined {
+    if (fields.length > this._options.maximumFields * 2) return 'too many header fields'
+    let size = 0
+    for (const text of fields) {
+      size += text.length
+      if (FORBIDDEN_IN_VALUE.test(text)) return 'control character in a header field'
+    }
+    return size > this._options.maximumBytes ? 'header fields too large' : undefined
+  }
+}
+
+/** Refuses every message whose end two parsers could see at different places. */
+function faultOfFraming (message: IncomingMessage): string | undefined {
+  const encoding = message.headers['transfer-encoding']
+  const length = message.headers['content-length']
+  if (encoding !== undefined && length !== undefined) return 'both content-length and transfer-encoding'
+  if (encoding !== undefined && encoding.toLowerCase() !== 'chunked') return 'unsupported transfer-encoding'
+  if (encoding === undefined && length === undefined) return undefined
+  if (length !== undefined && !DIGITS_PATTERN.test(length)) return 'content-length is not a number'
+  return countFramingFields(message.rawHeaders) > 1 ? 'content-length or transfer-encoding given twice' : undefined
+}
+
+/** Number of fields that tell where the body ends. */
+function countFramingFields (fields: readonly string[]): number {
+  let count = 0
+  for (let index = 0; index < fields.length; index += 2) {
+    const name = fields[index]?.toLowerCase()
+    if (name === 'content-length' || name === 'transfer-encoding') count++
+  }
+  return count
+}
--- /dev/null
+++ b/src/gate/HttpAnswerSink.ts
@@ -0,0 +1,111 @@
+/** Writes an answer to the HTTP connection of a caller or of another node. */
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
+import { toDisposable } from '../common/Disposable.js'
+import type { IEvent } from '../common/Types.js'
+import { contentLength, isHopByHop, namesInConnection } from './HeaderRules.js'
+import type { IAnswerSink } from './Types.js'
+
+/** What an answer sink needs. */
+export interface IHttpAnswerSinkOptions {
+  readonly response: ServerResponse
+  /** Fields put before those of the answer when its head is written: names and values in turn. They replace fields of the same name. */
+  readonly additionalHeaders?: () => readonly string[]
+}
+
+const NO_HEADERS: readonly string[] = Object.freeze([])
+
+/** Passes an answer on without copying it; a part of an answer never looks whole. */
+export class HttpAnswerSink implements IAnswerSink {
+  private readonly _response: ServerResponse
+  private readonly _additionalHeaders: (() => readonly string[]) | undefined
+  private _expectedBytes: number | undefined
+  private _writtenBytes = 0
+  private _hasBegun = false
+  private _isAborted = false
+  private _isEnded = false
+
+  constructor (options: IHttpAnswerSinkOptions) {
+    this._response = options.response
+    this._additionalHeaders = options.additionalHeaders
+  }
+
+  public readonly onDrained: IEvent<void> = (listener) => {
+    const notify = (): void => listener()
+    this._response.on('drain', notify)
+    return toDisposable(() => this._response.off('drain', notify))
+  }
+
+  public get hasBegun (): boolean {
+    return this._hasBegun
+  }
+
+  /** True if the connection was broken before the answer was whole. */
+  public get isTruncated (): boolean {
+    return this._isAborted
+  }
+
+  public begin (status: number, headers: IncomingHttpHeaders): void {
+    this._hasBegun = true
+    if (hasBody(this._response, status)) this._expectedBytes = contentLength(headers)
+    if (this._isGone) return
+    const additional = this._additionalHeaders?.() ?? NO_HEADERS
+    this._response.writeHead(status, flatten(headers, additional))
+  }
+
+  public write (chunk: Uint8Array): boolean {
+    this._writtenBytes += chunk.byteLength
+    if (this._expectedBytes !== undefined && this._writtenBytes > this._expectedBytes) this.abort()
+    if (this._isGone) return true
+    return this._response.write(chunk)
+  }
+
+  public end (): void {
+    if (this._expectedBytes !== undefined && this._writtenBytes !== this._expectedBytes) this.abort()
+    if (this._isGone) return
+    this._isEnded = true
+    this._response.end()
+  }
+
+  public abort (): void {
+    if (this._isEnded) return
+    this._isAborted = true
+    this._response.destroy()
+  }
+
+  private get _isGone (): boolean {
+    return this._isAborted || this._response.destroyed
+  }
+}
+
+/** Tells whether an answer to this request, with this status, carries a body. */
+function hasBody (response: ServerResponse, status: number): boolean {
+  return response.req.method !== 'HEAD' && status !== 204 && status !== 304
+}
+
+/** Names and values in turn, without hop-by-hop fields; `additional` comes first and wins. */
+function flatten (headers: IncomingHttpHeaders, additional: readonly string[]): string[] {
+  const listed = namesInConnection(headers.connection)
+  const flat: string[] = [...additional]
+  for (const name in headers) {
+    if (isHopByHop(name) || listed?.has(name) === true || isNamed(additional, name)) continue
+    appendField(flat, name, headers[name])
+  }
+  return flat
+}
+
+/** Tells whether `fields` has a field called `name`. */
+function isNamed (fields: readonly string[], name: string): boolean {
+  for (let index = 0; index < fields.length; index += 2) {
+    if (fields[index] === name) return true
+  }
+  return false
+}
+
+/** Appends one field, or several of one name. */
+function appendField (flat: string[], name: string, value: string | string[] | undefined): void {
+  if (typeof value === 'string') {
+    flat.push(name, value)
+  } else if (value !== undefined) {
+    for (const one of value) flat.push(name, one)
+  }
+}
