--- /dev/null
+++ b/src/membership/GrpcPeerTransport.test.ts
@@ -0,0 +1,100 @@
+/** Streams over real sockets: order, limits, nonsense, back-pressure, close. */
+import { Client, credentials } from '@grpc/grpc-js'
+import { expect } from 'chai'
+import { ClockService } from '../common/ClockService.js'
+import { MetricsService } from '../common/MetricsService.js'
+import { GrpcPeerTransport, type GrpcPeerTransportOptions } from './GrpcPeerTransport.js'
+import { loadProtocol } from './Protocol.js'
+import { RecordingLog } from '../../testing/RecordingLog.js'
+import type { Milliseconds, NetworkAddress } from '../common/Types.js'
+import type { ReceivedPeerMessage } from '../generated/savoryknot/PeerMessage.js'
+import type { IPeerChannel } from './Services.js'
+
+const LOOPBACK = '127.0.0.1:0' as NetworkAddress
+
+describe('GrpcPeerTransport', () => {
+  const transports: GrpcPeerTransport[] = []
+  const log = new RecordingLog()
+
+  function create (options: Partial<GrpcPeerTransportOptions> = {}): GrpcPeerTransport {
+    const needs = { address: LOOPBACK, clock: new ClockService(), log, metrics: new MetricsService() }
+    const transport = new GrpcPeerTransport({ ...needs, ...options })
+    transports.push(transport)
+    return transport
+  }
+
+  /** Opens a stream; gives both ends. */
+  async function connect (options: Partial<GrpcPeerTransportOptions> = {}): Promise<{ near: IPeerChannel, far: IPeerChannel }> {
+    const server = create(options)
+    const address = await server.bind()
+    const accepted = new Promise<IPeerChannel>((resolve, reject) => { server.listen(resolve).catch(reject) })
+    const near = await create(options).dial(address)
+    near.send({ ping: { number: 0 } })
+    return { near, far: await accepted }
+  }
+
+  afterEach(async () => {
+    await Promise.all(transports.splice(0).map((transport) => transport.close()))
+    log.events.length = 0
+  })
+
+  it('carries messages both ways in order and closes both ends', async () => {
+    const { near, far } = await connect()
+    const closed = new Promise<void>((resolve) => { near.onClosed(resolve) })
+    const received: number[] = []
+    const all = new Promise<void>((resolve) => near.onMessage((message) => {
+      received.push(message.ping?.number ?? -1)
+      if (received.length === 50) resolve()
+    }))
+    for (let number = 0; number < 50; number++) far.send({ ping: { number } })
+    far.dispose()
+    await all
+    await closed
+    expect(received).to.deep.equal([...received].sort((first, second) => first - second))
+    expect(near.send({ ping: { number: 1 } })).to.equal(false)
+  })
+
+  it('closes the stream of a peer that sends bytes which are no message', async () => {
+    const server = create()
+    const address = await server.bind()
+    const closed = new Promise<void>((resolve, reject) => { server.listen((channel) => channel.onClosed(resolve)).catch(reject) })
+    const client = new Client(address, credentials.createInsecure())
+    const pass = (bytes: Buffer): Buffer => bytes
+    const stream = client.makeBidiStreamRequest<Buffer, Buffer>(loadProtocol().peer.Exchange.path, pass, pass)
+    stream.on('error', () => {})
+    stream.write(Buffer.from([0x0a, 0xff, 0xff, 0xff, 0xff]))
+    await closed
+    client.close()
+    expect(log.events.map((event) => event.name)).to.deep.equal(['peer-message-invalid'])
+  })
+
+  it('ignores a kind of message that a newer peer knows', async () => {
+    const { near, far } = await connect()
+    const next = new Promise<ReceivedPeerMessage>((resolve) => { far.onMessage(resolve) })
+    const bytes = Buffer.from([0xfa, 0x07, 0x03, 0x01, 0x02, 0x03])
+    ;(near as unknown as { _options: { stream: { write (bytes: Buffer): void } } })._options.stream.write(bytes)
+    near.send({ pong: { number: 9 } })
+    const message = await next
+    expect(message.kind === 'ping' ? 9 : message.pong?.number).to.equal(9)
+  })
+
+  it('ends the stream on a message over the size limit', async () => {
+    const { near, far } = await connect({ maximumMessageBytes: 1_000 })
+    const closed = new Promise<void>((resolve) => { far.onClosed(resolve) })
+    near.send({ broadcast: { payload: Buffer.alloc(5_000) } })
+    await closed
+  })
+
+  it('drops and says so when the other side does not read', async () => {
+    const { near } = await connect({ sendBufferBytes: 100_000 })
+    const outcomes = Array.from({ length: 40 }, () => near.send({ broadcast: { payload: Buffer.alloc(10_000) } }))
+    expect(outcomes[0]).to.equal(true)
+    expect(outcomes.at(-1)).to.equal(false)
+    expect(log.events.filter((event) => event.name === 'peer-send-buffer-full')).to.have.length(1)
+  })
+
+  it('rejects a dial to nobody with the step and the peer', async () => {
+    const error = await create({ dialTimeout: 300 as Milliseconds }).dial('127.0.0.1:1' as NetworkAddress).catch((reason: unknown) => reason)
+    expect(error).to.include({ name: 'PeerUnreachableError', step: 'transport.dial', peer: '127.0.0.1:1' })
+  })
+})
