Check the settings of the daemon

Cause: a process learns its addresses, failure domain, upstreams, platform and keys from an INI file, and a wrong one has to be refused before anything starts. Change: zod schemas for every section, all faults listed with file, section, key and what was expected; plaintext only on loopback. Conclusion: the daemon starts from checked settings only.

--- a/src/daemon/MetricsServer.ts
+++ b/src/daemon/MetricsServer.ts
@@ -21,7 +21,9 @@
 
   constructor (private readonly _options: IMetricsServerOptions) {
     collectDefaultMetrics({ register: _options.metrics.registry, prefix: 'savoryknot_' })
-    this._server = createServer((request, response) => { void this._answer(request, response) })
+    this._server = createServer((request, response) => {
+      this._answer(request, response).catch((error: Error) => response.destroy(error))
+    })
     this._server.requestTimeout = REQUEST_TIMEOUT_MS
   }
 
--- /dev/null
+++ b/src/daemon/settings/SettingsError.ts
@@ -0,0 +1,15 @@
+/** Error of a settings file. */
+import { SavoryknotError } from '../../common/SavoryknotError.js'
+import type { ISettingsFault } from './Types.js'
+
+/** The settings cannot be used; every fault is listed. */
+export class SettingsError extends SavoryknotError {
+  constructor (public readonly file: string, public readonly faults: readonly ISettingsFault[]) {
+    super(faults.map((fault) => describeFault(file, fault)).join('\n'), { step: 'settings.read' })
+  }
+}
+
+function describeFault (file: string, fault: ISettingsFault): string {
+  const place = fault.section === '' ? '' : `[${fault.section}]${fault.key === '' ? '' : ` ${fault.key}`}: `
+  return `${file}: ${place}${fault.message}`
+}
--- /dev/null
+++ b/src/daemon/settings/SettingsReader.ts
@@ -0,0 +1,146 @@
+/** Reads and checks a settings file. */
+import { readFileSync } from 'node:fs'
+import type { z } from 'zod'
+import { isName } from '../../common/Ids.js'
+import { readIni, type IniValues } from '../../common/IniText.js'
+import type { EndpointId, NetworkAddress } from '../../common/Types.js'
+import type { IUpstreamSettings } from '../../gate/Services.js'
+import type { IKeyFileNames } from '../keys/KeyFiles.js'
+import { splitAddress } from '../Listening.js'
+import { SettingsError } from './SettingsError.js'
+import {
+  LIMITS_SECTION, LOG_SECTION, NODE_SECTION, PEERS_SECTION, PLATFORM_SECTION, TLS_SECTION, UPSTREAM_SECTION
+} from './SettingsSchema.js'
+import type { ISettings, ISettingsFault } from './Types.js'
+
+const UPSTREAM_PREFIX = 'upstream.'
+const KNOWN_SECTIONS = ['node', 'platform', 'peers', 'tls', 'log', 'limits']
+const LOOPBACK_PATTERN = /^(?:127\.|::1$)/
+/** A settings file above this size is not a settings file. */
+const MAXIMUM_BYTES = 1024 * 1024
+
+/** Reads a file. Throws `SettingsError` with every fault. */
+export function readSettings (file: string): ISettings {
+  return new SettingsReading(file, readText(file)).result()
+}
+
+/** Checks a text as if it had been read from `file`. */
+export function parseSettings (file: string, text: string): ISettings {
+  return new SettingsReading(file, text).result()
+}
+
+function readText (file: string): string {
+  try {
+    const text = readFileSync(file, 'utf8')
+    if (text.length > MAXIMUM_BYTES) throw new Error(`is larger than ${MAXIMUM_BYTES} bytes`)
+    return text
+  } catch (error) {
+    throw new SettingsError(file, [{ section: '', key: '', message: (error as Error).message }])
+  }
+}
+
+/** Reading of one text. */
+class SettingsReading {
+  private readonly _faults: ISettingsFault[] = []
+  private readonly _sections: ReadonlyMap<string, IniValues>
+
+  constructor (private readonly _file: string, text: string) {
+    const read = readIni(text)
+    this._sections = read.sections
+    this._faults.push(...read.faults)
+  }
+
+  public result (): ISettings {
+    this._refuseUnknownSections()
+    const node = this._readRequired('node', NODE_SECTION)
+    const platform = this._readRequired('platform', PLATFORM_SECTION)
+    const tls = this._readRequired('tls', TLS_SECTION)
+    const log = this._readOptional('log', LOG_SECTION)
+    const limits = this._readOptional('limits', LIMITS_SECTION)
+    const peers = this._sections.has('peers') ? this._readRequired('peers', PEERS_SECTION) : undefined
+    const upstreams = this._readUpstreams()
+    if (platform !== undefined) this._checkPlatform(platform)
+    const keys = tls === undefined ? undefined : this._readKeys(tls)
+    if (node !== undefined && tls?.mode === 'off') this._checkLoopback(node)
+    if (node === undefined || platform === undefined || log === undefined || limits === undefined || this._faults.length > 0) {
+      throw new SettingsError(this._file, this._faults)
+    }
+    return Object.freeze({ node, platform, log, limits, upstreams, keys, peers: peers?.addresses ?? [] })
+  }
+
+  private _refuseUnknownSections (): void {
+    for (const section of this._sections.keys()) {
+      if (KNOWN_SECTIONS.includes(section) || section.startsWith(UPSTREAM_PREFIX)) continue
+      this._addFault(section, '', `unknown section; expected ${KNOWN_SECTIONS.map((name) => `[${name}]`).join(', ')} or [upstream.NAME]`)
+    }
+  }
+
+  private _readUpstreams (): readonly IUpstreamSettings[] {
+    const upstreams: IUpstreamSettings[] = []
+    for (const section of this._sections.keys()) {
+      if (!section.startsWith(UPSTREAM_PREFIX)) continue
+      const endpoint = section.slice(UPSTREAM_PREFIX.length)
+      if (!isName(endpoint)) this._addFault(section, '', 'expected a name of lower-case letters, digits and inner hyphens after the dot')
+      const values = this._readRequired(section, UPSTREAM_SECTION)
+      if (values !== undefined) upstreams.push({ ...values, endpoint: endpoint as EndpointId })
+    }
+    return upstreams
+  }
+
+  private _checkPlatform (platform: z.infer<typeof PLATFORM_SECTION>): void {
+    if (platform.kind === 'http' && platform.url === undefined) this._addFault('platform', 'url', 'missing; expected a URL, since kind is http')
+    if (platform.kind === 'embedded' && platform.url !== undefined) this._addFault('platform', 'url', 'unused, since kind is embedded')
+  }
+
+  private _readKeys (tls: z.infer<typeof TLS_SECTION>): IKeyFileNames | undefined {
+    const { certificate, key, authority } = tls
+    const files = Object.entries({ certificate, key, authority })
+    if (tls.mode === 'off') {
+      for (const [name, file] of files) if (file !== undefined) this._addFault('tls', name, 'unused, since mode is off')
+      return undefined
+    }
+    for (const [name, file] of files) if (file === undefined) this._addFault('tls', name, 'missing; expected a file name, since mode is on')
+    if (certificate === undefined || key === undefined || authority === undefined) return undefined
+    return { certificate, key, authority }
+  }
+
+  private _checkLoopback (node: z.infer<typeof NODE_SECTION>): void {
+    for (const key of ['gate-address', 'peer-address', 'operator-address'] as const) {
+      const address: NetworkAddress = node[key]
+      if (LOOPBACK_PATTERN.test(splitAddress(address).host)) continue
+      this._addFault('node', key, `found ${address}; expected a loopback address, since tls mode is off`)
+    }
+  }
+
+  private _readOptional<TValues> (section: string, schema: z.ZodType<TValues>): TValues | undefined {
+    return this._check(section, schema, this._sections.get(section) ?? {})
+  }
+
+  private _readRequired<TValues> (section: string, schema: z.ZodType<TValues>): TValues | undefined {
+    const values = this._sections.get(section)
+    if (values === undefined) {
+      this._addFault(section, '', 'section is missing')
+      return undefined
+    }
+    return this._check(section, schema, values)
+  }
+
+  private _check<TValues> (section: string, schema: z.ZodType<TValues>, values: IniValues): TValues | undefined {
+    const result = schema.safeParse(values)
+    if (result.success) return result.data
+    for (const issue of result.error.issues) this._addIssue(section, issue)
+    return undefined
+  }
+
+  private _addIssue (section: string, issue: z.core.$ZodIssue): void {
+    if (issue.code === 'unrecognized_keys') {
+      for (const key of issue.keys) this._addFault(section, key, 'unknown key')
+    } else {
+      this._addFault(section, issue.path.join('.'), issue.message)
+    }
+  }
+
+  private _addFault (section: string, key: string, message: string): void {
+    this._faults.push({ section, key, message })
+  }
+}
