--- a/src/cli/commands/SubmitOutcome.ts
+++ b/src/cli/commands/SubmitOutcome.ts
@@ -31,6 +31,7 @@
 
 /** One line for a person. */
 export function formatFault (fault: IDocumentFault): string {
+  if (fault.section === '') return fault.message
   const place = fault.key === '' ? `[${fault.section}]` : `[${fault.section}] ${fault.key}`
   return `${place}: ${fault.message}`
 }
