--- a/src/documents/AcceptanceAttempt.ts
+++ b/src/documents/AcceptanceAttempt.ts
@@ -9,7 +9,7 @@
 import {
   DOCUMENT_ROW_SCHEMA, HEAD_SCHEMA, SUBMISSION_ROW_SCHEMA, decodeRow, encodeRow, type IDocumentRow
 } from './store/Rows.js'
-import { HEAD_ROW, changeRow, documentRow, submissionRow, versionRow } from './store/Tables.js'
+import { HEAD_ROW, SUBMISSIONS_TABLE, changeRow, documentRow, submissionRow, versionRow } from './store/Tables.js'
 import type { IAcceptedChange, SubmissionOutcome } from './Types.js'
 
 /** `overtaken`: another transaction came first; read again and decide again. */
@@ -60,7 +60,10 @@
     const writes = [...this._writes(change), ...this._references?.writes ?? []]
     this._isSent = true
     const outcome = await this._transact({ conditions, writes })
-    return outcome.isCommitted ? { kind: 'accepted', change, isRepeat: false } : { kind: 'overtaken' }
+    if (outcome.isCommitted) return { kind: 'accepted', change, isRepeat: false }
+    this._isSent = false
+    // The id was used before; reading the document again would not tell so.
+    return outcome.failed.table === SUBMISSIONS_TABLE ? await this._findRepeat() : { kind: 'overtaken' }
   }
 
   private async _transact (transaction: ITransaction): Promise<TransactionOutcome> {
--- /dev/null
+++ b/src/documents/AcceptanceService.test.ts
@@ -0,0 +1,169 @@
+/** Acceptance: conflicts, repeats, references, ownership, lost answers, outages and contention. */
+import { expect } from 'chai'
+import { AcceptanceFixture, describeOutcome, type ISubmissionDraft, type IWriter } from '../../testing/documents/AcceptanceFixture.js'
+import { writeDocument } from '../../testing/documents/DocumentText.js'
+import { runToEnd } from '../../testing/RunToEnd.js'
+import { OutcomeUnknownError, PlatformUnavailableError } from '../platform/PlatformErrors.js'
+import type { ChangeSequence, ServiceName } from '../common/Types.js'
+
+const SEED = 20_261_204
+const STATUS = writeDocument({ service: 'status' })
+const FEES = writeDocument({ service: 'fees', targets: ['status/endpoints'] })
+
+describe('AcceptanceService', () => {
+  let fixture: AcceptanceFixture
+  let writer: IWriter
+
+  beforeEach(() => {
+    fixture = new AcceptanceFixture(SEED)
+    writer = fixture.connect()
+  })
+
+  async function submit (draft: ISubmissionDraft, through = writer): Promise<string> {
+    return describeOutcome(await fixture.submit(through, draft))
+  }
+
+  /** Submits and answers the error. */
+  async function fail (draft: ISubmissionDraft): Promise<unknown> {
+    return await fixture.submit(writer, draft).catch((error: unknown) => error)
+  }
+
+  it('counts versions up and keeps their history and texts', async () => {
+    const changed = writeDocument({ service: 'status', note: 'second' })
+    await submit({ service: 'status', text: STATUS, expected: 0 })
+    await submit({ service: 'status', text: changed, expected: 1 })
+    await submit({ service: 'status', expected: 2 })
+    await submit({ service: 'status', text: STATUS, expected: 3 })
+    const history = await fixture.accepted.readHistory('status' as ServiceName, 10)
+    expect(history.map(({ version, sequence, isTombstone }) => ({ version, sequence, isTombstone }))).toMatchSnapshot()
+    expect(await fixture.accepted.readText(history[2].hash)).to.equal(changed)
+    expect(await fixture.accepted.readVersion('status' as ServiceName, history[1].version)).to.deep.equal(history[1])
+    expect(await fixture.accepted.readNewest('status' as ServiceName)).to.deep.equal(history[0])
+    expect(await fixture.accepted.changesAfter(1 as ChangeSequence, 2)).to.deep.equal([history[2], history[1]])
+    expect(await fixture.accepted.readAll()).to.deep.equal({ sequence: 4, changes: [history[0]] })
+  })
+
+  it('answers a stale submission with the newer version', async () => {
+    await submit({ service: 'status', text: STATUS, expected: 0 })
+    expect(await submit({ service: 'status', text: writeDocument({ service: 'status', note: 'other' }), expected: 0 })).to.equal('conflict with 1')
+    expect(await submit({ service: 'status', text: STATUS, expected: 7 })).to.equal('conflict with 1')
+    expect(await submit({ service: 'fees', text: FEES, expected: 1 })).to.equal('conflict with nothing')
+    expect(await submit({ service: 'fees', expected: 1 })).to.equal('conflict with nothing')
+  })
+
+  it('gives one version to one submission, however often and under which id it is repeated', async () => {
+    const first = { service: 'status', text: STATUS, expected: 0, id: 'one' }
+    expect(await submit(first)).to.equal('accepted 1')
+    expect(await submit(first)).to.equal('accepted 1 again')
+    expect(await submit({ ...first, id: 'two' })).to.equal('accepted 1 again')
+    await submit({ service: 'status', text: writeDocument({ service: 'status', note: 'second' }), expected: 1 })
+    expect(await submit(first)).to.equal('accepted 1 again')
+    expect(await submit({ ...first, id: 'three' })).to.equal('conflict with 2')
+    expect(await submit({ service: 'fees', text: writeDocument({ service: 'fees' }), expected: 1, id: 'one' })).to.include('submission id was used')
+    expect(await submit({ service: 'status', text: STATUS, expected: 2, id: 'one' })).to.equal('accepted 1 again')
+  })
+
+  it('refuses a submission that cannot be valid whatever is stored', async () => {
+    expect(await submit({ service: 'status', expected: 0 })).to.include('cannot be deleted')
+    expect(await submit({ service: 'fees', text: STATUS, expected: 0 })).to.include('document is of service status')
+    expect(await submit({ service: 'status', text: 'nonsense', expected: 0 })).to.include('stray line')
+    expect(writer.faults.counts).to.deep.include({ reads: 0, writes: 0 })
+  })
+
+  it('refuses references that are missing, not exported or deleted, and removals of what is referenced', async () => {
+    const lines: string[] = []
+    const step = async (draft: ISubmissionDraft): Promise<void> => { lines.push(await submit(draft)) }
+    await step({ service: 'fees', text: FEES, expected: 0 })
+    await step({ service: 'status', text: STATUS.replace('exported = yes', 'exported = no'), expected: 0 })
+    await step({ service: 'fees', text: FEES, expected: 0 })
+    await step({ service: 'status', text: STATUS, expected: 1 })
+    await step({ service: 'fees', text: FEES, expected: 0 })
+    await step({ service: 'status', text: writeDocument({ service: 'status', pools: ['others'] }), expected: 2 })
+    await step({ service: 'status', text: STATUS.replace('exported = yes', 'exported = no'), expected: 2 })
+    await step({ service: 'status', expected: 2 })
+    await step({ service: 'fees', expected: 1 })
+    await step({ service: 'status', expected: 2 })
+    await step({ service: 'status', expected: 3 })
+    await step({ service: 'fees', text: FEES, expected: 2 })
+    expect(lines).toMatchSnapshot()
+  })
+
+  it('lets only the owner change a document, also over a deletion', async () => {
+    const ours = { service: 'status', text: STATUS, expected: 0, team: 'permits' }
+    expect(await submit({ ...ours, team: 'others' })).to.include('forbidden')
+    expect(await submit(ours)).to.equal('accepted 1')
+    const taken = writeDocument({ service: 'status', owner: 'others' })
+    expect(await submit({ service: 'status', text: taken, expected: 1, team: 'others' })).to.include('forbidden')
+    expect(await submit({ service: 'status', expected: 1, team: 'others' })).to.include('forbidden')
+    expect(await submit({ service: 'status', expected: 1, team: 'permits' })).to.equal('accepted 2')
+    expect(await submit({ service: 'status', text: taken, expected: 2, team: 'others' })).to.include('forbidden')
+    expect(await submit({ service: 'status', text: taken, expected: 2, team: 'permits' })).to.equal('accepted 3')
+    expect(await submit({ service: 'status', text: STATUS, expected: 3, team: 'permits' })).to.include('forbidden')
+  })
+
+  it('resolves a lost answer by the row of the submission', async () => {
+    writer.faults.set({ lostAnswers: 1 })
+    expect(await submit({ service: 'status', text: STATUS, expected: 0 })).to.equal('accepted 1 again')
+    expect((await fixture.accepted.readAll()).sequence).to.equal(1)
+  })
+
+  it('says that the outcome is unknown only if a transaction may have been committed', async () => {
+    const draft = { service: 'status', text: STATUS, expected: 0, id: 'one' }
+    writer.faults.set({ isDown: true })
+    expect(await fail(draft)).to.be.instanceOf(PlatformUnavailableError)
+    writer.faults.set({ isDown: false, lostRequests: 1 })
+    expect(await fail(draft)).to.be.instanceOf(OutcomeUnknownError)
+    writer.faults.clear()
+    expect(await submit(draft)).to.equal('accepted 1')
+  })
+
+  it('does not call a submission unaccepted when the store goes down after a lost answer', async () => {
+    const draft = { service: 'status', text: STATUS, expected: 0, id: 'one' }
+    writer.faults.set({ delay: 10 as never, lostAnswers: 1 })
+    const task = fixture.start(writer, draft).catch((error: unknown) => error)
+    // The text is put at 20 ms with a lost answer and again later; the transaction follows.
+    while ((await fixture.accepted.readAll()).sequence === 0) await fixture.clock.advance(1)
+    writer.faults.set({ isDown: true })
+    expect(await runToEnd(fixture.clock, task)).to.be.instanceOf(OutcomeUnknownError)
+    writer.faults.clear()
+    expect(await submit(draft)).to.equal('accepted 1 again')
+  })
+
+  it('accepts one of two documents that race to break a reference', async () => {
+    for (let round = 0; round < 40; round++) {
+      fixture = new AcceptanceFixture(SEED + round)
+      writer = fixture.connect()
+      const other = fixture.connect()
+      await submit({ service: 'status', text: STATUS, expected: 0 })
+      writer.faults.set({ delay: 1 + fixture.random.integer(20) as never })
+      other.faults.set({ delay: 1 + fixture.random.integer(20) as never })
+      const race = Promise.all([
+        fixture.start(writer, { service: 'fees', text: FEES, expected: 0 }),
+        fixture.start(other, { service: 'status', expected: 1 })
+      ])
+      const kinds = (await runToEnd(fixture.clock, race)).map(({ kind }) => kind).sort()
+      expect(kinds).to.deep.equal(['accepted', 'invalid'])
+    }
+  })
+
+  it('accepts a hundred documents at the same time from ten nodes, each once', async () => {
+    const writers = Array.from({ length: 10 }, () => fixture.connect())
+    for (const { faults } of writers) faults.set({ delay: 2 as never })
+    const tasks = Array.from({ length: 100 }, (_, position) => {
+      const service = `service-${position}`
+      return fixture.start(writers[position % 10], { service, text: writeDocument({ service }), expected: 0 })
+    })
+    const outcomes = await runToEnd(fixture.clock, Promise.allSettled(tasks))
+    const accepted = outcomes.filter((outcome) => outcome.status === 'fulfilled')
+    expect(accepted).to.have.length(100)
+    expect((await fixture.accepted.readAll()).sequence).to.equal(100)
+  })
+
+  it('costs two reads and two writes for a change without new references', async () => {
+    await submit({ service: 'status', text: STATUS, expected: 0 })
+    await submit({ service: 'fees', text: FEES, expected: 0 })
+    writer.faults.resetCounts()
+    await submit({ service: 'fees', text: writeDocument({ service: 'fees', targets: ['status/endpoints'], note: 'b' }), expected: 1 })
+    expect(writer.faults.counts).to.deep.include({ reads: 2, writes: 2 })
+  })
+})
--- a/src/documents/AcceptanceService.ts
+++ b/src/documents/AcceptanceService.ts
@@ -125,7 +125,12 @@
   private async _storeText (): Promise<void> {
     const { submission, hash } = this._checked
     if (submission.text === undefined || this._isTextStored) return
-    await this._services.objects.put(textObject(hash), Buffer.from(submission.text), 'absent')
+    const key = textObject(hash)
+    try {
+      await this._services.objects.put(key, Buffer.from(submission.text), 'absent')
+    } catch (error) {
+      if (!(error instanceof OutcomeUnknownError) || await this._services.objects.get(key) === undefined) throw error
+    }
     this._isTextStored = true
   }
 
