--- /dev/null
+++ b/src/daemon/documentation/EventCatalogue.ts
@@ -0,0 +1,27 @@
+/** All events of the program. */
+import { COMMON_EVENTS } from '../../common/Events.js'
+import type { IEventDefinition } from '../../common/Services.js'
+import { DOCUMENTS_EVENTS } from '../../documents/Events.js'
+import { MEMBERSHIP_EVENTS } from '../../membership/Events.js'
+import { DAEMON_EVENTS } from '../Events.js'
+
+/** Every event, in the order of its number. */
+export const ALL_EVENTS: readonly IEventDefinition[] = [
+  ...COMMON_EVENTS, ...DOCUMENTS_EVENTS, ...MEMBERSHIP_EVENTS, ...DAEMON_EVENTS
+].sort((left, right) => left.number - right.number)
+
+/** The page docs/EVENTS.md. */
+export function writeEventsPage (events: readonly IEventDefinition[]): string {
+  const rows = events.map((event) => `| ${event.number} | \`${event.name}\` | ${event.level} | ${event.meaning} |`)
+  return [
+    '# Events',
+    '',
+    'Every line of the log is one of these events. The thousands of a number tell the part of the program. ' +
+      'This page is made from the code by `npm run docs`, and a test holds both together.',
+    '',
+    '| number | name | level | meaning |',
+    '| --- | --- | --- | --- |',
+    ...rows,
+    ''
+  ].join('\n')
+}
