--- a/src/membership/GrpcPeerChannel.ts
+++ b/src/membership/GrpcPeerChannel.ts
@@ -2,7 +2,7 @@
 import { status, type ClientDuplexStream, type ServerDuplexStream, type ServiceError } from '@grpc/grpc-js'
 import { Emitter } from '../common/Emitter.js'
 import { PEER_MESSAGE_INVALID, PEER_SEND_BUFFER_FULL, PEER_STREAM_FAILED } from './Events.js'
-import { decodePeerMessage, encodePeerMessage } from './Protocol.js'
+import { decodePeerMessage, encodePeerMessage } from './PeerCodec.js'
 import type { ILogService } from '../common/Services.js'
 import type { IEvent, NetworkAddress } from '../common/Types.js'
 import type { PeerMessage, ReceivedPeerMessage } from '../generated/savoryknot/PeerMessage.js'
--- a/src/membership/GrpcPeerTransport.test.ts
+++ b/src/membership/GrpcPeerTransport.test.ts
@@ -4,7 +4,7 @@
 import { ClockService } from '../common/ClockService.js'
 import { MetricsService } from '../common/MetricsService.js'
 import { GrpcPeerTransport, type GrpcPeerTransportOptions } from './GrpcPeerTransport.js'
-import { loadProtocol } from './Protocol.js'
+import { exchangeDefinition } from './PeerCodec.js'
 import { RecordingLog } from '../../testing/RecordingLog.js'
 import type { Milliseconds, NetworkAddress } from '../common/Types.js'
 import type { ReceivedPeerMessage } from '../generated/savoryknot/PeerMessage.js'
@@ -60,7 +60,7 @@
     const closed = new Promise<void>((resolve, reject) => { server.listen((channel) => channel.onClosed(resolve)).catch(reject) })
     const client = new Client(address, credentials.createInsecure())
     const pass = (bytes: Buffer): Buffer => bytes
-    const stream = client.makeBidiStreamRequest<Buffer, Buffer>(loadProtocol().peer.Exchange.path, pass, pass)
+    const stream = client.makeBidiStreamRequest<Buffer, Buffer>(exchangeDefinition().path, pass, pass)
     stream.on('error', () => {})
     stream.write(Buffer.from([0x0a, 0xff, 0xff, 0xff, 0xff]))
     await closed
--- a/src/membership/GrpcPeerTransport.ts
+++ b/src/membership/GrpcPeerTransport.ts
@@ -6,7 +6,7 @@
 import { addDuration } from '../common/Ids.js'
 import { GrpcPeerChannel } from './GrpcPeerChannel.js'
 import { PeerUnreachableError } from './MembershipErrors.js'
-import { loadProtocol } from './Protocol.js'
+import { exchangeDefinition } from './PeerCodec.js'
 import { TransportMetrics } from './TransportMetrics.js'
 import type { IClockService, ILogService, IMetricsService } from '../common/Services.js'
 import type { Milliseconds, NetworkAddress } from '../common/Types.js'
@@ -94,7 +94,7 @@
       client.close()
       throw new PeerUnreachableError(`no connection to ${address}`, { step: 'transport.dial', peer: address, cause: error })
     }
-    const { path } = loadProtocol().peer.Exchange
+    const { path } = exchangeDefinition()
     const stream = client.makeBidiStreamRequest<Buffer, Buffer>(path, passThrough, passThrough)
     const release = (): void => {
       this._options.clock.after(this._options.closeGrace, () => {
@@ -119,7 +119,7 @@
   }
 
   private _addExchange (): void {
-    const { Exchange } = loadProtocol().peer
+    const Exchange = exchangeDefinition()
     const raw = {
       ...Exchange,
       requestSerialize: passThrough,
--- /dev/null
+++ b/src/membership/MembershipService.ts
@@ -0,0 +1,256 @@
+/** The member view of this node. */
+import { createNodeId } from '../common/Ids.js'
+import { Disposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
+import { DomainReachability } from './DomainReachability.js'
+import { EndpointIndex } from './EndpointIndex.js'
+import {
+  DOMAIN_REACHABLE, DOMAIN_UNREACHABLE, MEMBER_DEAD, MEMBER_JOINED, MEMBER_LEFT, MEMBER_REFUTED, MEMBER_SUSPECTED,
+  MEMBER_VIEW_FULL, NODE_ISOLATED, NODE_REJOINED, SUSPICION_OF_SELF_REFUTED
+} from './Events.js'
+import { MemberDigest } from './MemberDigest.js'
+import { MembershipMetrics } from './MembershipMetrics.js'
+import { DEFAULT_MEMBERSHIP_SETTINGS, type IMembershipSettings } from './Options.js'
+import { hasPlausibleIncarnation, isGone, isNewerRecord } from './RecordOrder.js'
+import { SuspicionTimers } from './SuspicionTimers.js'
+import type { IClockService, IEventDefinition, ILogService, IMetricsService, IRandomService, IService } from '../common/Services.js'
+import type { EndpointId, IEvent, ILocation, NetworkAddress, NodeId, ServiceName, Timestamp } from '../common/Types.js'
+import type { IMembershipService } from './Services.js'
+import type { EndpointState, IDomainView, IEndpoint, INodeRecord, IRoutableEndpoint, MemberState } from './Types.js'
+
+/** Who this node is. */
+export interface ISelfOptions extends ILocation {
+  /** A new one by default. */
+  readonly id?: NodeId
+  readonly peerAddress: NetworkAddress
+  readonly gateAddress: NetworkAddress
+  readonly software: string
+}
+
+/** What the member view needs. */
+export interface IMembershipServiceOptions {
+  readonly self: ISelfOptions
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly log: ILogService
+  readonly metrics: IMetricsService
+  readonly settings?: Partial<IMembershipSettings>
+}
+
+const STATEMENT_LIFETIME_INTERVALS = 3
+
+const STATE_EVENTS: Readonly<Record<MemberState, IEventDefinition>> = Object.freeze({
+  alive: MEMBER_JOINED, suspect: MEMBER_SUSPECTED, dead: MEMBER_DEAD, left: MEMBER_LEFT
+})
+
+/** Merges records by their order, refutes suspicions of this node, keeps the endpoints of each service. */
+export class MembershipService extends Disposable implements IMembershipService, IService {
+  public readonly digest = new MemberDigest()
+  public readonly reachability: DomainReachability
+  private readonly _settings: IMembershipSettings
+  private readonly _members = new Map<NodeId, INodeRecord>()
+  private readonly _index: EndpointIndex
+  private readonly _timers: SuspicionTimers
+  private readonly _onEndpointsChanged = this.register(new Emitter<ReadonlySet<ServiceName>>())
+  private readonly _onRecordChanged = this.register(new Emitter<INodeRecord>())
+  private readonly _onReachabilityChanged = this.register(new Emitter<void>())
+  private _self: INodeRecord
+  private _isIsolated = false
+  private _isLeaving = false
+
+  constructor (private readonly _options: IMembershipServiceOptions) {
+    super()
+    this._settings = { ...DEFAULT_MEMBERSHIP_SETTINGS, ..._options.settings }
+    const { domainTimeout, statementInterval } = this._settings
+    const statementLifetime = statementInterval * STATEMENT_LIFETIME_INTERVALS as typeof statementInterval
+    this.reachability = new DomainReachability({ own: _options.self.failureDomain, timeout: domainTimeout, statementLifetime })
+    this._index = new EndpointIndex({ members: this._members, isReachable: (record) => this._isReachable(record) })
+    this._timers = new SuspicionTimers({ settings: this._settings, random: _options.random })
+    this._self = createSelf(_options.self)
+    this._replace(undefined, this._self, _options.clock.now(), new Set())
+    this.register(new MembershipMetrics(this, _options.metrics))
+  }
+
+  public get self (): INodeRecord {
+    return this._self
+  }
+
+  public get members (): ReadonlyMap<NodeId, INodeRecord> {
+    return this._members
+  }
+
+  /** True while this node has no link although it knows others; then nobody else counts as reachable. */
+  public get isIsolated (): boolean {
+    return this._isIsolated
+  }
+
+  public get onEndpointsChanged (): IEvent<ReadonlySet<ServiceName>> {
+    return this._onEndpointsChanged.event
+  }
+
+  public get onRecordChanged (): IEvent<INodeRecord> {
+    return this._onRecordChanged.event
+  }
+
+  /** Fires after a failure domain became reachable or unreachable, or this node became isolated or joined again. */
+  public get onReachabilityChanged (): IEvent<void> {
+    return this._onReachabilityChanged.event
+  }
+
+  public start (): void {
+    const { clock } = this._options
+    this.register(clock.every(this._settings.sweepInterval, () => this._sweep(clock.now())))
+  }
+
+  public stop (): void {
+    this.dispose()
+  }
+
+  public endpoints (service: ServiceName): readonly IRoutableEndpoint[] {
+    return this._index.endpoints(service)
+  }
+
+  public domains (now: Timestamp): readonly IDomainView[] {
+    const alive = new Map<string, number>()
+    for (const { state, failureDomain } of this._members.values()) {
+      if (!isGone(state)) alive.set(failureDomain, (alive.get(failureDomain) ?? 0) + 1)
+    }
+    return [...this.reachability.domains].map(({ failureDomain, region, lastHeardAt, isReachable }) => {
+      const isOwn = failureDomain === this._self.failureDomain
+      return { failureDomain, region, isReachable, lastHeardAt: isOwn ? now : lastHeardAt, aliveMembers: alive.get(failureDomain) ?? 0 }
+    })
+  }
+
+  public announceEndpoint (endpoint: IEndpoint, now: Timestamp): void {
+    const others = this._self.endpoints.filter((candidate) => candidate.id !== endpoint.id)
+    this._changeSelf({ endpoints: [...others, Object.freeze({ ...endpoint })] }, now)
+  }
+
+  public setEndpointState (id: EndpointId, state: EndpointState, now: Timestamp): void {
+    const endpoints = this._self.endpoints.map((endpoint) => {
+      return endpoint.id === id ? Object.freeze({ ...endpoint, state, since: now }) : endpoint
+    })
+    this._changeSelf({ endpoints }, now)
+  }
+
+  public async leave (now: Timestamp): Promise<void> {
+    this._isLeaving = true
+    const endpoints = this._self.endpoints.map((endpoint) => Object.freeze({ ...endpoint, state: 'left' as const, since: now }))
+    this._changeSelf({ state: 'left', endpoints }, now)
+    await this._options.clock.sleep(this._settings.leaveGrace)
+  }
+
+  /** Takes records from a peer; older ones have no effect. */
+  public merge (records: readonly INodeRecord[], now: Timestamp): void {
+    const changed = new Set<ServiceName>()
+    for (const record of records) this._mergeOne(record, now, changed)
+    this._fireEndpoints(changed)
+  }
+
+  /** This node found a member of its failure domain unresponsive. */
+  public suspect (id: NodeId, now: Timestamp): void {
+    const held = this._members.get(id)
+    if (held?.state !== 'alive' || id === this._self.id) return
+    this._timers.startAuthored(id, now)
+    this.merge([Object.freeze({ ...held, state: 'suspect' as const })], now)
+  }
+
+  /** This node has proof that a process is gone, for example a newer one at its address. */
+  public declareDead (id: NodeId, now: Timestamp): void {
+    const held = this._members.get(id)
+    if (held === undefined || isGone(held.state) || id === this._self.id) return
+    this.merge([Object.freeze({ ...held, state: 'dead' as const })], now)
+  }
+
+  /** Told by the overlay whether this node has any link. */
+  public setIsolated (isIsolated: boolean): void {
+    if (isIsolated === this._isIsolated) return
+    this._isIsolated = isIsolated
+    this._options.log.log(isIsolated ? NODE_ISOLATED : NODE_REJOINED, { step: 'membership.isolation' })
+    this._refreshReachability()
+  }
+
+  private _isReachable (record: INodeRecord): boolean {
+    if (record.id === this._self.id) return true
+    return record.state === 'alive' && !this._isIsolated && this.reachability.isReachable(record.failureDomain)
+  }
+
+  private _mergeOne (record: INodeRecord, now: Timestamp, changed: Set<ServiceName>): void {
+    if (record.id === this._self.id) {
+      this._refute(record, now)
+      return
+    }
+    const held = this._members.get(record.id)
+    if (!isNewerRecord(record, held) || !hasPlausibleIncarnation(record, held)) return
+    if (held === undefined && this._members.size >= this._settings.maximumMembers) {
+      this._options.log.log(MEMBER_VIEW_FULL, { step: 'membership.merge', peer: record.id, limit: this._settings.maximumMembers })
+      return
+    }
+    this._replace(held, record, now, changed)
+    this._retireNamesake(record, now)
+  }
+
+  /** This process holds its peer address, so an older process that had it is gone. */
+  private _retireNamesake (record: INodeRecord, now: Timestamp): void {
+    const isNamesake = record.peerAddress === this._self.peerAddress && record.failureDomain === this._self.failureDomain
+    if (isNamesake) this.declareDead(record.id, now)
+  }
+
+  private _refute (record: INodeRecord, now: Timestamp): void {
+    if (this._isLeaving || !isNewerRecord(record, this._self) || !hasPlausibleIncarnation(record, this._self)) return
+    this._options.log.log(SUSPICION_OF_SELF_REFUTED, { step: 'membership.refute', state: record.state, incarnation: record.incarnation })
+    this._changeSelf({ incarnation: record.incarnation + 1, sequence: Math.max(this._self.sequence, record.sequence) }, now)
+  }
+
+  private _changeSelf (change: Partial<INodeRecord>, now: Timestamp): void {
+    const held = this._self
+    this._self = Object.freeze({ ...held, sequence: held.sequence + 1, ...change })
+    const changed = new Set<ServiceName>()
+    this._replace(held, this._self, now, changed)
+    this._fireEndpoints(changed)
+  }
+
+  private _replace (held: INodeRecord | undefined, record: INodeRecord, now: Timestamp, changed: Set<ServiceName>): void {
+    if (held !== undefined && !isGone(held.state)) this.digest.toggle(held)
+    if (!isGone(record.state)) this.digest.toggle(record)
+    this._members.set(record.id, record)
+    this._index.replace(held, record, changed)
+    this.reachability.discover(record.failureDomain, record.region, now)
+    this._timers.observe(record, { isJudged: record.failureDomain === this._self.failureDomain, now })
+    this._logChange(held, record)
+    this._onRecordChanged.fire(record)
+  }
+
+  private _logChange (held: INodeRecord | undefined, record: INodeRecord): void {
+    if (held?.state === record.state || record.id === this._self.id) return
+    const event = record.state === 'alive' && held !== undefined ? MEMBER_REFUTED : STATE_EVENTS[record.state]
+    this._options.log.log(event, { step: 'membership.merge', peer: record.id, failureDomain: record.failureDomain, address: record.peerAddress })
+  }
+
+  private _fireEndpoints (changed: ReadonlySet<ServiceName>): void {
+    if (changed.size > 0) this._onEndpointsChanged.fire(changed)
+  }
+
+  private _sweep (now: Timestamp): void {
+    const { dead, forgotten } = this._timers.takeDue(now)
+    for (const id of dead) this.declareDead(id, now)
+    for (const id of forgotten) this._members.delete(id)
+    const changes = this.reachability.sweep(now, (id) => this._members.get(id)?.state === 'alive')
+    for (const { failureDomain, isReachable } of changes) {
+      this._options.log.log(isReachable ? DOMAIN_REACHABLE : DOMAIN_UNREACHABLE, { step: 'membership.reachability', failureDomain })
+    }
+    if (changes.length > 0) this._refreshReachability()
+  }
+
+  private _refreshReachability (): void {
+    this._fireEndpoints(this._index.invalidate())
+    this._onReachabilityChanged.fire()
+  }
+}
+
+function createSelf (options: ISelfOptions): INodeRecord {
+  const { id = createNodeId(), failureDomain, region, peerAddress, gateAddress, software } = options
+  return Object.freeze({
+    id, failureDomain, region, peerAddress, gateAddress, software, incarnation: 0, sequence: 0, state: 'alive', endpoints: Object.freeze([])
+  })
+}
--- /dev/null
+++ b/src/membership/OverlayService.ts
@@ -0,0 +1,283 @@
+/** The bounded-degree overlay inside the failure domain and, on gateways, the links to other domains. */
+import { addDuration } from '../common/Ids.js'
+import { Disposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
+import { JOIN_REFUSED, LINK_OPENED, PEER_MESSAGE_INVALID } from './Events.js'
+import { createHello, Handshake } from './Handshake.js'
+import { JoinAdmission } from './JoinAdmission.js'
+import { LinkTable } from './LinkTable.js'
+import { JoinRefusedError } from './MembershipErrors.js'
+import { DEFAULT_OVERLAY_SETTINGS, type IOverlaySettings } from './Options.js'
+import { aliveMembers, OverlayTargets } from './OverlayTargets.js'
+import { PeerLink } from './PeerLink.js'
+import { toWireRecord } from './RecordCodec.js'
+import { isGone, isNewerRecord } from './RecordOrder.js'
+import { RedialBackoff } from './RedialBackoff.js'
+import type { IClockService, ILogService, IRandomService, IService } from '../common/Services.js'
+import type { FailureDomain, IEvent, Milliseconds, NetworkAddress, NodeId, Timestamp } from '../common/Types.js'
+import type { MembershipService } from './MembershipService.js'
+import type { RoleService } from './RoleService.js'
+import type { IOverlayService, IPeerChannel, IPeerTransport } from './Services.js'
+import type { INodeRecord } from './Types.js'
+
+/** What the overlay needs. */
+export interface IOverlayServiceOptions {
+  readonly transport: IPeerTransport
+  readonly membership: MembershipService
+  readonly roles: RoleService
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly log: ILogService
+  readonly settings?: Partial<IOverlaySettings>
+}
+
+const OTHERS_IN_REFUSAL = 8
+
+/** How often a node that counts as dead is asked whether it is; heals a failure domain that fell apart. */
+const DEAD_PROBE_INTERVAL_MS = 3_000 as Milliseconds
+
+/** Dials what is wanted, judges peers of the own failure domain that do not answer, closes what is not needed. */
+export class OverlayService extends Disposable implements IOverlayService, IService {
+  private readonly _settings: IOverlaySettings
+  private readonly _table: LinkTable
+  private readonly _targets: OverlayTargets
+  private readonly _backoff: RedialBackoff
+  private readonly _admission: JoinAdmission
+  private readonly _onLinkOpened = this.register(new Emitter<PeerLink>())
+  private readonly _dialling = new Set<NodeId>()
+  private readonly _handshakes = new Set<Handshake>()
+  private _nextDeadProbeAt: Timestamp
+  private _isStopping = false
+
+  constructor (private readonly _options: IOverlayServiceOptions) {
+    super()
+    this._settings = { ...DEFAULT_OVERLAY_SETTINGS, ..._options.settings }
+    const { membership, roles, random, clock } = _options
+    this._table = new LinkTable(membership.self.id)
+    this._targets = this.register(new OverlayTargets({ membership, roles, settings: this._settings }))
+    this._backoff = new RedialBackoff({ ...this._settings, random })
+    this._admission = new JoinAdmission(this._settings)
+    this._nextDeadProbeAt = addDuration(clock.now(), DEAD_PROBE_INTERVAL_MS)
+  }
+
+  public get links (): readonly PeerLink[] {
+    return this._table.links
+  }
+
+  public get onLinkOpened (): IEvent<PeerLink> {
+    return this._onLinkOpened.event
+  }
+
+  public async start (): Promise<void> {
+    const { transport, clock } = this._options
+    await transport.listen((channel) => this._accept(channel))
+    this.register(clock.every(this._settings.maintainInterval, () => this._maintain(clock.now())))
+  }
+
+  /** Closes every link on purpose, so that nobody suspects this node for it. */
+  public async stop (): Promise<void> {
+    this._isStopping = true
+    for (const link of this.links) link.close('stopping')
+    for (const handshake of this._handshakes) handshake.dispose()
+    this.dispose()
+    await this._options.transport.close()
+  }
+
+  /** Opens a link to whoever is at the address; rejects with the reason if there is none. */
+  public async contact (address: NetworkAddress): Promise<INodeRecord> {
+    const channel = await this._options.transport.dial(address)
+    return await new Promise((resolve, reject) => {
+      const onIntroduced = (peer: INodeRecord): void => {
+        this._adopt(channel, peer, true)
+        resolve(peer)
+      }
+      this._handshake(channel, onIntroduced, reject)
+      channel.send(createHello(this._options.membership.self, true))
+    })
+  }
+
+  private _accept (channel: IPeerChannel): void {
+    const { log, membership, clock } = this._options
+    this._handshake(channel, (peer) => {
+      const refusal = this._refusalReason(peer, clock.now())
+      if (refusal !== undefined) {
+        log.log(JOIN_REFUSED, { step: 'overlay.accept', peer: peer.id, reason: refusal })
+        channel.send({ joinRefusal: { reason: refusal, otherAddresses: this._chooseOthers(peer.id) } })
+        channel.dispose()
+        return
+      }
+      channel.send(createHello(membership.self, this._isLocal(peer)))
+      this._adopt(channel, peer, false)
+    }, (error) => log.log(PEER_MESSAGE_INVALID, { step: 'overlay.hello', peer: channel.remoteAddress, reason: error.message }))
+  }
+
+  private _handshake (channel: IPeerChannel, onIntroduced: (peer: INodeRecord) => void, onFailed: (error: Error) => void): void {
+    const { clock } = this._options
+    const handshake = new Handshake({
+      channel,
+      clock,
+      helloTimeout: this._settings.helloTimeout,
+      onIntroduced: (peer) => {
+        this._handshakes.delete(handshake)
+        onIntroduced(peer)
+      },
+      onFailed: (error) => {
+        this._handshakes.delete(handshake)
+        onFailed(error)
+      }
+    })
+    this._handshakes.add(handshake)
+  }
+
+  private _refusalReason (peer: INodeRecord, now: Timestamp): string | undefined {
+    const { membership } = this._options
+    if (this._isStopping) return 'stopping'
+    if (peer.id === membership.self.id) return 'this is the node itself'
+    if (this._table.get(peer.id) !== undefined) return undefined
+    const isLocal = this._isLocal(peer)
+    const limit = isLocal ? this._settings.maximumLocalLinks : this._settings.maximumGatewayLinks
+    if (this._table.count(isLocal) >= limit) return 'full'
+    if (membership.members.has(peer.id) || this._admission.admit(now)) return undefined
+    return 'too many joins'
+  }
+
+  private _chooseOthers (except: NodeId): NetworkAddress[] {
+    const { membership, random } = this._options
+    const others = aliveMembers(membership, membership.self.failureDomain)
+      .filter((record) => record.id !== except && record.id !== membership.self.id)
+    const chosen = new Set<NetworkAddress>()
+    for (let draw = 0; draw < OTHERS_IN_REFUSAL && others.length > 0; draw++) {
+      chosen.add((others[random.integer(others.length)] as INodeRecord).peerAddress)
+    }
+    return [...chosen]
+  }
+
+  private _adopt (channel: IPeerChannel, peer: INodeRecord, isDialled: boolean): void {
+    const { membership, clock, log } = this._options
+    if (this._isStopping || peer.id === membership.self.id) {
+      channel.dispose()
+      return
+    }
+    const link = new PeerLink({ channel, peer, isLocal: this._isLocal(peer), isDialled, clock, log, settings: this._settings })
+    const surplus = this._table.add(link)
+    surplus?.close('duplicate')
+    if (surplus === link) return
+    link.onClosed(() => this._onLinkClosed(link))
+    this._introduce(link)
+  }
+
+  private _introduce (link: PeerLink): void {
+    const { membership, clock, log } = this._options
+    const { peer } = link
+    log.log(LINK_OPENED, { step: 'overlay.link', peer: peer.id, address: peer.peerAddress, failureDomain: peer.failureDomain })
+    this._backoff.recordSuccess(peer.id)
+    const held = membership.members.get(peer.id)
+    membership.merge([peer], clock.now())
+    membership.reachability.hear(peer.failureDomain, clock.now())
+    membership.setIsolated(false)
+    // The peer refutes at once if it learns that it counts as suspect or dead.
+    if (held !== undefined && isNewerRecord(held, peer)) link.send({ nodeRecords: { records: [toWireRecord(held)] } })
+    this._onLinkOpened.fire(link)
+  }
+
+  private _onLinkClosed (link: PeerLink): void {
+    this._table.remove(link)
+    if (this._isStopping || link.end === 'closed-here' || link.end === 'closed-by-peer') return
+    const { membership, clock } = this._options
+    const record = membership.members.get(link.peer.id)
+    if (!link.isLocal || record === undefined || isGone(record.state) || this._table.get(record.id) !== undefined) return
+    if (link.end === 'silent') this._judgeUnresponsive(record.id, clock.now())
+    this._connect(record)
+  }
+
+  private _maintain (now: Timestamp): void {
+    this._updateIsolation()
+    const wanted = this._targets.local()
+    for (const id of wanted) this._want(id, now)
+    for (const failureDomain of this._targets.foreignDomains()) this._maintainGateway(failureDomain, now)
+    this._closeUnneeded(wanted)
+    this._probeDead(now)
+  }
+
+  private _updateIsolation (): void {
+    const { membership } = this._options
+    const knowsOthers = membership.members.size > 1
+    membership.setIsolated(this.links.length === 0 && knowsOthers)
+  }
+
+  private _maintainGateway (failureDomain: FailureDomain, now: Timestamp): void {
+    const { membership, clock } = this._options
+    for (const link of this.links) {
+      if (link.peer.failureDomain === failureDomain) membership.reachability.hear(failureDomain, link.lastHeardAt)
+    }
+    if (this._table.hasDomain(failureDomain)) return
+    const candidates = this._targets.gateway(failureDomain)
+    if (candidates.some((id) => this._dialling.has(id))) return
+    const next = candidates.find((id) => this._backoff.mayDial(id, now))
+    if (next !== undefined) this._want(next, clock.now())
+  }
+
+  private _want (id: NodeId, now: Timestamp): void {
+    const record = this._options.membership.members.get(id)
+    if (record === undefined || this._table.get(id) !== undefined || !this._backoff.mayDial(id, now)) return
+    this._connect(record)
+  }
+
+  /** One task for each peer that is dialled. */
+  private _connect (record: INodeRecord): void {
+    if (this._isStopping || this._dialling.has(record.id)) return
+    this._dialling.add(record.id)
+    this._dial(record).finally(() => this._dialling.delete(record.id))
+  }
+
+  private async _dial (record: INodeRecord): Promise<void> {
+    const { membership, clock } = this._options
+    try {
+      const found = await this.contact(record.peerAddress)
+      if (found.id !== record.id && this._isLocal(record)) membership.declareDead(record.id, clock.now())
+    } catch (error) {
+      const now = clock.now()
+      this._backoff.recordFailure(record.id, now)
+      if (!(error instanceof JoinRefusedError) && this._isLocal(record)) this._judgeUnresponsive(record.id, now)
+    }
+  }
+
+  private _judgeUnresponsive (id: NodeId, now: Timestamp): void {
+    const { membership } = this._options
+    if (this._isStopping) return
+    if (this.links.length === 0 && this._countSuspects() >= this._settings.isolatedSuspicions) return
+    membership.suspect(id, now)
+  }
+
+  private _countSuspects (): number {
+    let count = 0
+    for (const record of this._options.membership.members.values()) {
+      if (this._isLocal(record) && (record.state === 'suspect' || record.state === 'dead')) count++
+    }
+    return count
+  }
+
+  /** Closes links that this node dialled and does not want, once those that it wants are open. */
+  private _closeUnneeded (wanted: readonly NodeId[]): void {
+    if (wanted.some((id) => this._table.get(id) === undefined)) return
+    const isGateway = this._options.roles.isHeldBySelf('gateway')
+    for (const link of this.links) {
+      if (!link.isDialled) continue
+      const isNeeded = link.isLocal ? wanted.includes(link.peer.id) : isGateway
+      if (!isNeeded) link.close('not needed')
+    }
+  }
+
+  private _probeDead (now: Timestamp): void {
+    if (now < this._nextDeadProbeAt) return
+    const { membership, random } = this._options
+    this._nextDeadProbeAt = addDuration(now, DEAD_PROBE_INTERVAL_MS)
+    const dead = [...membership.members.values()].filter((record) => record.state === 'dead' && this._isLocal(record))
+    const record = dead[random.integer(Math.max(1, dead.length))]
+    if (record !== undefined) this._connect(record)
+  }
+
+  private _isLocal (peer: INodeRecord): boolean {
+    return peer.failureDomain === this._options.membership.self.failureDomain
+  }
+}
--- /dev/null
+++ b/src/membership/Rendezvous.ts
@@ -0,0 +1,40 @@
+/** Rendezvous hashing: every node that knows the same members ranks them alike. */
+import { createHash } from 'node:crypto'
+import type { NodeId } from '../common/Types.js'
+
+/** Scores kept; far above the number of members. */
+const MAXIMUM_CACHED_SCORES = 65_536
+
+/** Ranks members for one key by a score that depends on nothing but the key and the member. */
+export class Rendezvous {
+  private readonly _scores = new Map<NodeId, number>()
+
+  constructor (private readonly _key: string) {}
+
+  /** The `count` highest-ranked members, the highest first. */
+  public top (members: Iterable<NodeId>, count: number): readonly NodeId[] {
+    const best: NodeId[] = []
+    for (const id of members) {
+      const position = best.findIndex((other) => this._isAbove(id, other))
+      if (position >= 0) best.splice(position, 0, id)
+      else if (best.length < count) best.push(id)
+      if (best.length > count) best.pop()
+    }
+    return best
+  }
+
+  private _isAbove (first: NodeId, second: NodeId): boolean {
+    const difference = this._score(first) - this._score(second)
+    return difference === 0 ? first > second : difference > 0
+  }
+
+  private _score (id: NodeId): number {
+    let score = this._scores.get(id)
+    if (score === undefined) {
+      if (this._scores.size >= MAXIMUM_CACHED_SCORES) this._scores.clear()
+      score = createHash('sha256').update(this._key).update(id).digest().readUInt32LE(0)
+      this._scores.set(id, score)
+    }
+    return score
+  }
+}
--- /dev/null
+++ b/src/membership/RoleService.ts
@@ -0,0 +1,122 @@
+/** Roles by rendezvous hashing over the member view. */
+import { Disposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
+import { Rendezvous } from './Rendezvous.js'
+import type { IClockService, IService } from '../common/Services.js'
+import type { FailureDomain, IDisposable, IEvent, Milliseconds, NodeId, Region } from '../common/Types.js'
+import type { MembershipService } from './MembershipService.js'
+import type { IRoleService } from './Services.js'
+import type { INodeRecord, Role } from './Types.js'
+
+const ROLES: readonly Role[] = Object.freeze(['source-reader', 'gateway', 'report-collector'])
+const HOLDERS_PER_ROLE = 2
+
+/** Changes of the member view are collected for this time before the roles are looked at again. */
+const EVALUATION_DELAY_MS = 100 as Milliseconds
+
+/** What the role service needs. */
+export interface IRoleServiceOptions {
+  readonly membership: MembershipService
+  readonly clock: IClockService
+}
+
+/** Candidates are members that are alive, and heard from here; an isolated node sees only itself. */
+export class RoleService extends Disposable implements IRoleService, IService {
+  private readonly _ranks = new Map(ROLES.map((role) => [role, new Rendezvous(role)]))
+  private readonly _cache = new Map<string, readonly NodeId[]>()
+  private readonly _onChanged = this.register(new Emitter<Role>())
+  private readonly _announced = new Map<Role, string>()
+  private _evaluation: IDisposable | undefined
+
+  constructor (private readonly _options: IRoleServiceOptions) {
+    super()
+    const { membership } = _options
+    this.register(membership.onRecordChanged(() => this._invalidate()))
+    this.register(membership.onReachabilityChanged(() => this._invalidate()))
+    this.register({ dispose: () => this._evaluation?.dispose() })
+    for (const role of ROLES) this._announced.set(role, this._ownHolders(role).join())
+  }
+
+  public get onChanged (): IEvent<Role> {
+    return this._onChanged.event
+  }
+
+  public stop (): void {
+    this.dispose()
+  }
+
+  public holders (role: Role, failureDomain: FailureDomain): readonly NodeId[] {
+    const key = `${role}/${failureDomain}`
+    let holders = this._cache.get(key)
+    if (holders === undefined) {
+      holders = role === 'source-reader' ? this._sourceReaders(failureDomain) : this._topOfDomain(role, failureDomain, HOLDERS_PER_ROLE)
+      this._cache.set(key, holders)
+    }
+    return holders
+  }
+
+  public isHeldBySelf (role: Role): boolean {
+    return this._ownHolders(role).includes(this._options.membership.self.id)
+  }
+
+  private _ownHolders (role: Role): readonly NodeId[] {
+    return this.holders(role, this._options.membership.self.failureDomain)
+  }
+
+  /** The best member of the region, and the best one outside the first one's failure domain if there is any. */
+  private _sourceReaders (failureDomain: FailureDomain): readonly NodeId[] {
+    const region = this._regionOf(failureDomain)
+    const candidates = this._candidates((record) => record.region === region)
+    const first = this._top('source-reader', candidates, 1)[0]
+    if (first === undefined) return []
+    const firstDomain = this._options.membership.members.get(first)?.failureDomain
+    const elsewhere = candidates.filter((record) => record.failureDomain !== firstDomain)
+    const second = this._top('source-reader', elsewhere, 1)[0]
+    return second === undefined ? this._top('source-reader', candidates, HOLDERS_PER_ROLE) : [first, second]
+  }
+
+  private _topOfDomain (role: Role, failureDomain: FailureDomain, count: number): readonly NodeId[] {
+    return this._top(role, this._candidates((record) => record.failureDomain === failureDomain), count)
+  }
+
+  private _top (role: Role, candidates: readonly INodeRecord[], count: number): readonly NodeId[] {
+    return (this._ranks.get(role) as Rendezvous).top(candidates.map((record) => record.id), count)
+  }
+
+  private _candidates (isWanted: (record: INodeRecord) => boolean): readonly INodeRecord[] {
+    const { membership } = this._options
+    const candidates: INodeRecord[] = []
+    for (const record of membership.members.values()) {
+      if (isWanted(record) && this._isCandidate(record)) candidates.push(record)
+    }
+    return candidates
+  }
+
+  private _isCandidate (record: INodeRecord): boolean {
+    const { membership } = this._options
+    if (record.state !== 'alive') return false
+    if (record.id === membership.self.id) return true
+    return !membership.isIsolated && membership.reachability.isReachable(record.failureDomain)
+  }
+
+  private _regionOf (failureDomain: FailureDomain): Region | undefined {
+    const { self, reachability } = this._options.membership
+    if (self.failureDomain === failureDomain) return self.region
+    return [...reachability.domains].find((domain) => domain.failureDomain === failureDomain)?.region
+  }
+
+  private _invalidate (): void {
+    this._cache.clear()
+    this._evaluation ??= this._options.clock.after(EVALUATION_DELAY_MS, () => this._evaluate())
+  }
+
+  private _evaluate (): void {
+    this._evaluation = undefined
+    for (const role of ROLES) {
+      const holders = this._ownHolders(role).join()
+      if (holders === this._announced.get(role)) continue
+      this._announced.set(role, holders)
+      this._onChanged.fire(role)
+    }
+  }
+}
--- /dev/null
+++ b/testing/membership/MemoryFleet.ts
@@ -0,0 +1,117 @@
+/** Nodes of one test, each with its whole membership, on one manual clock. */
+import { createHash } from 'node:crypto'
+import { MetricsService } from '../../src/common/MetricsService.js'
+import { RandomService } from '../../src/common/RandomService.js'
+import { MembershipStack, type IMembershipStackOptions } from '../../src/membership/MembershipStack.js'
+import { ManualClock } from '../ManualClock.js'
+import { RecordingLog } from '../RecordingLog.js'
+import { CountingObjectStore } from './CountingObjectStore.js'
+import { MemoryNetwork, type MemoryTransport } from './MemoryTransport.js'
+import type { EndpointId, FailureDomain, Milliseconds, NetworkAddress, NodeId, Region, ServiceName } from '../../src/common/Types.js'
+import type { INodeRecord } from '../../src/membership/Types.js'
+
+/** Service of which every node of the fleet has one endpoint. */
+export const FLEET_SERVICE = 'status' as ServiceName
+
+/** One running node. */
+export interface IMemoryNode extends MembershipStack {
+  readonly address: NetworkAddress
+  readonly log: RecordingLog
+  readonly transport: MemoryTransport
+}
+
+/** Failure domains `domain-0`, `domain-1` and so on, two to a region. */
+export class MemoryFleet {
+  public readonly clock = new ManualClock()
+  public readonly network: MemoryNetwork
+  public readonly store: CountingObjectStore
+  public readonly nodes: IMemoryNode[] = []
+  private readonly _random: RandomService
+  private _created = 0
+
+  constructor (private readonly _seed: number, private readonly _options: Partial<IMembershipStackOptions> = {}) {
+    this._random = new RandomService(_seed)
+    const latency = { least: 0.5, most: 8 }
+    this.network = new MemoryNetwork({ clock: this.clock, random: this._random, latency, dialTimeout: 1_000 as Milliseconds })
+    this.store = new CountingObjectStore(this.clock, 5)
+  }
+
+  /** Starts nodes in a failure domain; time does not pass. */
+  public async add (domain: number, count: number): Promise<IMemoryNode[]> {
+    const added: IMemoryNode[] = []
+    for (let position = 0; position < count; position++) added.push(this._create(domain, this._createAddress(domain)))
+    await Promise.all(added.map((node) => node.start()))
+    return added
+  }
+
+  /** Starts a new process at the address of one that is gone. */
+  public async replace (gone: IMemoryNode): Promise<IMemoryNode> {
+    const node = this._create(domainNumber(gone), gone.address)
+    await node.start()
+    return node
+  }
+
+  /** The process ends without a word; its connections are reset. */
+  public async kill (node: IMemoryNode): Promise<void> {
+    this.nodes.splice(this.nodes.indexOf(node), 1)
+    await node.transport.close()
+    await node.stop()
+  }
+
+  /** Lets time pass until the condition holds; gives the time it took, or undefined if it did not hold in time. */
+  public async until (holds: () => boolean, limit: number): Promise<number | undefined> {
+    const start = this.clock.now()
+    while (!holds()) {
+      if (this.clock.now() - start >= limit) return undefined
+      await this.clock.advance(50)
+    }
+    return this.clock.now() - start
+  }
+
+  /** Whether every running node holds every running node as alive, and nobody else. */
+  public agrees (nodes: readonly IMemoryNode[] = this.nodes): boolean {
+    const expected = nodes.map((node) => node.membership.self.id).sort().join()
+    return nodes.every((node) => aliveIds(node).join() === expected)
+  }
+
+  public async stop (): Promise<void> {
+    const stopping = Promise.all(this.nodes.map((node) => node.stop()))
+    await this.clock.advance(100)
+    await stopping
+  }
+
+  private _create (domain: number, address: NetworkAddress): IMemoryNode {
+    const failureDomain = `domain-${domain}` as FailureDomain
+    const region = `region-${Math.floor(domain / 2)}` as Region
+    const id = createHash('sha256').update(`${this._seed}/${this._created++}`).digest('hex').slice(0, 24) as NodeId
+    const log = new RecordingLog()
+    const transport = this.network.createTransport(address, failureDomain)
+    const self = { id, failureDomain, region, peerAddress: address, gateAddress: address, software: 'test' }
+    const random = new RandomService(this._random.integer(2 ** 31))
+    const { clock, store: objects } = this
+    const stack = new MembershipStack({ self, transport, objects, clock, random, log, metrics: new MetricsService(), ...this._options })
+    const endpoint = { id: `${address}/0` as EndpointId, service: FLEET_SERVICE, state: 'serving' as const, slots: 9, since: clock.now() }
+    stack.membership.announceEndpoint(endpoint, clock.now())
+    const node = Object.assign(stack, { address, log, transport })
+    this.nodes.push(node)
+    return node
+  }
+
+  private _createAddress (domain: number): NetworkAddress {
+    return `10.${domain}.${Math.floor(this._created / 256)}.${this._created % 256}:7000` as NetworkAddress
+  }
+}
+
+/** Ids of the members that a node holds as alive, in order. */
+export function aliveIds (node: IMemoryNode): readonly NodeId[] {
+  return records(node).filter((record) => record.state === 'alive').map((record) => record.id).sort()
+}
+
+/** All records that a node holds. */
+export function records (node: IMemoryNode): readonly INodeRecord[] {
+  return [...node.membership.members.values()]
+}
+
+function domainNumber (node: IMemoryNode): number {
+  return Number(node.membership.self.failureDomain.slice('domain-'.length))
+}
--- a/testing/membership/MemoryTransport.ts
+++ b/testing/membership/MemoryTransport.ts
@@ -1,7 +1,7 @@
 /** Streams between nodes of one process, with latency, cuts and pauses, for deterministic tests. */
 import { Emitter } from '../../src/common/Emitter.js'
 import { PeerUnreachableError } from '../../src/membership/MembershipErrors.js'
-import { decodePeerMessage, encodePeerMessage } from '../../src/membership/Protocol.js'
+import { decodePeerMessage, encodePeerMessage } from '../../src/membership/PeerCodec.js'
 import type { IClockService, IRandomService } from '../../src/common/Services.js'
 import type { FailureDomain, IEvent, Milliseconds, NetworkAddress } from '../../src/common/Types.js'
 import type { PeerMessage, ReceivedPeerMessage } from '../../src/generated/savoryknot/PeerMessage.js'
