--- /dev/null
+++ b/src/gate/CrashWatch.ts
@@ -0,0 +1,42 @@
+/** Tells a crash of the upstream from the loss of one connection. */
+import type { IClockService } from '../common/Services.js'
+import type { Milliseconds } from '../common/Types.js'
+import type { UpstreamConnection, UpstreamConnections } from './UpstreamConnections.js'
+
+/** Time in which a dead process's connections are all seen to close. */
+const CRASH_WINDOW_MS = 25 as Milliseconds
+
+/** What the watch needs. */
+export interface ICrashWatchOptions<TVictim> {
+  readonly connections: UpstreamConnections
+  readonly clock: IClockService
+  /** Called with everything that was cut, if the upstream crashed. */
+  readonly onCrashed: (victims: readonly TVictim[]) => void
+}
+
+/** A process that dies closes all its connections, also the idle ones; a lost connection closes alone. */
+export class CrashWatch<TVictim> {
+  private readonly _options: ICrashWatchOptions<TVictim>
+  private _openAtFirstCut: readonly UpstreamConnection[] = []
+  private _victims: TVictim[] = []
+
+  constructor (options: ICrashWatchOptions<TVictim>) {
+    this._options = options
+  }
+
+  /** Takes note of an exchange that the upstream cut. */
+  public onCut (victim: TVictim): void {
+    this._victims.push(victim)
+    if (this._victims.length > 1) return
+    this._openAtFirstCut = [...this._options.connections.open]
+    this._options.clock.after(CRASH_WINDOW_MS, () => { this._decide() })
+  }
+
+  private _decide (): void {
+    const victims = this._victims
+    const survivors = this._openAtFirstCut.filter((connection) => connection.isOpen)
+    this._victims = []
+    this._openAtFirstCut = []
+    if (survivors.length === 0) this._options.onCrashed(victims)
+  }
+}
--- /dev/null
+++ b/src/gate/GateServer.ts
@@ -0,0 +1,142 @@
+/** HTTP server for calls from other nodes. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer as createSecureServer, type Server as SecureServer, type ServerOptions } from 'node:https'
+import type { AddressInfo } from 'node:net'
+import type { IClockService, ILogService, IService } from '../common/Services.js'
+import type { NetworkAddress, ServiceName } from '../common/Types.js'
+import type { ISnapshotService } from '../distribution/Services.js'
+import { GATE_REQUEST_REFUSED } from './Events.js'
+import { HeaderRules } from './HeaderRules.js'
+import { HttpAnswerSink } from './HttpAnswerSink.js'
+import { HttpInbound } from './HttpInbound.js'
+import { readCall, readRequestId } from './InboundCall.js'
+import type { IGateService } from './Services.js'
+import { HEADER, type CallOutcome, type NotRunReason } from './Types.js'
+import { splitAddress } from './UpstreamConnections.js'
+
+/** What the server needs. */
+export interface IGateServerOptions {
+  readonly gate: IGateService
+  readonly snapshots: ISnapshotService
+  readonly clock: IClockService
+  readonly log: ILogService
+  /** Where to listen; port 0 takes a free one. */
+  readonly address: NetworkAddress
+  /** Certificates, authority and whether a client certificate is asked for. Plain HTTP without it. */
+  readonly tls?: ServerOptions
+}
+
+/** A head that takes longer is given up, so that slow senders hold no connection. */
+const HEAD_TIMEOUT_MS = 5_000
+/** A request that takes longer is given up. */
+const REQUEST_TIMEOUT_MS = 60_000
+/** Longer than the idle time of the other nodes' pools, so that a connection is not closed under a request. */
+const KEEP_ALIVE_TIMEOUT_MS = 120_000
+const CHECK_INTERVAL_MS = 1_000
+const MAXIMUM_HEAD_BYTES = 24_576
+const MAXIMUM_CONNECTIONS = 8_192
+
+/** Status of an answer that the gate itself writes. */
+const STATUS_BY_REASON: Readonly<Partial<Record<NotRunReason, number>>> = Object.freeze({
+  malformed: 400, 'key-missing': 400, 'key-conflict': 422, 'no-route': 404, 'too-large': 413, 'rate-limited': 429
+})
+const STATUS_NOT_RUN = 503
+const STATUS_UNKNOWN = 502
+
+/** Receives calls from other nodes and hands them to the gate. */
+export class GateServer implements IService {
+  private readonly _options: IGateServerOptions
+  private readonly _server: Server | SecureServer
+  private readonly _rules = new HeaderRules({ maximumBytes: MAXIMUM_HEAD_BYTES })
+
+  constructor (options: IGateServerOptions) {
+    this._options = options
+    const limits = {
+      maxHeaderSize: MAXIMUM_HEAD_BYTES,
+      headersTimeout: HEAD_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      noDelay: true
+    }
+    const listener = (message: IncomingMessage, response: ServerResponse): void => {
+      this._serve(message, response).catch(() => response.destroy())
+    }
+    this._server = options.tls === undefined ? createServer(limits, listener) : createSecureServer({ ...limits, ...options.tls }, listener)
+    this._server.maxConnections = MAXIMUM_CONNECTIONS
+  }
+
+  /** Where the server listens. */
+  public get address (): NetworkAddress {
+    const { address, family, port } = this._server.address() as AddressInfo
+    return (family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`) as NetworkAddress
+  }
+
+  /** Rejects if the address can't be listened at. */
+  public start (): Promise<void> {
+    const { host, port } = splitAddress(this._options.address)
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, () => {
+        this._server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  /** Stops accepting connections; resolves when every request in flight has been answered. */
+  public stop (): Promise<void> {
+    return new Promise((resolve) => {
+      this._server.close(() => { resolve() })
+      this._server.closeIdleConnections()
+    })
+  }
+
+  /** Takes new certificates; open connections stay. */
+  public updateTls (tls: ServerOptions): void {
+    if ('setSecureContext' in this._server) this._server.setSecureContext(tls)
+  }
+
+  private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = readRequestId(message)
+    const fault = this._rules.faultOf(message)
+    if (fault !== undefined || requestId === undefined) {
+      this._options.log.log(GATE_REQUEST_REFUSED, { step: 'gate.server', peer: message.socket.remoteAddress, reason: fault ?? 'request id' })
+      this._refuse(response, { kind: 'not-run', reason: 'malformed', step: 'gate.server' }, [])
+      return
+    }
+    const { clock, snapshots, gate } = this._options
+    const arrivedAt = clock.now()
+    const inbound = new HttpInbound(message, response)
+    // Only a call with a small body waits here; the others lose no turn of the event loop.
+    const content = inbound.body === undefined ? undefined : await inbound.readSmallBody()
+    const read = readCall(inbound, content, snapshots.current, requestId, arrivedAt)
+    if (!read.isValid) {
+      this._refuse(response, { kind: 'not-run', reason: read.reason, step: 'gate.server' }, [HEADER.requestId, requestId])
+      return
+    }
+    const additionalHeaders = (): string[] => this._fields('answered', read.call.targetService, requestId)
+    const sink = new HttpAnswerSink({ response, additionalHeaders })
+    const outcome = await gate.execute(read.call, sink)
+    if (sink.hasBegun || outcome.kind === 'answered') return
+    const fields = this._fields(outcome.kind, read.call.targetService, requestId)
+    this._refuse(response, outcome, fields)
+  }
+
+  /** Outcome, request id and occupancy as header fields. */
+  private _fields (outcome: CallOutcome['kind'], service: ServiceName, requestId: string): string[] {
+    const occupancy = this._options.gate.occupancy(service)
+    const fields = [HEADER.outcome, outcome, HEADER.requestId, requestId]
+    if (occupancy !== undefined) fields.push(HEADER.occupancy, `${occupancy.used + occupancy.queued}/${occupancy.slots}`)
+    return fields
+  }
+
+  private _refuse (response: ServerResponse, outcome: CallOutcome, fields: readonly string[]): void {
+    if (outcome.kind === 'answered' || response.destroyed) return
+    const status = outcome.kind === 'unknown' ? STATUS_UNKNOWN : STATUS_BY_REASON[outcome.reason] ?? STATUS_NOT_RUN
+    const head = [...fields, HEADER.reason, outcome.reason, 'content-length', '0']
+    if (!fields.includes(HEADER.outcome)) head.push(HEADER.outcome, outcome.kind)
+    response.writeHead(status, head)
+    response.end()
+  }
+}
--- /dev/null
+++ b/src/gate/RecordingSink.ts
@@ -0,0 +1,57 @@
+/** Keeps a copy of an answer while it is passed on. */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { IEvent } from '../common/Types.js'
+import type { IAnswerSink } from './Types.js'
+
+/** An answer that was kept. */
+export interface IKeptAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  /** Undefined if the body was larger than the limit. */
+  readonly body: Buffer | undefined
+}
+
+/** Passes everything on; keeps bodies of at most `limit` bytes. */
+export class RecordingSink implements IAnswerSink {
+  private _status = 0
+  private _headers: IncomingHttpHeaders = {}
+  private readonly _chunks: Uint8Array[] = []
+  private _size = 0
+
+  constructor (private readonly _sink: IAnswerSink, private readonly _limit: number) {}
+
+  public get onDrained (): IEvent<void> {
+    return this._sink.onDrained
+  }
+
+  public get hasBegun (): boolean {
+    return this._sink.hasBegun
+  }
+
+  /** What was kept; meaningful after a whole answer. */
+  public get answer (): IKeptAnswer {
+    const body = this._size > this._limit ? undefined : Buffer.concat(this._chunks)
+    return { status: this._status, headers: this._headers, body }
+  }
+
+  public begin (status: number, headers: IncomingHttpHeaders): void {
+    this._status = status
+    this._headers = headers
+    this._sink.begin(status, headers)
+  }
+
+  public write (chunk: Uint8Array): boolean {
+    this._size += chunk.byteLength
+    if (this._size <= this._limit) this._chunks.push(chunk)
+    else this._chunks.length = 0
+    return this._sink.write(chunk)
+  }
+
+  public end (): void {
+    this._sink.end()
+  }
+
+  public abort (): void {
+    this._sink.abort()
+  }
+}
--- a/src/gate/Types.ts
+++ b/src/gate/Types.ts
@@ -44,6 +44,11 @@
   readonly headers: IncomingHttpHeaders
   /** Undefined if the request has no body. */
   readonly body: Readable | undefined
+  /**
+   * The whole body, if it was read before, see `HttpInbound.readSmallBody`; `body` is then not used. Only
+   * such a call, or one whose body has not been read from, may be tried again elsewhere.
+   */
+  readonly bodyContent?: Buffer
   /** Size of the body from its header; undefined if it is not known. */
   readonly bodyBytes: number | undefined
   readonly deadlineAt: Timestamp
--- /dev/null
+++ b/src/gate/UpstreamConnections.ts
@@ -0,0 +1,220 @@
+/** Connections to one upstream: opened ahead, one after the other, never above the upstream's limit. */
+import { connect, type Socket } from 'node:net'
+import { Client, type buildConnector } from 'undici'
+import { Disposable } from '../common/Disposable.js'
+import type { IClockService } from '../common/Services.js'
+import type { IDisposable, Milliseconds, NetworkAddress } from '../common/Types.js'
+import { UpstreamUnreachableError } from './GateErrors.js'
+
+/** What the connections to one upstream need. */
+export interface IUpstreamConnectionsOptions {
+  readonly address: NetworkAddress
+  readonly clock: IClockService
+  /** Called when an attempt to open a connection fails. */
+  readonly onUnreachable: (error: UpstreamUnreachableError) => void
+  /** Time between the end of one opening and the start of the next. */
+  readonly openInterval: Milliseconds
+  /** An opening that takes longer has failed. */
+  readonly openTimeout: Milliseconds
+}
+
+/** Idle time after which a connection is closed, unless the upstream asks for less. */
+const IDLE_TIMEOUT_MS = 60_000
+const MAXIMUM_HEAD_BYTES = 16_384
+/** Time after a failed opening before the next. */
+const REOPEN_DELAY_MS = 100 as Milliseconds
+
+/** One open connection; carries one exchange at a time. */
+export class UpstreamConnection {
+  public readonly client: Client
+  private _isHandedOver = false
+
+  constructor (private readonly _socket: Socket, origin: string) {
+    _socket.on('error', ignore)
+    // Reading notices a close by the upstream; bytes without a request belong to nobody.
+    _socket.once('data', this._onUnsolicited)
+    this.client = new Client(origin, {
+      connect: this._handOver,
+      pipelining: 1,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxHeaderSize: MAXIMUM_HEAD_BYTES
+    })
+    this.client.on('connectionError', ignore)
+  }
+
+  public get isOpen (): boolean {
+    return !this._socket.destroyed && this._socket.writable
+  }
+
+  /** Closes the connection at once. */
+  public close (): void {
+    this._socket.destroy()
+    this.client.destroy().catch(ignore)
+  }
+
+  private readonly _onUnsolicited = (): void => { this._socket.destroy() }
+
+  /** Gives the client its only socket; a client never opens a second one. */
+  private readonly _handOver = (_options: buildConnector.Options, callback: buildConnector.Callback): void => {
+    if (this._isHandedOver || !this.isOpen) {
+      callback(new UpstreamUnreachableError('connection closed while idle', { step: 'gate.connection' }), null)
+      return
+    }
+    this._isHandedOver = true
+    this._socket.off('data', this._onUnsolicited)
+    this._socket.pause()
+    callback(null, this._socket)
+  }
+}
+
+interface IWaiter {
+  resolve (connection: UpstreamConnection): void
+  reject (error: UpstreamUnreachableError): void
+}
+
+/** Keeps a number of connections open and lends them out. */
+export class UpstreamConnections extends Disposable {
+  private readonly _options: IUpstreamConnectionsOptions
+  private readonly _open = new Set<UpstreamConnection>()
+  private readonly _idle: UpstreamConnection[] = []
+  private _waiters: IWaiter[] = []
+  private _warm = 0
+  private _limit = 0
+  private _opening: Socket | undefined
+  private _pause: IDisposable | undefined
+
+  constructor (options: IUpstreamConnectionsOptions) {
+    super()
+    this._options = options
+  }
+
+  /** Connections that are open at present. */
+  public get open (): ReadonlySet<UpstreamConnection> {
+    return this._open
+  }
+
+  /** Sets how many connections are kept open ahead, and how many may be open at all. */
+  public resize (warm: number, limit: number): void {
+    this._warm = Math.min(warm, limit)
+    this._limit = limit
+    this._openMore()
+  }
+
+  /** An idle connection, if there is one. */
+  public tryAcquire (): UpstreamConnection | undefined {
+    let connection = this._idle.pop()
+    while (connection !== undefined && !connection.isOpen) connection = this._idle.pop()
+    return connection
+  }
+
+  /** A connection as soon as there is one; rejects with `UpstreamUnreachableError` when opening fails. */
+  public acquire (): Promise<UpstreamConnection> {
+    const idle = this.tryAcquire()
+    if (idle !== undefined) return Promise.resolve(idle)
+    return new Promise((resolve, reject) => {
+      this._waiters.push({ resolve, reject })
+      this._openMore()
+    })
+  }
+
+  /** Takes a connection back. One whose exchange was cut is closed, never lent again. */
+  public release (connection: UpstreamConnection, isReusable: boolean): void {
+    if (!isReusable || !connection.isOpen || this.isDisposed) {
+      connection.close()
+      return
+    }
+    this._lend(connection)
+  }
+
+  /** Closes every connection. */
+  public override dispose (): void {
+    super.dispose()
+    this._pause?.dispose()
+    this._opening?.destroy()
+    this._rejectWaiters('gate stopped')
+    for (const connection of [...this._open]) connection.close()
+  }
+
+  private _lend (connection: UpstreamConnection): void {
+    const waiter = this._waiters.shift()
+    if (waiter === undefined) this._idle.push(connection)
+    else waiter.resolve(connection)
+  }
+
+  private _openMore (): void {
+    if (this.isDisposed || this._opening !== undefined || this._pause !== undefined) return
+    const wanted = Math.max(this._warm, this._open.size + this._waiters.length)
+    if (this._open.size >= Math.min(wanted, this._limit)) return
+    this._openOne()
+  }
+
+  private _openOne (): void {
+    const { host, port } = splitAddress(this._options.address)
+    const socket = connect({ host, port, noDelay: true, keepAlive: true })
+    this._opening = socket
+    const timeout = this._options.clock.after(this._options.openTimeout, () => socket.destroy(new Error('connection attempt timed out')))
+    const fail = (error?: Error): void => { this._onFailed(socket, error) }
+    socket.once('error', fail)
+    socket.once('close', fail)
+    socket.once('connect', () => {
+      timeout.dispose()
+      socket.off('error', fail)
+      socket.off('close', fail)
+      this._onOpened(socket)
+    })
+    socket.once('close', () => timeout.dispose())
+  }
+
+  private _onOpened (socket: Socket): void {
+    this._opening = undefined
+    const connection = new UpstreamConnection(socket, `http://${this._options.address}`)
+    this._open.add(connection)
+    socket.once('close', () => { this._onClosed(connection) })
+    this._lend(connection)
+    this._pauseOpening()
+  }
+
+  private _onClosed (connection: UpstreamConnection): void {
+    this._open.delete(connection)
+    const position = this._idle.indexOf(connection)
+    if (position >= 0) this._idle.splice(position, 1)
+    connection.close()
+    this._openMore()
+  }
+
+  private _onFailed (socket: Socket, cause: Error | undefined): void {
+    if (this._opening !== socket) return
+    this._opening = undefined
+    socket.on('error', ignore)
+    const error = this._rejectWaiters(cause?.message ?? 'connection closed', cause)
+    if (this.isDisposed) return
+    this._options.onUnreachable(error)
+    this._pauseOpening(REOPEN_DELAY_MS)
+  }
+
+  private _pauseOpening (duration: Milliseconds = this._options.openInterval): void {
+    this._pause = this._options.clock.after(duration, () => {
+      this._pause = undefined
+      this._openMore()
+    })
+  }
+
+  private _rejectWaiters (message: string, cause?: Error): UpstreamUnreachableError {
+    const error = new UpstreamUnreachableError(message, { step: 'gate.connect', peer: this._options.address, cause })
+    const waiters = this._waiters
+    this._waiters = []
+    for (const waiter of waiters) waiter.reject(error)
+    return error
+  }
+}
+
+/** Splits `host:port`; the brackets of an IPv6 address are removed. */
+export function splitAddress (address: NetworkAddress): { host: string, port: number } {
+  const colon = address.lastIndexOf(':')
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '')
+  return { host, port: Number(address.slice(colon + 1)) }
+}
+
+function ignore (): void {}
--- /dev/null
+++ b/testing/upstream/UpstreamStandIn.ts
@@ -0,0 +1,242 @@
+/** An upstream for tests, benches and the demonstration: slots, costs, and faults to be switched on. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { once } from 'node:events'
+import type { NetworkAddress } from '../../src/common/Types.js'
+import { HEADER } from '../../src/gate/Types.js'
+
+/** How the stand-in behaves. */
+export interface IUpstreamStandInOptions {
+  readonly service: string
+  /** 0 takes a free port. */
+  readonly port: number
+  /** Requests that run at the same time; more wait inside, in order. */
+  readonly slots: number
+  readonly serviceTimeMs: number
+  /** Work for a new connection; connections are accepted one after the other. */
+  readonly connectionCostMs: number
+  /** Time for which a probe takes a slot. */
+  readonly probeCostMs: number
+  /** For this time after its start the upstream takes three times as long. */
+  readonly coldStartMs: number
+  /** Time from a crash until it listens again. */
+  readonly restartMs: number
+}
+
+/** Defaults of the stand-in. */
+export const DEFAULT_UPSTREAM_STAND_IN_OPTIONS: IUpstreamStandInOptions = Object.freeze({
+  service: 'status', port: 0, slots: 9, serviceTimeMs: 0, connectionCostMs: 0, probeCostMs: 0, coldStartMs: 0, restartMs: 50
+})
+
+/** Faults of one answer, asked for by the header `x-fault` of a request. */
+export type AnswerFault =
+  | 'cut-before-head' | 'cut-in-body' | 'short-body' | 'no-length' | 'oversized' | 'hang' | 'hang-in-body' | 'crossed' | 'malformed' | 'crash' | 'early'
+
+/** What the health endpoint says. */
+export type HealthReport = 'truth' | 'always-well' | 'always-ill' | 'draining'
+
+const COLD_FACTOR = 3
+const OVERSIZED_BYTES = 1_000_000
+const CHUNK_BYTES = 65_536
+
+/** Counts every execution; runs in this process. */
+export class UpstreamStandIn {
+  /** Executions by the value of the header `idempotency-key`, or by request id. */
+  public readonly executions = new Map<string, number>()
+  /** Executions begun. */
+  public started = 0
+  /** Requests whose sender went away before the answer was whole. */
+  public cancelled = 0
+  public crashes = 0
+  /** Connections accepted since the start. */
+  public connections = 0
+  public probes = 0
+  public health: HealthReport = 'truth'
+  /** Time of the last execution's start, in milliseconds since the Unix epoch. */
+  public lastStartAt = 0
+  /** Most requests that ran at the same time. */
+  public peak = 0
+  /** Slows every request down. */
+  public slowFactor = 1
+  private readonly _options: IUpstreamStandInOptions
+  private readonly _sockets = new Set<Socket>()
+  private readonly _ready = new WeakMap<Socket, Promise<void>>()
+  private readonly _waiting: Array<() => void> = []
+  private _server: Server | undefined
+  private _port: number
+  private _used = 0
+  private _acceptFreeAt = 0
+  private _coldUntil = 0
+
+  constructor (options: Partial<IUpstreamStandInOptions> = {}) {
+    this._options = { ...DEFAULT_UPSTREAM_STAND_IN_OPTIONS, ...options }
+    this._port = this._options.port
+  }
+
+  public get address (): NetworkAddress {
+    return `127.0.0.1:${this._port}` as NetworkAddress
+  }
+
+  /** Most executions of one key. */
+  public get mostExecutions (): number {
+    return Math.max(0, ...this.executions.values())
+  }
+
+  public async start (): Promise<void> {
+    const server = createServer({ noDelay: true }, (message, response) => {
+      this._serve(message, response).catch(() => response.destroy())
+    })
+    server.on('connection', (socket) => { this._accept(socket) })
+    server.listen(this._port, '127.0.0.1')
+    await once(server, 'listening')
+    this._port = (server.address() as AddressInfo).port
+    this._server = server
+    this._coldUntil = Date.now() + this._options.coldStartMs
+  }
+
+  /** Stops at once, as a killed process does. */
+  public kill (): void {
+    this._server?.close()
+    this._server = undefined
+    for (const socket of this._sockets) socket.destroy()
+    this._waiting.length = 0
+    this._used = 0
+  }
+
+  /** Dies and comes back at the same port. */
+  public crash (): void {
+    this.crashes++
+    this.kill()
+    setTimeout(() => { this.start().catch(() => {}) }, this._options.restartMs)
+  }
+
+  private _accept (socket: Socket): void {
+    this.connections++
+    this._sockets.add(socket)
+    socket.on('close', () => { this._sockets.delete(socket) })
+    socket.on('error', () => {})
+    if (this._options.connectionCostMs === 0) return
+    this._acceptFreeAt = Math.max(Date.now(), this._acceptFreeAt) + this._options.connectionCostMs
+    this._ready.set(socket, sleep(this._acceptFreeAt - Date.now()))
+  }
+
+  private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.on('error', () => {})
+    await this._ready.get(message.socket)
+    if (message.url === '/health') await this._answerProbe(response)
+    else await this._execute(message, response)
+  }
+
+  private async _answerProbe (response: ServerResponse): Promise<void> {
+    this.probes++
+    await this._inSlot(this._options.probeCostMs)
+    if (this.health === 'draining') response.writeHead(503).end('draining')
+    else response.writeHead(this.health === 'always-ill' ? 503 : 200).end('health')
+  }
+
+  private async _execute (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const fault = message.headers['x-fault'] as AnswerFault | undefined
+    if (fault === 'early') {
+      response.writeHead(200, { 'content-length': '5' }).end('early')
+      return
+    }
+    const body = await readAll(message)
+    if (body === undefined) {
+      this.cancelled++
+      return
+    }
+    response.once('close', () => {
+      if (!response.writableFinished) this.cancelled++
+    })
+    await this._inSlot(this._serviceTime(), () => { this._count(message) })
+    if (fault !== undefined) await this._fail(fault, message, response)
+    else this._answer(message, response, body)
+  }
+
+  private _serviceTime (): number {
+    const coldFactor = Date.now() < this._coldUntil ? COLD_FACTOR : 1
+    return this._options.serviceTimeMs * coldFactor * this.slowFactor
+  }
+
+  /** Takes a slot for a time; waits for one if need be. */
+  private async _inSlot (duration: number, onStart?: () => void): Promise<void> {
+    if (this._used >= this._options.slots) await new Promise<void>((resolve) => { this._waiting.push(resolve) })
+    else this._used++
+    this.peak = Math.max(this.peak, this._used)
+    onStart?.()
+    const server = this._server
+    if (duration > 0) await sleep(duration)
+    if (server !== this._server) return
+    const next = this._waiting.shift()
+    if (next === undefined) this._used--
+    else next()
+  }
+
+  private _count (message: IncomingMessage): void {
+    const key = String(message.headers['idempotency-key'] ?? message.headers[HEADER.requestId])
+    this.started++
+    this.lastStartAt = Date.now()
+    this.executions.set(key, (this.executions.get(key) ?? 0) + 1)
+  }
+
+  private _answer (message: IncomingMessage, response: ServerResponse, body: Buffer): void {
+    const size = Number(message.headers['x-answer-bytes'] ?? 0)
+    const requestId = String(message.headers[HEADER.requestId] ?? '')
+    const { method, url: path } = message
+    const text = JSON.stringify({ service: this._options.service, method, path, requestId, received: body.byteLength })
+    const head = { 'content-type': 'application/json', [HEADER.requestId]: requestId }
+    if (size === 0) {
+      response.writeHead(200, { ...head, 'content-length': String(Buffer.byteLength(text)) }).end(text)
+      return
+    }
+    response.writeHead(200, { ...head, 'content-length': String(size) })
+    writeMany(response, size)
+  }
+
+  private async _fail (fault: AnswerFault, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { socket } = message
+    if (fault === 'crash') this.crash()
+    if (fault === 'cut-before-head') socket.destroy()
+    if (fault === 'malformed') socket.end('nonsense\r\n\r\n')
+    if (fault === 'no-length') socket.end('HTTP/1.1 200 OK\r\n\r\npart')
+    if (fault === 'short-body') socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart')
+    if (fault === 'crossed') response.writeHead(200, { [HEADER.requestId]: 'another-request' }).end('not yours')
+    if (fault === 'oversized') writeMany(response, OVERSIZED_BYTES)
+    if (fault !== 'cut-in-body' && fault !== 'hang-in-body') return
+    response.writeHead(200, { 'content-length': '9' }).write('part')
+    await sleep(10)
+    if (fault === 'cut-in-body') socket.destroy()
+  }
+}
+
+/** Writes `size` bytes with back-pressure. */
+function writeMany (response: ServerResponse, size: number): void {
+  let left = size
+  const more = (): void => {
+    while (left > 0) {
+      const length = Math.min(left, CHUNK_BYTES)
+      left -= length
+      if (!response.write(Buffer.alloc(length, 'x'))) {
+        response.once('drain', more)
+        return
+      }
+    }
+    response.end()
+  }
+  more()
+}
+
+/** The whole body; undefined if the sender went away. */
+async function readAll (message: IncomingMessage): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) chunks.push(chunk)
+    return Buffer.concat(chunks)
+  } catch {
+    return undefined
+  }
+}
+
+function sleep (duration: number): Promise<void> {
+  return new Promise((resolve) => { setTimeout(resolve, duration) })
+}
