Wire the daemon and the demonstration

Cause: the parts exist and have to run as one process per upstream VM. Change: registration of every service with the kernel in the order of dependencies, the entry point with settings, a graceful stop that announces the leave first, and a demonstration that starts six nodes as processes, submits, calls, changes, drains and restarts.

--- /dev/null
+++ b/src/daemon/DocumentServices.ts
@@ -0,0 +1,55 @@
+/** Registers the platform's services and what is built on them for documents. */
+import { ILogService, type IKernel } from '../common/Services.js'
+import { AcceptanceService } from '../documents/AcceptanceService.js'
+import { AcceptedDocuments } from '../documents/AcceptedDocuments.js'
+import { DocumentParser } from '../documents/DocumentParser.js'
+import { IAcceptanceService, IAcceptedDocuments, IDocumentParser, ISnapshotBuilder } from '../documents/Services.js'
+import { SnapshotBuilder } from '../documents/SnapshotBuilder.js'
+import { EmbeddedObjectStore } from '../platform/EmbeddedObjectStore.js'
+import { EmbeddedTableService } from '../platform/EmbeddedTableService.js'
+import { HttpObjectStore } from '../platform/HttpObjectStore.js'
+import { HttpTableService } from '../platform/HttpTableService.js'
+import { IObjectStore, ITableService } from '../platform/Services.js'
+import { FOUNDATION, foundationOf } from './Foundation.js'
+import type { ISettings } from './settings/Types.js'
+
+/** Registers the platform as the settings name it. */
+export function registerPlatform (kernel: IKernel, settings: ISettings): void {
+  const { kind, url = '', timeout } = settings.platform
+  const isEmbedded = kind === 'embedded'
+  kernel.register({
+    key: ITableService,
+    dependsOn: [],
+    create: () => isEmbedded ? new EmbeddedTableService() : new HttpTableService({ url, timeout })
+  })
+  kernel.register({
+    key: IObjectStore,
+    dependsOn: [],
+    create: () => isEmbedded ? new EmbeddedObjectStore() : new HttpObjectStore({ url, timeout })
+  })
+}
+
+/** Registers parsing, acceptance, reading and the building of snapshots. */
+export function registerDocuments (kernel: IKernel): void {
+  kernel.register({ key: IDocumentParser, dependsOn: [], create: () => new DocumentParser() })
+  kernel.register({
+    key: IAcceptedDocuments,
+    dependsOn: [ITableService, IObjectStore],
+    create: () => new AcceptedDocuments({ table: kernel.get(ITableService), objects: kernel.get(IObjectStore) })
+  })
+  kernel.register({
+    key: IAcceptanceService,
+    dependsOn: [...FOUNDATION, ITableService, IObjectStore, IDocumentParser],
+    create: () => new AcceptanceService({
+      ...foundationOf(kernel),
+      table: kernel.get(ITableService),
+      objects: kernel.get(IObjectStore),
+      parser: kernel.get(IDocumentParser)
+    })
+  })
+  kernel.register({
+    key: ISnapshotBuilder,
+    dependsOn: [ILogService, IDocumentParser, ...FOUNDATION],
+    create: () => new SnapshotBuilder({ parser: kernel.get(IDocumentParser), invariants: foundationOf(kernel).invariants })
+  })
+}
--- /dev/null
+++ b/testing/demonstration/Deployment.ts
@@ -0,0 +1,92 @@
+/** One deployment on one machine: platform, upstreams, and six nodes as processes of their own. */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { PlatformStandIn } from '../platform/PlatformStandIn.js'
+import { UpstreamStandIn } from '../upstream/UpstreamStandIn.js'
+import { findFreePorts } from './FreePorts.js'
+import { NodeProcess, type INodePlan } from './NodeProcess.js'
+
+const PORTS_PER_NODE = 5
+
+/** Failure domains of the first deployment with their regions. */
+const FAILURE_DOMAINS = Object.freeze([
+  { failureDomain: 'ulaanbaatar-1', region: 'ulaanbaatar' }, { failureDomain: 'ulaanbaatar-2', region: 'ulaanbaatar' },
+  { failureDomain: 'darkhan-1', region: 'darkhan' }, { failureDomain: 'darkhan-2', region: 'darkhan' },
+  { failureDomain: 'mandalgovi-1', region: 'mandalgovi' }, { failureDomain: 'mandalgovi-2', region: 'mandalgovi' }
+])
+
+/** Services of the first deployment, each after those that it refers to. */
+export const SERVICES = Object.freeze(['status', 'inspection', 'fees'] as const)
+
+/** Slots of an endpoint, as in the documents. */
+const SLOTS = 9
+const SERVICE_TIME_MS = 2
+const CONNECTION_COST_MS = 1
+
+/** An upstream with the endpoint that it is. */
+interface IUpstream {
+  readonly endpoint: string
+  readonly service: string
+  readonly standIn: UpstreamStandIn
+}
+
+/** Starts and stops everything. */
+export class Deployment {
+  public readonly platform = new PlatformStandIn({})
+  public nodes: readonly NodeProcess[] = []
+  private _upstreams: readonly IUpstream[] = []
+  private _folder = ''
+
+  /** Starts all processes; resolves with the longest time until one was ready, in milliseconds. */
+  public async start (): Promise<number> {
+    this._folder = await mkdtemp(join(tmpdir(), 'savoryknot-'))
+    const url = await this.platform.start()
+    const plans = await this._plan(url)
+    this.nodes = plans.map((plan) => new NodeProcess(plan, this._folder))
+    const times = await Promise.all(this.nodes.map((node) => node.start()))
+    return Math.max(...times)
+  }
+
+  /** Executions of one key, over all upstreams. */
+  public executionsOf (key: string): number {
+    return this._upstreams.reduce((sum, upstream) => sum + (upstream.standIn.executions.get(key) ?? 0), 0)
+  }
+
+  /** Stops all processes; resolves with the exit codes of the nodes. */
+  public async stop (): Promise<Array<number | null>> {
+    const codes = await Promise.all(this.nodes.map((node) => node.stop()))
+    for (const upstream of this._upstreams) upstream.standIn.kill()
+    await this.platform.stop()
+    await rm(this._folder, { recursive: true, force: true })
+    return codes
+  }
+
+  private async _plan (platformUrl: string): Promise<INodePlan[]> {
+    const ports = await findFreePorts(FAILURE_DOMAINS.length * PORTS_PER_NODE)
+    const plans: INodePlan[] = []
+    for (const [index, place] of FAILURE_DOMAINS.entries()) {
+      const upstreams = await this._startUpstreams(index + 1)
+      const own = ports.slice(index * PORTS_PER_NODE)
+      plans.push({ ...place, ...namePorts(own), name: `node-${index + 1}`, upstreams, platformUrl })
+    }
+    return plans
+  }
+
+  private async _startUpstreams (number: number): Promise<INodePlan['upstreams']> {
+    const started: Array<INodePlan['upstreams'][number]> = []
+    for (const service of SERVICES) {
+      const standIn = new UpstreamStandIn({ service, slots: SLOTS, serviceTimeMs: SERVICE_TIME_MS, connectionCostMs: CONNECTION_COST_MS })
+      await standIn.start()
+      const endpoint = `${service}-${number}`
+      this._upstreams = [...this._upstreams, { endpoint, service, standIn }]
+      started.push({ endpoint, service, port: Number(standIn.address.split(':').at(-1)) })
+    }
+    return started
+  }
+}
+
+/** Gives the first ports of a list their use. */
+function namePorts ([callerPort = 0, gatePort = 0, peerPort = 0, operatorPort = 0, metricsPort = 0]: readonly number[]) {
+  return { callerPort, gatePort, peerPort, operatorPort, metricsPort }
+}
--- /dev/null
+++ b/testing/demonstration/Main.ts
@@ -0,0 +1,59 @@
+/** The demonstration: `npm start` runs a deployment on this machine and goes on until Ctrl-C; `npm start -- --once` ends by itself. */
+import { readFileSync } from 'node:fs'
+import { cac } from 'cac'
+import { Deployment } from './Deployment.js'
+import { StepTable } from './StepTable.js'
+import { runSteps } from './Steps.js'
+
+const BYTES_PER_MEBIBYTE = 1_048_576
+const BYTES_PER_PAGE = 4_096
+
+/** Resident memory of a process in MiB, where the system tells it. */
+function residentMebibytes (processId: number): string {
+  try {
+    const pages = Number(readFileSync(`/proc/${processId}/statm`, 'utf8').split(' ')[1])
+    return `${Math.round(pages * BYTES_PER_PAGE / BYTES_PER_MEBIBYTE)} MiB`
+  } catch {
+    return 'unknown'
+  }
+}
+
+/** Commands for another terminal. */
+function suggestions (deployment: Deployment): string {
+  const [first] = deployment.nodes
+  if (first === undefined) return ''
+  return [
+    '', 'Serving until Ctrl-C. Try from another terminal:',
+    `  npx savoryknotctl status --node ${first.operatorAddress}`,
+    `  npx savoryknotctl endpoints --node ${first.operatorAddress}`,
+    `  npx savoryknotctl history status --node ${first.operatorAddress}`,
+    `  npx savoryknotctl burn --node ${first.operatorAddress}`,
+    `  curl -H 'savoryknot-service: status' ${first.callerUrl}/status/7`,
+    `  curl -H 'savoryknot-service: fees' -H 'idempotency-key: 1' -d '{}' ${first.callerUrl}/payments`,
+    `  curl http://127.0.0.1:${first.plan.metricsPort}/metrics`, ''
+  ].join('\n')
+}
+
+async function main (): Promise<number> {
+  const parser = cac('npm start --')
+  parser.option('--once', 'End after the last step')
+  parser.help()
+  const { options } = parser.parse()
+  if (options.help === true) return 0
+  const deployment = new Deployment()
+  const table = new StepTable()
+  try {
+    await runSteps(deployment, table)
+    const memory = deployment.nodes.map((node) => residentMebibytes(node.processId)).join(', ')
+    process.stdout.write(`\n${table.format()}\n\nresident memory of the nodes: ${memory}\n`)
+    if (options.once !== true && table.allHold) {
+      process.stdout.write(suggestions(deployment))
+      await new Promise((resolve) => process.once('SIGINT', resolve))
+    }
+  } finally {
+    await deployment.stop()
+  }
+  return table.allHold ? 0 : 1
+}
+
+process.exit(await main())
