Exchange accepted versions between nodes by announcement and pull

Cause: every node has to learn each accepted version soon, whole, and at few bytes. A digest per link finds what was lost. The source reader feeds the change log of the store in; a starting node catches up with the store or with several caught-up peers. Digest gains the field is_caught_up.

--- /dev/null
+++ b/src/distribution/DocumentSession.ts
@@ -0,0 +1,257 @@
+/** Exchange of versions with the peer at the other end of one link. */
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import { addDuration } from '../common/Ids.js'
+import type { IClockService, ILogService, IRandomService } from '../common/Services.js'
+import type { DocumentVersion, ILocation, Milliseconds, ServiceName, Timestamp } from '../common/Types.js'
+import type { IVersionEntry } from '../documents/Types.js'
+import type { ReceivedDigest } from '../generated/savoryknot/Digest.js'
+import type { PeerMessage, ReceivedPeerMessage } from '../generated/savoryknot/PeerMessage.js'
+import type { ReceivedVersionEntry } from '../generated/savoryknot/VersionEntry.js'
+import type { IPeerLink } from '../membership/Services.js'
+import type { BodyServer } from './BodyServer.js'
+import type { DistributionMetrics } from './DistributionMetrics.js'
+import { PEER_MESSAGE_MALFORMED, BODY_REFUSED } from './Events.js'
+import type { HeldDocuments } from './HeldDocuments.js'
+import { MessageQueue } from './MessageQueue.js'
+import type { PullCoordinator } from './PullCoordinator.js'
+import type { IPullSource } from './PullTask.js'
+import type { ISnapshotService } from './Services.js'
+import { Signal } from './Signal.js'
+import { decodeDigest, encodeDigest } from './VersionDigest.js'
+import { decodeVersionEntry, encodeVersionEntry } from './VersionEntryCodec.js'
+
+/** Timing of a session. */
+export interface ISessionTiming {
+  /** Time over which announcements are gathered into one message. */
+  readonly batchDelay: Milliseconds
+  /** Time between two digests; the actual time is drawn from half of it to one and a half. */
+  readonly digestInterval: Milliseconds
+  /** Time that a difference of digests must last before the whole vector is sent. */
+  readonly differenceDelay: Milliseconds
+  /** Shortest time between two vectors to one peer; doubled while a difference lasts. */
+  readonly vectorInterval: Milliseconds
+  /** Upper bound of the doubling. */
+  readonly vectorIntervalLimit: Milliseconds
+}
+
+/** Defaults of the timing. */
+export const DEFAULT_SESSION_TIMING: ISessionTiming = Object.freeze({
+  batchDelay: 20 as Milliseconds,
+  digestInterval: 2_000 as Milliseconds,
+  differenceDelay: 400 as Milliseconds,
+  vectorInterval: 1_000 as Milliseconds,
+  vectorIntervalLimit: 60_000 as Milliseconds
+})
+
+/** Messages of one link that may wait to be handled. */
+const QUEUE_LIMIT = 4_096
+
+/** What a session needs. */
+export interface IDocumentSessionOptions {
+  readonly link: IPeerLink
+  readonly self: ILocation
+  readonly held: HeldDocuments
+  readonly snapshots: ISnapshotService
+  readonly pulls: PullCoordinator
+  readonly bodies: BodyServer
+  readonly metrics: DistributionMetrics
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly log: ILogService
+  readonly timing: ISessionTiming
+  /** Time to wait before a pull over the link. */
+  readonly pullDelay: (now: Timestamp) => Milliseconds
+  readonly isCaughtUp: () => boolean
+}
+
+/** Announces what the peer lacks, pulls what this node lacks, and compares digests to find what either missed. */
+export class DocumentSession extends Disposable implements IPullSource {
+  private readonly _options: IDocumentSessionOptions
+  private readonly _inbox = new MessageQueue<ReceivedPeerMessage>(QUEUE_LIMIT)
+  /** Newest version that the peer is known to hold, by service. */
+  private readonly _peerVersions = new Map<ServiceName, DocumentVersion>()
+  private readonly _outbox = new Map<ServiceName, IVersionEntry>()
+  private _isFlushDue = false
+  private _isOpen = true
+  private _peerDigest: bigint | undefined
+  private _isPeerCaughtUp = false
+  private _isConfirmed = false
+  private _differsSince: Timestamp | undefined
+  private _nextVectorAt = 0 as Timestamp
+  private _vectorInterval: Milliseconds
+  private readonly _digestSignal: Signal
+
+  constructor (options: IDocumentSessionOptions) {
+    super()
+    this._options = options
+    this._vectorInterval = options.timing.vectorInterval
+    this._digestSignal = new Signal(options.clock)
+    this.register(options.link.onMessage((message) => { this._inbox.push(message) }))
+    this.register(toDisposable(() => this._close()))
+  }
+
+  public get name (): string {
+    return this._options.link.peer.id
+  }
+
+  public get isOpen (): boolean {
+    return this._isOpen
+  }
+
+  /** True once this node held everything that the caught-up peer held. */
+  public get isConfirmed (): boolean {
+    return this._isConfirmed
+  }
+
+  public send (message: PeerMessage): boolean {
+    return this._isOpen && this._options.link.send(message)
+  }
+
+  /** Handles messages and compares digests until the link closes. */
+  public async run (): Promise<void> {
+    const digests = this._exchangeDigests()
+    for (;;) {
+      const message = await this._inbox.next()
+      if (message === undefined) break
+      this._handleSafely(message, this._options.clock.now())
+    }
+    await digests
+  }
+
+  /** Announces entries that the peer is not known to hold, together with others of the same moment. */
+  public announce (entries: Iterable<IVersionEntry>): void {
+    for (const entry of entries) {
+      if (this._knownVersion(entry.service) < entry.version) this._outbox.set(entry.service, entry)
+    }
+    if (this._outbox.size === 0 || this._isFlushDue) return
+    this._isFlushDue = true
+    this._options.clock.after(this._options.timing.batchDelay, () => this._flush())
+  }
+
+  /** Tells the peer the digest of what this node holds. */
+  public sendDigest (): void {
+    const { held, isCaughtUp } = this._options
+    this.send({ digest: { documents: encodeDigest(held.digest), isCaughtUp: isCaughtUp() } })
+  }
+
+  private _flush (): void {
+    this._isFlushDue = false
+    const entries = [...this._outbox.values()].filter((entry) => this._knownVersion(entry.service) < entry.version)
+    this._outbox.clear()
+    if (entries.length === 0) return
+    if (this.send({ announce: { entries: entries.map(encodeVersionEntry) } })) this._options.metrics.noteAnnounced(entries.length)
+  }
+
+  private async _exchangeDigests (): Promise<void> {
+    const { random, timing } = this._options
+    while (this._isOpen) {
+      this.sendDigest()
+      await this._digestSignal.wait(timing.digestInterval * (0.5 + random.fraction()) as Milliseconds)
+    }
+  }
+
+  /** A message that cannot be handled costs the peer that message, never the session. */
+  private _handleSafely (message: ReceivedPeerMessage, now: Timestamp): void {
+    try {
+      this._handle(message, now)
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error)
+      this._options.log.log(PEER_MESSAGE_MALFORMED, { step: 'session.handle', peer: this.name, reason })
+    }
+  }
+
+  private _handle (message: ReceivedPeerMessage, now: Timestamp): void {
+    if (message.announce) this._receiveEntries(message.announce.entries, now)
+    else if (message.pull) this._servePull(message.pull)
+    else if (message.body) this._receiveBody(message.body, now)
+    else if (message.digest) this._receiveDigest(message.digest, now)
+    else if (message.versionVector) this._receiveVector(message.versionVector.entries, now)
+  }
+
+  private _receiveEntries (received: readonly ReceivedVersionEntry[], now: Timestamp): void {
+    for (const candidate of received) {
+      const entry = decodeVersionEntry(candidate)
+      if (entry === undefined) this._options.log.log(PEER_MESSAGE_MALFORMED, { step: 'session.entry', peer: this.name })
+      else this._receiveEntry(entry, now)
+    }
+    this._confirm()
+  }
+
+  private _receiveEntry (entry: IVersionEntry, now: Timestamp): void {
+    const { held, pulls, snapshots } = this._options
+    if (this._knownVersion(entry.service) < entry.version) this._peerVersions.set(entry.service, entry.version)
+    if (entry.version <= held.newestVersion(entry.service)) return
+    if (entry.isTombstone) snapshots.offer([{ ...entry, text: '' }], now)
+    else pulls.want(entry, this, this._options.pullDelay(now), now)
+  }
+
+  /** The vector names all that the peer holds, so that what it lacks is announced to it. */
+  private _receiveVector (received: readonly ReceivedVersionEntry[], now: Timestamp): void {
+    this._peerVersions.clear()
+    this._receiveEntries(received, now)
+    this.announce(this._options.held.all)
+  }
+
+  private _servePull (pull: NonNullable<ReceivedPeerMessage['pull']>): void {
+    const body = this._options.bodies.answer(pull)
+    if (body === undefined || !this.send({ body })) return
+    this._options.metrics.notePullServed(body.baseVersion !== 0)
+  }
+
+  private _receiveBody (body: NonNullable<ReceivedPeerMessage['body']>, now: Timestamp): void {
+    const { link, self, pulls, metrics, log } = this._options
+    metrics.noteBody(link.peer, self, body.content.length)
+    if (!pulls.receive(this, body, now)) {
+      metrics.noteBodyRefused()
+      log.log(BODY_REFUSED, { step: 'session.body', peer: this.name, service: body.entry?.service, reason: 'not used' })
+    }
+    this._confirm()
+  }
+
+  private _receiveDigest (digest: ReceivedDigest, now: Timestamp): void {
+    const value = decodeDigest(digest.documents)
+    if (value === undefined) return
+    this._peerDigest = value
+    this._isPeerCaughtUp = digest.isCaughtUp
+    this._confirm()
+    if (value !== this._options.held.digest) return this._noteDifference(now)
+    this._differsSince = undefined
+    this._vectorInterval = this._options.timing.vectorInterval
+  }
+
+  /** Waits whether the difference settles by itself, as it does while a change is on its way. */
+  private _noteDifference (now: Timestamp): void {
+    if (this._differsSince !== undefined) return
+    this._differsSince = now
+    const digest = this._options.held.digest
+    this._options.clock.after(this._options.timing.differenceDelay, () => this._resolveDifference(digest))
+  }
+
+  private _resolveDifference (digestThen: bigint): void {
+    this._differsSince = undefined
+    const { held, clock, metrics, timing } = this._options
+    if (!this._isOpen || this._peerDigest === held.digest) return
+    if (held.digest !== digestThen) return this.sendDigest()
+    const now = clock.now()
+    if (now < this._nextVectorAt) return
+    this._nextVectorAt = addDuration(now, this._vectorInterval)
+    this._vectorInterval = Math.min(this._vectorInterval * 2, timing.vectorIntervalLimit) as Milliseconds
+    metrics.noteVectorSent()
+    this.send({ versionVector: { entries: Array.from(held.all, encodeVersionEntry) } })
+  }
+
+  private _confirm (): void {
+    if (this._isPeerCaughtUp && this._peerDigest === this._options.held.digest) this._isConfirmed = true
+  }
+
+  private _knownVersion (service: ServiceName): number {
+    return this._peerVersions.get(service) ?? 0
+  }
+
+  private _close (): void {
+    this._isOpen = false
+    this._digestSignal.notify()
+    this._inbox.close()
+    this._options.pulls.sourceClosed()
+  }
+}
--- /dev/null
+++ b/src/distribution/PullCoordinator.ts
@@ -0,0 +1,63 @@
+/** Runs one pull task for each service of which a newer version was announced. */
+import type { IDisposable, ServiceName, Milliseconds, Timestamp } from '../common/Types.js'
+import { Disposable } from '../common/Disposable.js'
+import type { IVersionEntry } from '../documents/Types.js'
+import type { ReceivedBody } from '../generated/savoryknot/Body.js'
+import { type IPullSource, type IPullTaskOptions, PullTask } from './PullTask.js'
+
+/** Defaults of the pull tasks. */
+export const DEFAULT_PULL_OPTIONS = Object.freeze({ timeout: 1_000 as Milliseconds, attemptsPerSource: 2 })
+
+/** Options of `PullCoordinator`; those with defaults may be left out. */
+export type IPullCoordinatorOptions = Omit<IPullTaskOptions, keyof typeof DEFAULT_PULL_OPTIONS> & Partial<IPullTaskOptions>
+
+/** A body is under way from at most one peer for each service. */
+export class PullCoordinator extends Disposable implements IDisposable {
+  private readonly _options: IPullTaskOptions
+  private readonly _tasks = new Map<ServiceName, PullTask>()
+
+  constructor (options: IPullCoordinatorOptions) {
+    super()
+    this._options = { ...DEFAULT_PULL_OPTIONS, ...options }
+    this.register(this._options.held.onAdded((added) => {
+      for (const { service } of added) this._tasks.get(service)?.wake()
+    }))
+  }
+
+  /** Number of services that are being pulled. */
+  public get pending (): number {
+    return this._tasks.size
+  }
+
+  /** Notes that `source` holds `entry`; pulls it if it is newer than what is held. */
+  public want (entry: IVersionEntry, source: IPullSource, delay: Milliseconds, now: Timestamp): void {
+    if (this.isDisposed || entry.version <= this._options.held.newestVersion(entry.service)) return
+    const running = this._tasks.get(entry.service)
+    if (running !== undefined && !running.isDone) {
+      running.addOffer(source, entry.version, delay, now)
+      return
+    }
+    const task = new PullTask(entry.service, this._options)
+    task.addOffer(source, entry.version, delay, now)
+    this._tasks.set(entry.service, task)
+    this._run(entry.service, task)
+  }
+
+  /** Takes a body; returns false if it was not asked for or cannot be used. */
+  public receive (source: IPullSource, body: ReceivedBody, now: Timestamp): boolean {
+    const service = body.entry?.service as ServiceName | undefined
+    const task = service === undefined ? undefined : this._tasks.get(service)
+    return task?.receive(source, body, now) ?? false
+  }
+
+  /** Wakes all tasks after a source has closed. */
+  public sourceClosed (): void {
+    for (const task of this._tasks.values()) task.wake()
+  }
+
+  private _run (service: ServiceName, task: PullTask): void {
+    task.run().finally(() => {
+      if (this._tasks.get(service) === task) this._tasks.delete(service)
+    })
+  }
+}
--- a/src/distribution/Services.ts
+++ b/src/distribution/Services.ts
@@ -1,7 +1,7 @@
 /** Interfaces of the distribution of documents and of reports on what is in force. */
 import { createServiceKey } from '../common/Services.js'
 import type { DocumentVersion, FailureDomain, IEvent, NodeId, ServiceName, Timestamp } from '../common/Types.js'
-import type { IRejection, ISnapshot, IVersionedText } from '../documents/Types.js'
+import type { IAcceptedChange, IRejection, ISnapshot, IVersionedText } from '../documents/Types.js'
 
 /** Holds the snapshot in force on this node. */
 export interface ISnapshotService {
@@ -14,6 +14,22 @@
   offer (versions: readonly IVersionedText[], now: Timestamp): void
 }
 
+/** Takes part in the exchange of versions with the peers at the other ends of the overlay's links. */
+export interface IAnnounceService {
+  /** Peers that have completed their catch-up and whose versions this node holds, too. */
+  readonly confirmedPeers: readonly NodeId[]
+  /** Number of peers with which versions are exchanged. */
+  readonly peerCount: number
+  /** Tells the peers whether they may confirm their catch-up against this node. */
+  setCaughtUp (isCaughtUp: boolean): void
+}
+
+/** Learns accepted versions from the platform. */
+export interface ISourceService {
+  /** Takes a version whose acceptance was answered at this node, so that nobody waits for the next poll of the change log. */
+  noteAccepted (change: IAcceptedChange, text: string, now: Timestamp): void
+}
+
 /** What the catch-up of a starting node was confirmed against. */
 export type CatchUpSource =
   | { readonly kind: 'store' }
@@ -66,5 +82,7 @@
 }
 
 export const ISnapshotService = createServiceKey<ISnapshotService>('distribution.snapshot')
+export const IAnnounceService = createServiceKey<IAnnounceService>('distribution.announce')
+export const ISourceService = createServiceKey<ISourceService>('distribution.source')
 export const ICatchUpService = createServiceKey<ICatchUpService>('distribution.catch-up')
 export const IReportService = createServiceKey<IReportService>('distribution.reports')
