--- /dev/null
+++ b/testing/distribution/DistributionNode.ts
@@ -0,0 +1,86 @@
+/** The distribution of one node over fake links, with its real snapshot builder and invariants. */
+import { InvariantService } from '../../src/common/InvariantService.js'
+import { MetricsService } from '../../src/common/MetricsService.js'
+import { RandomService } from '../../src/common/RandomService.js'
+import type { IClockService } from '../../src/common/Services.js'
+import { AnnounceService, type IAnnounceServiceOptions } from '../../src/distribution/AnnounceService.js'
+import { HeldDocuments } from '../../src/distribution/HeldDocuments.js'
+import { SnapshotService } from '../../src/distribution/SnapshotService.js'
+import { DocumentParser } from '../../src/documents/DocumentParser.js'
+import type { IDocumentParser } from '../../src/documents/Services.js'
+import { SnapshotBuilder } from '../../src/documents/SnapshotBuilder.js'
+import type { IVersionedText } from '../../src/documents/Types.js'
+import type { INodeRecord } from '../../src/membership/Types.js'
+import { RecordingLog } from '../RecordingLog.js'
+import type { FakeMembers } from './FakeMembership.js'
+import { FakeOverlay } from './FakeNetwork.js'
+
+/** What a test node needs. */
+export interface IDistributionNodeOptions {
+  readonly record: INodeRecord
+  readonly members: FakeMembers
+  readonly clock: IClockService
+  readonly seed: number
+  /** A parser of other software; the present one if left out. */
+  readonly parser?: IDocumentParser
+  readonly announce?: Partial<IAnnounceServiceOptions>
+}
+
+/** Records every version that came into force, in order. */
+export class DistributionNode {
+  public readonly log = new RecordingLog()
+  public readonly metrics = new MetricsService()
+  public readonly invariants = new InvariantService({ log: this.log, metrics: this.metrics })
+  public readonly random: RandomService
+  public readonly held = new HeldDocuments({ log: this.log })
+  public readonly overlay: FakeOverlay
+  public readonly snapshots: SnapshotService
+  public readonly announce: AnnounceService
+  /** True if a version in force was ever followed by a lower one. */
+  public hasSteppedBack = false
+  private readonly _seen = new Map<string, number>()
+
+  constructor (public readonly options: IDistributionNodeOptions) {
+    const { record, members, clock, seed, parser = new DocumentParser() } = options
+    const { log, metrics, invariants, held } = this
+    this.random = new RandomService(seed)
+    this.overlay = new FakeOverlay(record)
+    this.snapshots = new SnapshotService({ builder: new SnapshotBuilder({ parser, invariants }), held, log, metrics, invariants })
+    this.snapshots.onReplaced(() => this._observe())
+    this.announce = new AnnounceService({
+      overlay: this.overlay,
+      membership: members.of(record),
+      roles: members.rolesOf(record),
+      held,
+      snapshots: this.snapshots,
+      clock,
+      random: this.random,
+      log,
+      metrics,
+      ...options.announce
+    })
+    members.add(record)
+  }
+
+  public offer (...versions: IVersionedText[]): void {
+    this.snapshots.offer(versions, this.options.clock.now())
+  }
+
+  /** Versions in force as `service=version`, sorted. */
+  public get inForce (): string {
+    const entries = Array.from(this.snapshots.current.documents.values(), ({ service, version }) => `${service}=${version}`)
+    return entries.sort().join(' ')
+  }
+
+  /** Names of the events logged so far. */
+  public countEvents (name: string): number {
+    return this.log.events.filter((event) => event.name === name).length
+  }
+
+  private _observe (): void {
+    for (const { service, version } of this.snapshots.current.documents.values()) {
+      if (version < (this._seen.get(service) ?? 0)) this.hasSteppedBack = true
+      this._seen.set(service, version)
+    }
+  }
+}
