--- a/src/common/Kernel.test.ts
+++ b/src/common/Kernel.test.ts
@@ -38,6 +38,17 @@
     expect(journal).to.deep.equal(['start lower', 'stop lower'])
   })
 
+  it('leaves start and stop of a part to the service that owns it', async () => {
+    const kernel = new Kernel()
+    const journal: string[] = []
+    registerJournaled(kernel, LOWER, [], journal)
+    kernel.register({ key: UPPER, dependsOn: [LOWER], isStartedByOwner: true, create: () => kernel.get(LOWER) })
+    await kernel.start()
+    await kernel.stop()
+    expect(kernel.get(UPPER)).to.equal(kernel.get(LOWER))
+    expect(journal).to.deep.equal(['start lower', 'stop lower'])
+  })
+
   it('refuses a cycle, a missing dependency and a second registration', async () => {
     const cyclic = new Kernel()
     registerJournaled(cyclic, LOWER, [UPPER], [])
--- a/src/common/Kernel.ts
+++ b/src/common/Kernel.ts
@@ -41,6 +41,7 @@
   private async _startOne (registration: IServiceRegistration<object>): Promise<void> {
     const instance = registration.create(this)
     this._instances.set(registration.key.name, instance)
+    if (registration.isStartedByOwner === true) return
     this._started.push(instance)
     await (instance as IService).start?.()
   }
--- a/src/common/Services.ts
+++ b/src/common/Services.ts
@@ -27,6 +27,8 @@
   readonly key: IServiceKey<TService>
   /** Services that must be started before this one. */
   readonly dependsOn: ReadonlyArray<IServiceKey<object>>
+  /** True for a part of another service, which starts and stops it; the kernel then does neither. */
+  readonly isStartedByOwner?: boolean
   /** Makes the service; every dependency can be had from the kernel. */
   create (kernel: IKernel): TService
 }
--- a/src/distribution/Events.ts
+++ b/src/distribution/Events.ts
@@ -36,9 +36,11 @@
   'The status object of this failure domain could not be written; others see the domain as not heard until it can.')
 export const REPORT_REFUSED = define(5041, 'report-refused', 'warn',
   'A report from a peer was malformed or of a node that is not a member; it was ignored.')
+export const REPORT_READ_FAILED = define(5042, 'report-read-failed', 'warn',
+  'The report of a failure domain could not be read; it is shown as not heard.')
 
 export const DISTRIBUTION_EVENTS: readonly IEventDefinition[] = Object.freeze([
   SNAPSHOT_REPLACED, VERSION_REJECTED, VERSION_WAITING, VERSION_CONFLICT, SERVICE_LIMIT_REACHED, BODY_REFUSED, PULL_GIVEN_UP,
   PEER_MESSAGE_MALFORMED, SOURCE_UNAVAILABLE, SOURCE_RECOVERED, SOURCE_BODY_MISSING, CATCH_UP_COMPLETED, CATCH_UP_WAITING,
-  REPORT_WRITE_FAILED, REPORT_REFUSED
+  REPORT_WRITE_FAILED, REPORT_REFUSED, REPORT_READ_FAILED
 ])
--- a/testing/distribution/FakeNetwork.ts
+++ b/testing/distribution/FakeNetwork.ts
@@ -1,6 +1,6 @@
 /** Links whose messages the test delivers, drops or repeats by hand. */
 import { Emitter } from '../../src/common/Emitter.js'
-import { decodePeerMessage, encodePeerMessage } from '../../src/membership/Protocol.js'
+import { decodePeerMessage, encodePeerMessage } from '../../src/membership/PeerCodec.js'
 import type { PeerMessage, ReceivedPeerMessage } from '../../src/generated/savoryknot/PeerMessage.js'
 import type { IOverlayService, IPeerLink } from '../../src/membership/Services.js'
 import type { INodeRecord } from '../../src/membership/Types.js'
