Admit nodes alone at the peer port

Cause: a test with an operator certificate at the peer port opened a stream: the interceptor sent a refusal but passed the metadata on, so the handler of a streaming call began all the same. Change: the metadata is not passed on.

--- a/src/daemon/keys/KeyService.ts
+++ b/src/daemon/keys/KeyService.ts
@@ -81,10 +81,10 @@
     const identity = readIdentity(call.getAuthContext().sslPeerCertificate?.subjectaltname)
     if (identity?.kind === kind) return new ServerInterceptingCall(call)
     return new ServerInterceptingCall(call, {
-      start: (next) => {
-        next({})
-        call.sendStatus({ code: status.PERMISSION_DENIED, details: `this port admits ${kind} certificates only` })
-      }
+      // The metadata is not passed on, so the handler of the call never begins.
+      start: (next) => next({
+        onReceiveMetadata: () => call.sendStatus({ code: status.PERMISSION_DENIED, details: `this port admits ${kind} certificates only` })
+      })
     })
   }
 }
