--- /dev/null
+++ b/src/common/Protocol.ts
@@ -0,0 +1,33 @@
+/** Loads the messages and RPC services of proto/savoryknot.proto. */
+import { loadPackageDefinition } from '@grpc/grpc-js'
+import { loadSync } from '@grpc/proto-loader'
+import { existsSync } from 'node:fs'
+import { dirname, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { ProtoGrpcType } from '../generated/savoryknot.js'
+
+const PROTO_FILE = join('proto', 'savoryknot.proto')
+
+let loaded: ProtoGrpcType | undefined
+
+/** The RPC services; loaded once in a process. */
+export function loadProtocol (): ProtoGrpcType {
+  loaded ??= loadPackageDefinition(loadSync(findProtoFile(), {
+    longs: Number,
+    enums: String,
+    defaults: true,
+    oneofs: true
+  })) as unknown as ProtoGrpcType
+  return loaded
+}
+
+/** Looks upwards from this module, which runs from src/ or from dist/src/. */
+function findProtoFile (): string {
+  let folder = dirname(fileURLToPath(import.meta.url))
+  while (!existsSync(join(folder, PROTO_FILE))) {
+    const parent = dirname(folder)
+    if (parent === folder) throw new Error(`${PROTO_FILE} is missing from the installation`)
+    folder = parent
+  }
+  return join(folder, PROTO_FILE)
+}
--- /dev/null
+++ b/src/routing/CallRun.ts
@@ -0,0 +1,174 @@
+/** All attempts of one call. */
+import type { IClockService, IInvariantService, ILogService, IRandomService } from '../common/Services.js'
+import type { Milliseconds, NodeId, ServiceName, Timestamp } from '../common/Types.js'
+import type { IGateService } from '../gate/Services.js'
+import type { CallOutcome, IAnswerSink } from '../gate/Types.js'
+import type { IMembershipService } from '../membership/Services.js'
+import { AttemptSink } from './AttemptSink.js'
+import { CallBody } from './CallBody.js'
+import type { EndpointPool } from './EndpointPool.js'
+import type { EndpointStatistics } from './EndpointStatistics.js'
+import type { OutcomeObserver } from './OutcomeObserver.js'
+import type { RetryBudget } from './RetryBudget.js'
+import { drawBackoff, hasTimeFor, mayReselect, mayRetry, SERVICE_UNAVAILABLE } from './RetryRules.js'
+import type { IResolvedRoute, RoutedCall } from './RoutedCall.js'
+import type { IRemoteGates } from './Types.js'
+
+const STEP = 'router.choose'
+
+/** What a run of a call uses of the router. */
+export interface ICallRunOptions {
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly log: ILogService
+  readonly invariants: IInvariantService
+  readonly membership: Pick<IMembershipService, 'endpoints'>
+  /** This node; undefined in a process without a gate. */
+  readonly self: NodeId | undefined
+  readonly localGate: IGateService | undefined
+  readonly remoteGates: IRemoteGates
+  readonly observer: OutcomeObserver
+  readonly endpointPool: (service: ServiceName) => EndpointPool
+  readonly retryBudget: (service: ServiceName) => RetryBudget
+  readonly onRetryDenied: (service: ServiceName, now: Timestamp) => void
+}
+
+/** Chooses an endpoint, runs the attempt there, and decides about the next one. */
+export class CallRun {
+  private readonly _pool: EndpointPool
+  private readonly _budget: RetryBudget
+  private readonly _body: CallBody
+  private _excluded: EndpointStatistics[] = []
+  private _attempts = 0
+  private _reselections = 0
+  /** True once an attempt may have reached an upstream: from then on the call is never answered as not run. */
+  private _mayHaveRun = false
+
+  constructor (
+    private readonly _options: ICallRunOptions,
+    private readonly _call: RoutedCall,
+    private readonly _resolved: IResolvedRoute,
+    private readonly _sink: IAnswerSink
+  ) {
+    this._pool = _options.endpointPool(_call.targetService)
+    this._budget = _options.retryBudget(_call.service)
+    this._body = new CallBody(_call.body, _resolved.limit?.requestBytes ?? Number.MAX_SAFE_INTEGER)
+  }
+
+  /** Attempts and retries made so far. */
+  public get attempts (): number {
+    return this._attempts
+  }
+
+  /** Runs the call to its end. Never rejects. */
+  public async run (start: Timestamp): Promise<CallOutcome> {
+    if (this._call.body !== undefined) {
+      const refusal = await this._body.prepare(this._call, this._options.clock)
+      if (refusal !== undefined) return { kind: 'not-run', reason: refusal, step: 'router.body' }
+    }
+    if (this._resolved.retry !== undefined) this._budget.deposit(this._resolved.retry.budget)
+    let now = start
+    for (;;) {
+      const outcome = await this._attempt(now)
+      if (outcome.kind === 'answered' && outcome.status !== SERVICE_UNAVAILABLE) return outcome
+      now = this._options.clock.now()
+      const pause = this._pauseBeforeNext(outcome, now)
+      if (pause === undefined) return this._conclude(outcome)
+      if (pause > 0) await this._options.clock.sleep(pause)
+      now = this._options.clock.now()
+    }
+  }
+
+  private async _attempt (now: Timestamp): Promise<CallOutcome> {
+    const chosen = this._choose(now)
+    if (chosen === undefined) return { kind: 'not-run', reason: 'no-endpoint', step: STEP }
+    const { observer, localGate, remoteGates, clock, self } = this._options
+    const target = localGate !== undefined && chosen.endpoint.node === self ? localGate : remoteGates.target(chosen.endpoint)
+    const sink = new AttemptSink({
+      sink: this._sink, limitBytes: this._resolved.limit?.responseBytes ?? Number.MAX_SAFE_INTEGER, holdBack: this._holdBack, clock
+    })
+    this._attempts++
+    this._call.body = this._body.next(this._call)
+    chosen.outstanding++
+    const raw = await target.execute(this._call, sink)
+    chosen.outstanding--
+    const outcome = this._interpret(raw, sink)
+    if (outcome.kind !== 'not-run') this._mayHaveRun = true
+    this._excluded.push(chosen)
+    observer.observe({ chosen, outcome, sink, startedAt: now, pool: this._pool, resource: this._resolved.pool, now: clock.now() })
+    return outcome
+  }
+
+  /** The local gate if its upstream can start the call at once and is near enough; else what the balancer says. */
+  private _choose (now: Timestamp): EndpointStatistics | undefined {
+    const { membership, localGate, self } = this._options
+    const { pool: resource } = this._resolved
+    this._pool.update(membership.endpoints(this._call.targetService), now)
+    const preferred = this._pool.preferred(resource, this._excluded, now)
+    if (preferred.length === 0) return undefined
+    if (localGate !== undefined) {
+      const local = preferred.find((candidate) => candidate.endpoint.node === self)
+      if (local !== undefined && this._canStartHere(localGate, local, now)) return local
+    }
+    return this._pool.choose(resource, preferred, now)
+  }
+
+  private _canStartHere (gate: IGateService, local: EndpointStatistics, now: Timestamp): boolean {
+    const service = this._call.targetService
+    const occupancy = gate.occupancy(service)
+    if (occupancy !== undefined) local.reportOccupancy(occupancy.used + occupancy.queued, now)
+    const isWarm = local.usableSlots(this._resolved.pool.slowStart, now) > local.estimatedLoad(now)
+    return isWarm && gate.hasFreeSlot(service)
+  }
+
+  private _interpret (raw: CallOutcome, sink: AttemptSink): CallOutcome {
+    if (sink.isTooLarge) return { kind: 'unknown', reason: 'answer too large', step: 'router.answer' }
+    if (!this._body.isTooLarge || raw.kind === 'answered') return raw
+    if (raw.kind === 'not-run') return { ...raw, reason: 'too-large' }
+    return { ...raw, reason: 'request body too large' }
+  }
+
+  /** Time to wait before the next attempt; undefined if there is none. */
+  private _pauseBeforeNext (outcome: CallOutcome, now: Timestamp): Milliseconds | undefined {
+    if (this._sink.hasBegun || !this._body.isRepeatable || this._pool.all.length === 0) return undefined
+    if (mayReselect(this._call, outcome, this._reselections, now) && this._hasUntried()) {
+      this._reselections++
+      return 0 as Milliseconds
+    }
+    const { retry } = this._resolved
+    if (!mayRetry(this._call, outcome, this._attempts - this._reselections, retry) || retry === undefined) return undefined
+    const backoff = drawBackoff(retry, this._attempts, this._options.random)
+    if (!hasTimeFor(this._call, backoff, now)) return undefined
+    // The token for an answer that was held back has been taken already.
+    if (outcome.kind !== 'answered' && !this._takeToken(now)) return undefined
+    if (!this._hasUntried()) this._excluded = []
+    return backoff
+  }
+
+  private _hasUntried (): boolean {
+    return this._excluded.length < this._pool.all.length
+  }
+
+  private _takeToken (now: Timestamp): boolean {
+    if (this._budget.withdraw()) return true
+    this._options.onRetryDenied(this._call.service, now)
+    return false
+  }
+
+  /** Whether to drop an answer of 503: only if the next attempt is certain to be allowed. */
+  private readonly _holdBack = (): boolean => {
+    const { retry } = this._resolved
+    const outcome: CallOutcome = { kind: 'answered', status: SERVICE_UNAVAILABLE }
+    if (retry === undefined || !this._body.isRepeatable) return false
+    if (!mayRetry(this._call, outcome, this._attempts - this._reselections, retry)) return false
+    const now = this._options.clock.now()
+    return hasTimeFor(this._call, retry.backoffLimit, now) && this._takeToken(now)
+  }
+
+  /** The outcome of the whole call: not run only if no attempt may have run. */
+  private _conclude (outcome: CallOutcome): CallOutcome {
+    if (outcome.kind === 'answered' && !this._sink.hasBegun) return { kind: 'unknown', reason: 'upstream shed the request', step: 'router.retry' }
+    if (outcome.kind !== 'not-run' || !this._mayHaveRun) return outcome
+    return { kind: 'unknown', reason: `an earlier attempt may have run; the last was refused: ${outcome.reason}`, step: outcome.step, peer: outcome.peer }
+  }
+}
--- /dev/null
+++ b/src/routing/Refusals.ts
@@ -0,0 +1,36 @@
+/** HTTP answers for calls that got none from an upstream. */
+import type { CallOutcome, NotRunReason } from '../gate/Types.js'
+
+/** One refusal as it goes to the caller. */
+export interface IRefusalAnswer {
+  readonly status: number
+  /** True if the caller may send the request again after a while. */
+  readonly isRetryable: boolean
+}
+
+const STATUS_BY_REASON: Readonly<Record<NotRunReason, IRefusalAnswer>> = Object.freeze({
+  malformed: { status: 400, isRetryable: false },
+  'key-missing': { status: 400, isRetryable: false },
+  'no-route': { status: 404, isRetryable: false },
+  'key-conflict': { status: 409, isRetryable: false },
+  'too-large': { status: 413, isRetryable: false },
+  'rate-limited': { status: 429, isRetryable: true },
+  cancelled: { status: 499, isRetryable: false },
+  overloaded: { status: 503, isRetryable: true },
+  draining: { status: 503, isRetryable: true },
+  'no-endpoint': { status: 503, isRetryable: true },
+  unreachable: { status: 503, isRetryable: true },
+  quarantined: { status: 503, isRetryable: true },
+  'store-unavailable': { status: 503, isRetryable: true },
+  'not-ready': { status: 503, isRetryable: true },
+  deadline: { status: 504, isRetryable: false }
+})
+
+const UNKNOWN_LATE: IRefusalAnswer = Object.freeze({ status: 504, isRetryable: false })
+const UNKNOWN: IRefusalAnswer = Object.freeze({ status: 502, isRetryable: false })
+
+/** Status of the answer to a call that was refused or whose answer was lost. */
+export function refusalAnswer (outcome: Exclude<CallOutcome, { kind: 'answered' }>): IRefusalAnswer {
+  if (outcome.kind === 'not-run') return STATUS_BY_REASON[outcome.reason]
+  return outcome.reason === 'deadline' ? UNKNOWN_LATE : UNKNOWN
+}
--- /dev/null
+++ b/src/routing/RemoteGate.test.ts
@@ -0,0 +1,192 @@
+/** Every way in which the connection to a gate can break or lie, over real sockets. */
+import { expect } from 'chai'
+import { Readable } from 'node:stream'
+import { answerHead, RawGate, type RawBehaviour } from '../../testing/RawGate.js'
+import { RecordingLog } from '../../testing/RecordingLog.js'
+import { createActive, createEndpoint, createRoute, FakeRequest, POOL, RecordingSink } from '../../testing/RoutingFixtures.js'
+import { ClockService } from '../common/ClockService.js'
+import { createRequestId } from '../common/Ids.js'
+import { InvariantService } from '../common/InvariantService.js'
+import { MetricsService } from '../common/MetricsService.js'
+import type { Milliseconds, NetworkAddress, Timestamp } from '../common/Types.js'
+import type { IRoute } from '../documents/Types.js'
+import type { CallOutcome, SettleAnswer } from '../gate/Types.js'
+import { RemoteGates } from './RemoteGates.js'
+import { RoutedCall } from './RoutedCall.js'
+
+/** Deadline of calls that are meant to end before it. */
+const LONG_MS = 5_000
+/** Deadline of calls that are meant to reach it. */
+const SHORT_MS = 30
+
+/** One gate, the connections to it, and a settle client that gives one answer. */
+class Setup {
+  public readonly clock = new ClockService()
+  public readonly log = new RecordingLog()
+  public readonly invariants = new InvariantService({ log: this.log, metrics: new MetricsService() })
+  public readonly raw: RawGate
+  public readonly gates: RemoteGates
+  public settled = 0
+  public address = '127.0.0.1:1' as NetworkAddress
+
+  constructor (behaviour: RawBehaviour, settleAnswer: SettleAnswer | undefined = undefined) {
+    this.raw = new RawGate(behaviour)
+    this.gates = new RemoteGates({
+      settleClient: {
+        settle: async () => {
+          this.settled++
+          return settleAnswer
+        },
+        dispose: () => undefined
+      },
+      clock: this.clock,
+      log: this.log,
+      invariants: this.invariants,
+      connectionLimit: 1
+    })
+  }
+
+  public createCall (request = new FakeRequest(), deadlineMs = LONG_MS, route: Partial<IRoute> = {}): RoutedCall {
+    const active = createActive([createRoute(route)])
+    const resolved = { active, document: active.document!, route: createRoute(route), pool: POOL, retry: undefined, limit: undefined }
+    return new RoutedCall(request, resolved, createRequestId(), request.headers, this.clock.now() + deadlineMs as Timestamp, 0, undefined)
+  }
+
+  public async run (call = this.createCall(), sink = new RecordingSink()): Promise<string> {
+    const endpoint = createEndpoint('a', undefined, { gateAddress: this.address })
+    return describeOutcome(await this.gates.target(endpoint).execute(call, sink), sink)
+  }
+
+  public async close (): Promise<void> {
+    this.gates.dispose()
+    this.raw.close()
+  }
+}
+
+function describeOutcome (outcome: CallOutcome, sink: RecordingSink): string {
+  const detail = outcome.kind === 'answered' ? outcome.status : outcome.reason
+  return `${outcome.kind}: ${detail}, answer ${sink.hasBegun ? sink.ending : 'not begun'}${sink.text === '' ? '' : ` "${sink.text}"`}`
+}
+
+/** Runs one call against a gate that behaves so, and closes everything. */
+async function runOnce (behaviour: RawBehaviour, settleAnswer?: SettleAnswer, deadlineMs = LONG_MS): Promise<string> {
+  const setup = new Setup(behaviour, settleAnswer)
+  setup.address = await setup.raw.listen()
+  const result = await setup.run(setup.createCall(undefined, deadlineMs))
+  await setup.close()
+  return result
+}
+
+describe('RemoteGate', () => {
+  it('tells for each way to break what became of the call', async () => {
+    const cases: Record<string, RawBehaviour> = {
+      'cut after the request': (socket) => socket.destroy(),
+      'cut inside the head': (socket) => socket.end('HTTP/1.1 200 OK\r\nsavoryknot-out'),
+      'cut inside the body': (socket, id) => socket.end(`${answerHead(id, 'content-length: 10')}half`),
+      'cut inside a chunk': (socket, id) => socket.end(`${answerHead(id, 'transfer-encoding: chunked')}a\r\nhalf`),
+      'end of the connection as end of the body': (socket, id) => socket.end(`${answerHead(id, 'connection: close')}half`),
+      'longer than its length': (socket, id) => socket.end(`${answerHead(id, 'content-length: 4')}wholeHTTP/1.1 200 OK\r\n\r\n`),
+      'another request\'s answer': (socket) => socket.write(`${answerHead('other', 'content-length: 5')}other`),
+      'no request id': (socket) => socket.write('HTTP/1.1 200 OK\r\nsavoryknot-outcome: answered\r\ncontent-length: 2\r\n\r\nhi'),
+      'no outcome': (socket, id) => socket.write(`HTTP/1.1 200 OK\r\nsavoryknot-request-id: ${id}\r\ncontent-length: 2\r\n\r\nhi`),
+      'not HTTP': (socket) => socket.write('SSH-2.0-x\r\n'),
+      'head without end': (socket) => socket.write(`HTTP/1.1 200 OK\r\nx: ${'y'.repeat(70_000)}`),
+      'refused as not run': (socket, id) => socket.write(`${answerHead(id, 'savoryknot-reason: overloaded\r\ncontent-length: 0', 'not-run', '503 X')}`),
+      'refused for a reason of later software': (socket, id) => socket.write(`${answerHead(id, 'savoryknot-reason: hail\r\ncontent-length: 0', 'not-run', '503 X')}`),
+      'refused as unknown': (socket, id) => socket.write(`${answerHead(id, 'savoryknot-reason: crashed\r\ncontent-length: 0', 'unknown', '502 X')}`),
+      whole: (socket, id) => socket.write(`${answerHead(id, 'content-length: 5')}whole`)
+    }
+    const journal: string[] = []
+    for (const [name, behaviour] of Object.entries(cases)) {
+      for (const settle of [undefined, 'started', 'never-will-be'] as const) journal.push(`${name}, settled ${settle ?? 'not'} -> ${await runOnce(behaviour, settle)}`)
+    }
+    expect(journal).toMatchSnapshot()
+  })
+
+  it('knows that a request it could not connect for was not run, without asking', async () => {
+    const setup = new Setup(() => undefined, 'started')
+    expect(await setup.run()).to.equal('not-run: unreachable, answer not begun')
+    expect(setup.settled).to.equal(0)
+    await setup.close()
+  })
+
+  it('ends at the deadline or when the caller leaves, at each step, and closes the connection', async () => {
+    const journal: string[] = []
+    const silent: RawBehaviour = () => undefined
+    const slowBody: RawBehaviour = (socket, id) => socket.write(`${answerHead(id, 'content-length: 10')}half`)
+    for (const behaviour of [silent, slowBody]) {
+      journal.push(await runOnce(behaviour, undefined, SHORT_MS))
+      const setup = new Setup(behaviour)
+      setup.address = await setup.raw.listen()
+      const request = new FakeRequest()
+      const running = setup.run(setup.createCall(request))
+      while (setup.raw.heads.length === 0) await setup.clock.sleep(1 as Milliseconds)
+      await setup.clock.sleep(10 as Milliseconds)
+      request.cancel()
+      journal.push(await running)
+      await setup.run(setup.createCall(undefined, SHORT_MS))
+      expect(setup.raw.connections).to.equal(2)
+      await setup.close()
+    }
+    expect(journal).toMatchSnapshot()
+  })
+
+  it('sends nothing for a call that is over before a connection is free', async () => {
+    const setup = new Setup(() => undefined)
+    setup.address = await setup.raw.listen()
+    const first = setup.run(setup.createCall(undefined, LONG_MS / 20))
+    const second = await setup.run(setup.createCall(undefined, SHORT_MS))
+    expect(second).to.equal('not-run: deadline, answer not begun')
+    await first
+    await setup.clock.sleep(20 as Milliseconds)
+    expect(setup.raw.heads).to.have.length(1)
+    await setup.close()
+  })
+
+  it('gives crossed and late answers to nobody', async () => {
+    let heldId = ''
+    const setup = new Setup((socket, id) => {
+      if (heldId === '') {
+        heldId = id
+        return
+      }
+      // The late answer of the first request, on the connection of the second one.
+      socket.write(`${answerHead(heldId, 'content-length: 6')}secret${answerHead(id, 'content-length: 4')}mine`)
+    })
+    setup.address = await setup.raw.listen()
+    await setup.run(setup.createCall(undefined, SHORT_MS))
+    expect(await setup.run()).to.equal('unknown: answer with a wrong request-id, answer not begun')
+    expect(setup.invariants.breaches).to.equal(1)
+    await setup.close()
+  })
+
+  it('refuses what undici would choke on before it takes a connection for good', async () => {
+    const setup = new Setup((socket, id) => socket.write(answerHead(id, 'content-length: 0')))
+    setup.address = await setup.raw.listen()
+    const hostile = [
+      new FakeRequest('GET', '/status/1', { x: 'a\r\nsavoryknot-depth: 9' }), new FakeRequest('GET', '/status/1', { x: ['a', 'b\0'] as never }),
+      new FakeRequest('GET', '/status/1', { 'x y': 'a' }), new FakeRequest('GET', '/status/1 HTTP/1.1\r\nx: y'), new FakeRequest('G T'), new FakeRequest('CONNECT')
+    ]
+    for (const request of hostile) expect(await setup.run(setup.createCall(request))).to.equal('not-run: malformed, answer not begun')
+    const odd = { expect: '100-continue', upgrade: 'h2c', connection: 'x', 'transfer-encoding': 'chunked', 'content-length': 'x', 'keep-alive': '1' }
+    expect(await setup.run(setup.createCall(new FakeRequest('GET', '/status/1', odd)))).to.equal('answered: 200, answer whole')
+    expect(setup.raw.heads).to.have.length(1)
+    await setup.close()
+  })
+
+  it('reuses a connection after whole exchanges and sends bodies as they are', async () => {
+    const bodies: string[] = []
+    const setup = new Setup((socket, id, head) => {
+      bodies.push(head.slice(head.indexOf('\r\n\r\n') + 4))
+      socket.write(`${answerHead(id, 'content-length: 4')}done`)
+    })
+    setup.address = await setup.raw.listen()
+    for (const text of ['one', 'two']) {
+      const request = new FakeRequest('POST', '/status/1', { 'content-length': String(text.length) }, Readable.from([Buffer.from(text)]), text.length)
+      expect(await setup.run(setup.createCall(request))).to.equal('answered: 200, answer whole "done"')
+    }
+    expect(bodies).to.deep.equal(['one', 'two'])
+    expect(setup.raw.connections).to.equal(1)
+    await setup.close()
+  })
+})
--- /dev/null
+++ b/testing/ScriptedGates.ts
@@ -0,0 +1,81 @@
+/** Gates whose answers a test writes down beforehand. */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { IClockService } from '../src/common/Services.js'
+import type { NetworkAddress } from '../src/common/Types.js'
+import type { IGateService } from '../src/gate/Services.js'
+import type { CallOutcome, IAnswerSink, ICall, ICallTarget } from '../src/gate/Types.js'
+import type { IRoutableEndpoint } from '../src/membership/Types.js'
+import type { IRemoteGates } from '../src/routing/Types.js'
+
+/** What a gate does with one attempt: answers whole with a status, or gives an outcome without an answer. */
+export interface GateStep {
+  readonly answer?: number
+  readonly text?: string
+  readonly headers?: IncomingHttpHeaders
+  /** Answers with the request's body. */
+  readonly echo?: boolean
+  readonly readsBody?: boolean
+  readonly outcome?: CallOutcome
+}
+
+/** One attempt as a gate saw it. */
+export interface IScriptedCall {
+  /** `local`, or the node of a remote gate. */
+  readonly at: string
+  readonly call: ICall
+  readonly remaining: number
+}
+
+const SLOTS = 9
+
+/** Gives the steps of the script in the order of the attempts, wherever these go; then answers 200. */
+export class ScriptedGates implements IRemoteGates {
+  public readonly calls: IScriptedCall[] = []
+  public readonly warmed: string[] = []
+  /** Occupied slots of the local upstream. */
+  public used = 0
+  /** Takes the place of the script. */
+  public behaviour: ((at: string) => GateStep) | undefined
+
+  constructor (private readonly _script: readonly GateStep[], private readonly _clock: IClockService) {}
+
+  public readonly localGate: IGateService = {
+    execute: (call, sink) => this._execute('local', call, sink),
+    occupancy: () => ({ used: this.used, queued: 0, slots: SLOTS }),
+    hasFreeSlot: () => this.used < SLOTS,
+    settle: () => 'started',
+    drain: async () => undefined
+  }
+
+  public target (endpoint: IRoutableEndpoint): ICallTarget {
+    return { execute: (call, sink) => this._execute(endpoint.node, call, sink) }
+  }
+
+  public warm (endpoint: IRoutableEndpoint): void {
+    this.warmed.push(endpoint.node)
+  }
+
+  public retain (_addresses: ReadonlySet<NetworkAddress>): void {}
+
+  public async close (): Promise<void> {}
+
+  public dispose (): void {}
+
+  private async _execute (at: string, call: ICall, sink: IAnswerSink): Promise<CallOutcome> {
+    const step = this.behaviour?.(at) ?? this._script[this.calls.length] ?? { answer: 200 }
+    this.calls.push({ at, call, remaining: call.deadlineAt - this._clock.now() })
+    const body = step.echo === true || step.readsBody === true ? await readAll(call) : ''
+    if (step.outcome !== undefined) return step.outcome
+    const status = step.answer ?? 200
+    sink.begin(status, { ...step.headers })
+    sink.write(Buffer.from(step.text ?? (step.echo === true ? body : `from ${this.calls.length}`)))
+    sink.end()
+    return { kind: 'answered', status }
+  }
+}
+
+async function readAll (call: ICall): Promise<string> {
+  const chunks: Buffer[] = []
+  for await (const chunk of call.body ?? []) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks).toString()
+}
