--- a/src/daemon/keys/KeyService.test.ts
+++ b/src/daemon/keys/KeyService.test.ts
@@ -51,7 +51,9 @@
 }
 
 /** Submits the document; gives the kind of the answer or the name of the error. */
-async function submitWith (address: NetworkAddress, channel: ChannelCredentials, expectedVersion: number, text = DOCUMENT): Promise<string> {
+async function submitWith (
+  address: NetworkAddress, channel: ChannelCredentials, expectedVersion: number, text = DOCUMENT
+): Promise<string> {
   const client = new OperatorClient({ node: address, credentials: channel })
   try {
     const submissionId = hashContent(`${expectedVersion}${text}`)
