Let an authority file hold two certificates

Cause: while the authority changes, nodes must accept certificates of the old and the new one, and the check of the files read the first certificate only. Change: every certificate of the file counts.

--- a/src/daemon/keys/KeyFiles.ts
+++ b/src/daemon/keys/KeyFiles.ts
@@ -5,6 +5,8 @@
 import type { Timestamp } from '../../common/Types.js'
 import { KeyFileError } from './KeyErrors.js'
 
+const CERTIFICATE_PATTERN = /-----BEGIN CERTIFICATE-----[^-]+-----END CERTIFICATE-----/g
+
 /** Names of the files, in PEM. */
 export interface IKeyFileNames {
   readonly certificate: string
@@ -40,14 +42,21 @@
 
 function checkMaterial (names: IKeyFileNames, material: IKeyMaterial, now: Timestamp): void {
   const certificate = parseCertificate(names.certificate, material.certificate)
-  const authority = parseCertificate(names.authority, material.authority)
+  const authorities = parseAuthorities(names.authority, material.authority)
   if (!isKeyOf(certificate, material.key)) throw refusal(names.key, 'is not the key of the certificate')
-  if (!certificate.verify(authority.publicKey)) throw refusal(names.certificate, 'is not signed by the authority')
+  const isSigned = authorities.some((authority) => certificate.verify(authority.publicKey))
+  if (!isSigned) throw refusal(names.certificate, 'is not signed by the authority')
   if (now < Date.parse(certificate.validFrom)) throw refusal(names.certificate, `is not valid before ${certificate.validFrom}`)
   if (now > Date.parse(certificate.validTo)) throw refusal(names.certificate, `expired at ${certificate.validTo}`)
   if (readIdentity(certificate.subjectAltName)?.kind !== 'node') throw refusal(names.certificate, 'is not a node certificate')
 }
 
+/** While the authority changes, its file holds the certificates of the old and the new one. */
+function parseAuthorities (file: string, content: Buffer): readonly X509Certificate[] {
+  const parts = content.toString('latin1').match(CERTIFICATE_PATTERN) ?? ['']
+  return parts.map((part) => parseCertificate(file, Buffer.from(part)))
+}
+
 function parseCertificate (file: string, content: Buffer): X509Certificate {
   try {
     return new X509Certificate(content)
--- a/src/daemon/keys/KeyService.test.ts
+++ b/src/daemon/keys/KeyService.test.ts
@@ -150,6 +150,15 @@
     expect(log.events.map((event) => event.name)).to.include.members(['keys-reloaded', 'keys-rejected'])
   })
 
+  it('accepts certificates of both authorities while the authority changes', async () => {
+    const old = await keys.issue('old', { kind: 'node' })
+    const renewed = await other.issue('renewed', { kind: 'node' })
+    const bundle = `${renewed.authority}.both`
+    writeFileSync(bundle, readFileSync(old.authority, 'utf8') + readFileSync(renewed.authority, 'utf8'))
+    const reasons = [old, renewed].map((files) => refusalOf({ ...files, authority: bundle }))
+    expect(reasons.every((reason) => reason.startsWith('accepted'))).to.equal(true)
+  })
+
   it('refuses files that do not fit together', async () => {
     const good = await keys.issue('good', { kind: 'node' })
     const foreign = await other.issue('foreign', { kind: 'node' })
