--- /dev/null
+++ b/src/platform/PlatformHttpClient.ts
@@ -0,0 +1,184 @@
+/** Sends requests to a platform over HTTP and sorts what can go wrong. */
+import type { SecureContextOptions } from 'node:tls'
+import { Histogram } from 'prom-client'
+import { Agent, type Dispatcher } from 'undici'
+import type { IClockService, ILogService, IMetricsService } from '../common/Services.js'
+import type { Milliseconds } from '../common/Types.js'
+import { PLATFORM_ANSWER_LOST, PLATFORM_AVAILABLE, PLATFORM_UNAVAILABLE } from './Events.js'
+import { OutcomeUnknownError, PlatformUnavailableError } from './PlatformErrors.js'
+
+/** Where the platform is and how long it may take. */
+export interface IPlatformHttpOptions {
+  /** For example `http://10.0.0.2:7500`; a path is put before the paths of requests. */
+  readonly url: string
+  /** Time allowed to open a connection. */
+  readonly connectTimeout: Milliseconds
+  /** Time allowed for a request as a whole. */
+  readonly requestTimeout: Milliseconds
+  /** Most connections open at once. */
+  readonly connections: number
+  /** Keys for `https`. */
+  readonly tls?: SecureContextOptions
+}
+
+/** Defaults of `PlatformHttpClient`, but for the address. */
+export const DEFAULT_PLATFORM_HTTP_OPTIONS: Omit<IPlatformHttpOptions, 'url'> = Object.freeze({
+  connectTimeout: 1_000 as Milliseconds, requestTimeout: 3_000 as Milliseconds, connections: 8
+})
+
+/** What the client needs. */
+export interface IPlatformHttpServices {
+  readonly clock: IClockService
+  readonly log: ILogService
+  readonly metrics: IMetricsService
+}
+
+/** One request to the platform. */
+export interface IPlatformRequest {
+  /** For errors and metrics, for example `platform.transact`. */
+  readonly step: string
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE'
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string | Uint8Array
+  /** True if a repeat or a lost answer could change something. */
+  readonly isWrite: boolean
+}
+
+/** The whole answer of the platform. */
+export interface IPlatformAnswer {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>
+  readonly body: Buffer
+}
+
+const METRIC_NAME = 'savoryknot_platform_request_seconds'
+const MILLISECONDS_PER_SECOND = 1_000
+const LATENCY_BUCKETS_SECONDS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10]
+/** Largest answer read, in bytes. */
+const MAXIMUM_ANSWER_BYTES = 67_108_864
+/** Errors that arise before a byte of the request was sent. */
+const CONNECT_ERROR_CODES = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']
+/** The platform says by these that it did nothing. */
+const REFUSING_STATUSES = [429, 503]
+
+/** One client serves the table service and the object store. */
+export class PlatformHttpClient {
+  private readonly _options: IPlatformHttpOptions
+  private readonly _services: IPlatformHttpServices
+  private readonly _latency: Histogram
+  private readonly _dispatcher: Dispatcher
+  private readonly _origin: string
+  private readonly _prefix: string
+  private _isAvailable = true
+
+  constructor (services: IPlatformHttpServices, options: Pick<IPlatformHttpOptions, 'url'> & Partial<IPlatformHttpOptions>) {
+    this._services = services
+    this._options = { ...DEFAULT_PLATFORM_HTTP_OPTIONS, ...options }
+    const { origin, pathname } = new URL(this._options.url)
+    this._origin = origin
+    this._prefix = pathname.replace(/\/$/, '')
+    this._dispatcher = this._createDispatcher()
+    this._latency = this._createHistogram()
+  }
+
+  /** Ends idle connections; requests in flight are finished. */
+  public async stop (): Promise<void> {
+    await this._dispatcher.close()
+  }
+
+  /** Rejects with `PlatformUnavailableError` or `OutcomeUnknownError`; any status below 400, 404 and 412 are answers. */
+  public async request (request: IPlatformRequest): Promise<IPlatformAnswer> {
+    const startedAt = this._services.clock.now()
+    let outcome = 'answered'
+    try {
+      const answer = await this._send(request)
+      this._noteAvailable(true, request.step)
+      return answer
+    } catch (error) {
+      outcome = error instanceof OutcomeUnknownError ? 'unknown' : 'unavailable'
+      this._noteFailure(error, request.step)
+      throw error
+    } finally {
+      const seconds = (this._services.clock.now() - startedAt) / MILLISECONDS_PER_SECOND
+      this._latency.observe({ step: request.step, outcome }, seconds)
+    }
+  }
+
+  private async _send (request: IPlatformRequest): Promise<IPlatformAnswer> {
+    const { method, headers, body, path } = request
+    try {
+      const response = await this._dispatcher.request({
+        origin: this._origin,
+        path: `${this._prefix}${path}`,
+        method,
+        headers,
+        body,
+        signal: AbortSignal.timeout(this._options.requestTimeout)
+      })
+      const answer = { status: response.statusCode, headers: response.headers, body: Buffer.from(await response.body.arrayBuffer()) }
+      return this._checkStatus(request, answer)
+    } catch (error) {
+      throw this._sortError(request, error)
+    }
+  }
+
+  private _checkStatus (request: IPlatformRequest, answer: IPlatformAnswer): IPlatformAnswer {
+    const { status } = answer
+    if (status < 400 || status === 404 || status === 412) return answer
+    const origin = { step: request.step, peer: this._origin }
+    const isRefused = status < 500 || REFUSING_STATUSES.includes(status)
+    if (isRefused || !request.isWrite) throw new PlatformUnavailableError(`platform answered with status ${status}`, origin)
+    throw new OutcomeUnknownError(`platform answered a write with status ${status}`, origin)
+  }
+
+  private _sortError (request: IPlatformRequest, cause: unknown): Error {
+    if (cause instanceof PlatformUnavailableError || cause instanceof OutcomeUnknownError) return cause
+    const origin = { step: request.step, peer: this._origin, cause }
+    if (!request.isWrite || isConnectError(cause)) return new PlatformUnavailableError('platform cannot be reached', origin)
+    return new OutcomeUnknownError('answer of the platform was lost', origin)
+  }
+
+  private _noteFailure (error: unknown, step: string): void {
+    const { log } = this._services
+    if (error instanceof OutcomeUnknownError) log.log(PLATFORM_ANSWER_LOST, { step, peer: this._origin, reason: error.message })
+    this._noteAvailable(false, step)
+  }
+
+  /** Logs changes only. */
+  private _noteAvailable (isAvailable: boolean, step: string): void {
+    if (isAvailable === this._isAvailable) return
+    this._isAvailable = isAvailable
+    this._services.log.log(isAvailable ? PLATFORM_AVAILABLE : PLATFORM_UNAVAILABLE, { step, peer: this._origin })
+  }
+
+  private _createDispatcher (): Dispatcher {
+    const { connections, connectTimeout, requestTimeout, tls } = this._options
+    return new Agent({
+      connections,
+      connect: { ...tls, timeout: connectTimeout },
+      headersTimeout: requestTimeout,
+      bodyTimeout: requestTimeout,
+      maxResponseSize: MAXIMUM_ANSWER_BYTES
+    })
+  }
+
+  private _createHistogram (): Histogram {
+    const { registry } = this._services.metrics
+    return new Histogram({
+      name: METRIC_NAME,
+      help: 'Time of requests to the platform, by step and outcome (answered, unavailable, unknown). Unit: seconds.',
+      labelNames: ['step', 'outcome'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers: [registry]
+    })
+  }
+}
+
+/** True if the connection never came about, so that nothing was sent. */
+function isConnectError (error: unknown): boolean {
+  if (!(error instanceof Error)) return false
+  const { code } = error as NodeJS.ErrnoException
+  if (code !== undefined && CONNECT_ERROR_CODES.includes(code)) return true
+  return error instanceof AggregateError && error.errors.length > 0 && error.errors.every(isConnectError)
+}
