--- /dev/null
+++ b/testing/fleet/FleetNode.ts
@@ -0,0 +1,158 @@
+/** One node of a fleet: its kernel with the whole control plane, over real sockets. */
+import { InvariantService } from '../../src/common/InvariantService.js'
+import { Kernel } from '../../src/common/Kernel.js'
+import { MetricsService } from '../../src/common/MetricsService.js'
+import { RandomService } from '../../src/common/RandomService.js'
+import {
+  IClockService, IInvariantService, ILogService, IMetricsService, IRandomService, type IServiceKey
+} from '../../src/common/Services.js'
+import type { FailureDomain, Milliseconds, NetworkAddress, Region, SubmissionId, ServiceName, DocumentVersion, EndpointId } from '../../src/common/Types.js'
+import { type IControlPlaneOptions, registerControlPlane } from '../../src/distribution/ControlPlane.js'
+import { IHeldDocuments } from '../../src/distribution/HeldDocuments.js'
+import { ICatchUpService, IReportService, ISnapshotService, ISourceService } from '../../src/distribution/Services.js'
+import { AcceptanceService } from '../../src/documents/AcceptanceService.js'
+import { AcceptedDocuments } from '../../src/documents/AcceptedDocuments.js'
+import { DocumentParser } from '../../src/documents/DocumentParser.js'
+import { IAcceptedDocuments, ISnapshotBuilder } from '../../src/documents/Services.js'
+import { SnapshotBuilder } from '../../src/documents/SnapshotBuilder.js'
+import type { SubmissionOutcome } from '../../src/documents/Types.js'
+import { GrpcPeerTransport } from '../../src/membership/GrpcPeerTransport.js'
+import { IMembershipService, IPeerTransport } from '../../src/membership/Services.js'
+import { IObjectStore } from '../../src/platform/Services.js'
+import { ShapedTransport } from '../membership/ShapedTransport.js'
+import type { FaultyPlatform } from '../platform/FaultyPlatform.js'
+import { RecordingLog } from '../RecordingLog.js'
+import type { FleetShape } from './FleetShape.js'
+import { FleetTransport, type RegionTraffic } from './FleetTransport.js'
+import { PausableClock } from './PausableClock.js'
+
+/** What a node of a fleet needs. */
+export interface IFleetNodeOptions {
+  readonly failureDomain: FailureDomain
+  readonly region: Region
+  readonly seed: number
+  readonly shape: FleetShape
+  readonly traffic: RegionTraffic
+  readonly platform: Pick<FaultyPlatform, 'table' | 'objects'>
+  readonly controlPlane: Omit<IControlPlaneOptions, 'self'>
+  /** Service of which the node has one endpoint; none if undefined. */
+  readonly service: ServiceName | undefined
+}
+
+/** Longest wait for a dial that does not answer. */
+const DIAL_TIMEOUT_MS = 1_000 as Milliseconds
+
+/** A node is made, started and ended once; a restart is a new node. */
+export class FleetNode {
+  public readonly clock = new PausableClock()
+  public readonly log = new RecordingLog()
+  public readonly metrics = new MetricsService()
+  public readonly invariants = new InvariantService({ log: this.log, metrics: this.metrics })
+  public readonly kernel = new Kernel()
+  public readonly acceptance: AcceptanceService
+  private readonly _random: RandomService
+  private readonly _grpc: GrpcPeerTransport
+  private readonly _transport: FleetTransport
+  private _address: NetworkAddress | undefined
+
+  constructor (public readonly options: IFleetNodeOptions) {
+    const { clock, log, metrics } = this
+    const { shape, failureDomain, region, traffic, platform } = options
+    this._random = new RandomService(options.seed)
+    this._grpc = new GrpcPeerTransport({ address: '127.0.0.1:0' as NetworkAddress, clock, log, metrics })
+    const shaped = new ShapedTransport({ inner: this._grpc, failureDomain, shape, clock, dialTimeout: DIAL_TIMEOUT_MS })
+    this._transport = new FleetTransport({ inner: shaped, clock, region, traffic })
+    this.acceptance = new AcceptanceService({ ...platform, parser: new DocumentParser(), clock, random: this._random, log })
+  }
+
+  public get address (): NetworkAddress {
+    return this._address ?? '' as NetworkAddress
+  }
+
+  /** Starts every service; does not wait for the catch-up. */
+  public async start (): Promise<void> {
+    const address = await this._grpc.bind()
+    this._address = address
+    const { failureDomain, region, shape, service, controlPlane } = this.options
+    shape.domains.set(address, failureDomain)
+    this._registerBase()
+    registerControlPlane(this.kernel, { ...controlPlane, self: { failureDomain, region, peerAddress: address, gateAddress: address, software: 'fleet' } })
+    await this.kernel.start()
+    if (service === undefined) return
+    const endpoint = { id: `${address}/0` as EndpointId, service, state: 'serving' as const, slots: 9, since: this.clock.now() }
+    this.get(IMembershipService).announceEndpoint(endpoint, this.clock.now())
+  }
+
+  public get<TService extends object> (key: IServiceKey<TService>): TService {
+    return this.kernel.get(key)
+  }
+
+  /** Version of a service in force, 0 if there is none. */
+  public versionInForce (service: ServiceName): number {
+    return this.get(ISnapshotService).current.documents.get(service)?.version ?? 0
+  }
+
+  /** Digest over everything held. */
+  public get heldDigest (): bigint {
+    return this.get(IHeldDocuments).digest
+  }
+
+  public get isCaughtUp (): boolean {
+    return this.get(ICatchUpService).source !== undefined
+  }
+
+  public get reports (): IReportService {
+    return this.get(IReportService)
+  }
+
+  /** Submits through this node, as its operator port does. */
+  public async submit (id: string, service: ServiceName, expected: number, text: string | undefined): Promise<SubmissionOutcome> {
+    const submission = { id: id as SubmissionId, service, expected: expected === 0 ? 'new' as const : expected as DocumentVersion, text, author: 'fleet' }
+    const outcome = await this.acceptance.submit(submission, this.clock.now())
+    if (outcome.kind === 'accepted') this.get(ISourceService).noteAccepted(outcome.change, text ?? '', this.clock.now())
+    return outcome
+  }
+
+  public pause (): void {
+    this.clock.pause()
+  }
+
+  public resume (): void {
+    this.clock.resume()
+  }
+
+  /** Ends the process without a word. */
+  public async kill (): Promise<void> {
+    this._transport.kill()
+    await this._end()
+  }
+
+  /** Announces the leave, then ends. */
+  public async stop (): Promise<void> {
+    await this.get(IMembershipService).leave(this.clock.now())
+    await this._end()
+  }
+
+  private async _end (): Promise<void> {
+    this.clock.resume()
+    this.options.shape.domains.delete(this.address)
+    await Promise.all([this.kernel.stop(), this._grpc.close()])
+  }
+
+  private _registerBase (): void {
+    const { table, objects } = this.options.platform
+    this._provide(IClockService, this.clock)
+    this._provide(IRandomService, this._random)
+    this._provide(ILogService, this.log)
+    this._provide(IMetricsService, this.metrics)
+    this._provide(IInvariantService, this.invariants)
+    this._provide(IPeerTransport, this._transport)
+    this._provide(IObjectStore, objects)
+    this._provide(IAcceptedDocuments, new AcceptedDocuments({ table, objects }))
+    this._provide(ISnapshotBuilder, new SnapshotBuilder({ parser: new DocumentParser(), invariants: this.invariants }))
+  }
+
+  private _provide<TService extends object> (key: IServiceKey<TService>, service: TService): void {
+    this.kernel.register({ key, dependsOn: [], create: () => service })
+  }
+}
--- /dev/null
+++ b/testing/fleet/FleetTransport.ts
@@ -0,0 +1,101 @@
+/** Transport of one node of a fleet: holds messages while it is paused, drops them once it is killed, counts bytes by pair of regions. */
+import { encodePeerMessage } from '../../src/membership/PeerCodec.js'
+import type { IEvent, NetworkAddress, Region } from '../../src/common/Types.js'
+import type { PeerMessage, ReceivedPeerMessage } from '../../src/generated/savoryknot/PeerMessage.js'
+import type { IPeerChannel, IPeerTransport } from '../../src/membership/Services.js'
+import type { PausableClock } from './PausableClock.js'
+
+/** Bytes and messages between regions by `from>to`; inside a region both are equal. */
+export class RegionTraffic {
+  public readonly bytes = new Map<string, number>()
+  public readonly bodies = new Map<string, number>()
+
+  public count (from: Region, to: Region, message: PeerMessage): void {
+    const pair = `${from}>${to}`
+    this.bytes.set(pair, (this.bytes.get(pair) ?? 0) + encodePeerMessage(message).length)
+    if (message.body) this.bodies.set(pair, (this.bodies.get(pair) ?? 0) + 1)
+  }
+
+  public reset (): void {
+    this.bytes.clear()
+    this.bodies.clear()
+  }
+}
+
+/** What the transport needs. */
+export interface IFleetTransportOptions {
+  readonly inner: IPeerTransport
+  readonly clock: PausableClock
+  readonly region: Region
+  readonly traffic: RegionTraffic
+}
+
+/** Wraps the shaped transport. */
+export class FleetTransport implements IPeerTransport {
+  private _isKilled = false
+
+  constructor (private readonly _options: IFleetTransportOptions) {}
+
+  public get isKilled (): boolean {
+    return this._isKilled
+  }
+
+  public get options (): IFleetTransportOptions {
+    return this._options
+  }
+
+  /** From now on nothing leaves the node. */
+  public kill (): void {
+    this._isKilled = true
+  }
+
+  public listen (accept: (channel: IPeerChannel) => void): Promise<void> {
+    const { inner, clock } = this._options
+    return inner.listen((channel) => {
+      const wrapped = new FleetChannel(channel, this)
+      clock.runWhenRunning(() => accept(wrapped))
+    })
+  }
+
+  public async dial (address: NetworkAddress): Promise<IPeerChannel> {
+    return new FleetChannel(await this._options.inner.dial(address), this)
+  }
+
+  public close (): Promise<void> {
+    return this._options.inner.close()
+  }
+}
+
+/** One channel of a fleet's node. */
+class FleetChannel implements IPeerChannel {
+  private _remoteRegion: Region | undefined
+
+  constructor (private readonly _inner: IPeerChannel, private readonly _transport: FleetTransport) {}
+
+  public get remoteAddress (): NetworkAddress {
+    return this._inner.remoteAddress
+  }
+
+  public get onMessage (): IEvent<ReceivedPeerMessage> {
+    return (listener) => this._inner.onMessage((message) => {
+      if (message.hello?.self != null) this._remoteRegion = message.hello.self.region as Region
+      this._transport.options.clock.runWhenRunning(() => { if (!this._transport.isKilled) listener(message) })
+    })
+  }
+
+  public get onClosed (): IEvent<void> {
+    return (listener) => this._inner.onClosed(() => this._transport.options.clock.runWhenRunning(listener))
+  }
+
+  public send (message: PeerMessage): boolean {
+    if (this._transport.isKilled) return false
+    const { region, traffic } = this._transport.options
+    const isSent = this._inner.send(message)
+    if (isSent && this._remoteRegion !== undefined) traffic.count(region, this._remoteRegion, message)
+    return isSent
+  }
+
+  public dispose (): void {
+    this._inner.dispose()
+  }
+}
