--- a/src/daemon/documentation/EventCatalogue.ts
+++ b/src/daemon/documentation/EventCatalogue.ts
@@ -2,12 +2,13 @@
 import { COMMON_EVENTS } from '../../common/Events.js'
 import type { IEventDefinition } from '../../common/Services.js'
 import { DOCUMENTS_EVENTS } from '../../documents/Events.js'
+import { GATE_EVENTS } from '../../gate/Events.js'
 import { MEMBERSHIP_EVENTS } from '../../membership/Events.js'
 import { DAEMON_EVENTS } from '../Events.js'
 
 /** Every event, in the order of its number. */
 export const ALL_EVENTS: readonly IEventDefinition[] = [
-  ...COMMON_EVENTS, ...DOCUMENTS_EVENTS, ...MEMBERSHIP_EVENTS, ...DAEMON_EVENTS
+  ...COMMON_EVENTS, ...DOCUMENTS_EVENTS, ...MEMBERSHIP_EVENTS, ...GATE_EVENTS, ...DAEMON_EVENTS
 ].sort((left, right) => left.number - right.number)
 
 /** The page docs/EVENTS.md. */
--- a/src/gate/GateServer.ts
+++ b/src/gate/GateServer.ts
@@ -1,9 +1,12 @@
 /** HTTP server for calls from other nodes. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { createServer as createSecureServer, type Server as SecureServer, type ServerOptions } from 'node:https'
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
+import { createServer as createSecureServer, type Server as SecureServer } from 'node:https'
 import type { AddressInfo } from 'node:net'
+import type { TLSSocket } from 'node:tls'
+import { readIdentity } from '../common/CertificateIdentity.js'
+import { Disposable } from '../common/Disposable.js'
 import type { IClockService, ILogService, IService } from '../common/Services.js'
-import type { NetworkAddress, ServiceName } from '../common/Types.js'
+import type { IEvent, NetworkAddress, ServiceName } from '../common/Types.js'
 import type { ISnapshotService } from '../distribution/Services.js'
 import { GATE_REQUEST_REFUSED } from './Events.js'
 import { HeaderRules } from './HeaderRules.js'
@@ -22,8 +25,22 @@
   readonly log: ILogService
   /** Where to listen; port 0 takes a free one. */
   readonly address: NetworkAddress
-  /** Certificates, authority and whether a client certificate is asked for. Plain HTTP without it. */
-  readonly tls?: ServerOptions
+  /** Keys for mutual TLS; plain HTTP without them. */
+  readonly keys?: IServerKeys
+}
+
+/** Certificate, private key and authority, each as PEM. */
+export interface IServerKeyMaterial {
+  readonly certificate: Buffer
+  readonly key: Buffer
+  readonly authority: Buffer
+}
+
+/** Keys that may be replaced while the server runs. */
+export interface IServerKeys {
+  readonly material: IServerKeyMaterial
+  /** Fires with the new keys; open connections stay. */
+  readonly onReloaded: IEvent<IServerKeyMaterial>
 }
 
 /** A head that takes longer is given up, so that slow senders hold no connection. */
@@ -44,12 +61,13 @@
 const STATUS_UNKNOWN = 502
 
 /** Receives calls from other nodes and hands them to the gate. */
-export class GateServer implements IService {
+export class GateServer extends Disposable implements IService {
   private readonly _options: IGateServerOptions
   private readonly _server: Server | SecureServer
   private readonly _rules = new HeaderRules({ maximumBytes: MAXIMUM_HEAD_BYTES })
 
   constructor (options: IGateServerOptions) {
+    super()
     this._options = options
     const limits = {
       maxHeaderSize: MAXIMUM_HEAD_BYTES,
@@ -62,7 +80,8 @@
     const listener = (message: IncomingMessage, response: ServerResponse): void => {
       this._serve(message, response).catch(() => response.destroy())
     }
-    this._server = options.tls === undefined ? createServer(limits, listener) : createSecureServer({ ...limits, ...options.tls }, listener)
+    const { keys } = options
+    this._server = keys === undefined ? createServer(limits, listener) : this._createSecureServer(limits, keys, listener)
     this._server.maxConnections = MAXIMUM_CONNECTIONS
   }
 
@@ -86,15 +105,18 @@
 
   /** Stops accepting connections; resolves when every request in flight has been answered. */
   public stop (): Promise<void> {
+    this.dispose()
     return new Promise((resolve) => {
       this._server.close(() => { resolve() })
       this._server.closeIdleConnections()
     })
   }
 
-  /** Takes new certificates; open connections stay. */
-  public updateTls (tls: ServerOptions): void {
-    if ('setSecureContext' in this._server) this._server.setSecureContext(tls)
+  private _createSecureServer (limits: ServerOptions, keys: IServerKeys, listener: RequestListener): SecureServer {
+    const server = createSecureServer({ ...limits, ...toContext(keys.material), requestCert: true, rejectUnauthorized: true }, listener)
+    server.on('secureConnection', admitNodesOnly)
+    this.register(keys.onReloaded((material) => { server.setSecureContext(toContext(material)) }))
+    return server
   }
 
   private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -140,3 +162,12 @@
     response.end()
   }
 }
+
+function toContext (material: IServerKeyMaterial): { cert: Buffer, key: Buffer, ca: Buffer } {
+  return { cert: material.certificate, key: material.key, ca: material.authority }
+}
+
+/** Closes a connection whose certificate, though of the right authority, is not a node's. */
+function admitNodesOnly (socket: TLSSocket): void {
+  if (readIdentity(socket.getPeerCertificate().subjectaltname)?.kind !== 'node') socket.destroy()
+}
--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -65,7 +65,8 @@
     this._isHandedOver = true
     this._socket.off('data', this._onUnsolicited)
     this._socket.pause()
-    callback(null, this._socket)
+    // The client ignores a socket that it is given before the call that asks for one has returned.
+    queueMicrotask(() => { callback(null, this._socket) })
   }
 }
 
