--- a/src/routing/CallBody.ts
+++ b/src/routing/CallBody.ts
@@ -2,9 +2,9 @@
 import type { Readable } from 'node:stream'
 import type { IClockService } from '../common/Services.js'
 import type { Milliseconds } from '../common/Types.js'
+import { readBodyStart, type IBodyStart } from '../gate/KeptBody.js'
 import type { NotRunReason } from '../gate/Types.js'
 import { BodyLimiter } from './BodyLimiter.js'
-import { BufferedBody, readBody, type BodyReading } from './BufferedBody.js'
 import type { RoutedCall } from './RoutedCall.js'
 
 /** Bodies up to this size are held, so that they can be sent again. */
@@ -14,7 +14,6 @@
 export class CallBody {
   private _content: Buffer | undefined
   private _limiter: BodyLimiter | undefined
-  private _isGiven = false
 
   constructor (private readonly _source: Readable | undefined, private readonly _limitBytes: number) {}
 
@@ -28,34 +27,33 @@
     return this._limiter?.isExceeded === true
   }
 
-  /** Reads a small body. Returns why the call can't be made, or undefined. */
+  /** Reads a small body and sets it on the call. Returns why the call can't be made, or undefined. */
   public async prepare (call: RoutedCall, clock: IClockService): Promise<NotRunReason | undefined> {
-    if (this._source === undefined || call.bodyBytes === undefined || call.bodyBytes > REPLAY_LIMIT_BYTES) return undefined
-    const reading = await this._readInTime(this._source, call, clock)
-    if (reading === 'late') return 'deadline'
-    if (reading === 'broken') return 'cancelled'
-    if (reading === 'too-large') return 'too-large'
-    this._content = reading
+    if (this._source === undefined || (call.bodyBytes ?? 0) > REPLAY_LIMIT_BYTES) return undefined
+    const start = await this._readInTime(this._source, call, clock)
+    if (typeof start === 'string') return start
+    if (start.content.byteLength > this._limitBytes) return 'too-large'
+    if (start.isWhole) {
+      this._content = start.content
+      call.bodyContent = start.content
+    } else if (call.bodyBytes === undefined) {
+      call.body = this._limit(this._source)
+    }
     return undefined
   }
 
-  /** The body for one attempt. */
-  public next (call: RoutedCall): Readable | undefined {
-    if (this._source === undefined) return undefined
-    if (this._content !== undefined) return new BufferedBody(this._content)
-    if (call.bodyBytes !== undefined || this._isGiven) return this._limiter ?? this._source
-    this._isGiven = true
+  private _limit (source: Readable): Readable {
     this._limiter = new BodyLimiter(this._limitBytes)
     this._limiter.on('error', () => undefined)
-    return this._source.pipe(this._limiter)
+    return source.pipe(this._limiter)
   }
 
-  private _readInTime (source: Readable, call: RoutedCall, clock: IClockService): Promise<BodyReading | 'late'> {
+  private _readInTime (source: Readable, call: RoutedCall, clock: IClockService): Promise<IBodyStart | NotRunReason> {
     return new Promise((resolve) => {
-      const timer = clock.after(call.deadlineAt - clock.now() as Milliseconds, () => resolve('late'))
-      readBody(source, REPLAY_LIMIT_BYTES).then((reading) => {
+      const timer = clock.after(call.deadlineAt - clock.now() as Milliseconds, () => resolve('deadline'))
+      readBodyStart(source, REPLAY_LIMIT_BYTES).catch(() => 'cancelled' as const).then((start) => {
         timer.dispose()
-        resolve(reading)
+        resolve(start)
       })
     })
   }
--- a/src/routing/CallRun.ts
+++ b/src/routing/CallRun.ts
@@ -88,7 +88,6 @@
       sink: this._sink, limitBytes: this._resolved.limit?.responseBytes ?? Number.MAX_SAFE_INTEGER, holdBack: this._holdBack, clock
     })
     this._attempts++
-    this._call.body = this._body.next(this._call)
     chosen.outstanding++
     const raw = await target.execute(this._call, sink)
     chosen.outstanding--
--- a/src/routing/RemoteGates.ts
+++ b/src/routing/RemoteGates.ts
@@ -1,12 +1,13 @@
 /** Connections to the gates of other nodes. */
-import type { SecureContextOptions } from 'node:tls'
-import { Pool } from 'undici'
+import type { PeerCertificate } from 'node:tls'
+import { buildConnector, Pool } from 'undici'
+import { readIdentity } from '../common/CertificateIdentity.js'
 import type { IClockService, IInvariantService, ILogService } from '../common/Services.js'
-import type { NetworkAddress, NodeId } from '../common/Types.js'
+import type { IDisposable, NetworkAddress, NodeId } from '../common/Types.js'
 import type { ICallTarget } from '../gate/Types.js'
 import type { IRoutableEndpoint } from '../membership/Types.js'
 import { RemoteGate } from './RemoteGate.js'
-import type { IRemoteGates, ISettleClient } from './Types.js'
+import type { INodeKeys, IRemoteGates, ISettleClient } from './Types.js'
 import { WarmingHandler } from './WarmingHandler.js'
 
 /** Limits of the connections to one gate. */
@@ -34,8 +35,8 @@
   readonly clock: IClockService
   readonly log: ILogService
   readonly invariants: IInvariantService
-  /** Certificate, key and authority; without them connections are in plain text. */
-  readonly tls?: SecureContextOptions
+  /** Without them connections are in plain text. */
+  readonly keys?: INodeKeys
 }
 
 interface IGateEntry {
@@ -49,8 +50,14 @@
   private readonly _entries = new Map<NodeId, IGateEntry>()
   private readonly _options: IRemoteGatesOptions & IRemoteGatesLimits
 
+  private readonly _reloadListener: IDisposable | undefined
+  private _connector: buildConnector.connector
+
   constructor (options: IRemoteGatesOptions) {
     this._options = { ...DEFAULT_REMOTE_GATES_LIMITS, ...options }
+    this._connector = this._buildConnector()
+    // Open connections keep the keys that they began with.
+    this._reloadListener = options.keys?.onReloaded(() => { this._connector = this._buildConnector() })
   }
 
   public target (endpoint: IRoutableEndpoint): ICallTarget {
@@ -78,6 +85,7 @@
   }
 
   public dispose (): void {
+    this._reloadListener?.dispose()
     for (const entry of this._entries.values()) entry.pool.destroy().catch(() => undefined)
     this._entries.clear()
   }
@@ -91,22 +99,42 @@
     return entry
   }
 
+  private _buildConnector (): buildConnector.connector {
+    const { keys, connectTimeoutMs } = this._options
+    if (keys === undefined) return buildConnector({ timeout: connectTimeoutMs })
+    const { certificate, key, authority } = keys.material
+    return buildConnector({
+      timeout: connectTimeoutMs,
+      cert: certificate,
+      key,
+      ca: authority,
+      rejectUnauthorized: true,
+      checkServerIdentity: (_host: string, presented: PeerCertificate) => checkNodeIdentity(presented)
+    })
+  }
+
   private _open (endpoint: IRoutableEndpoint): IGateEntry {
-    const { tls, connectionLimit, connectTimeoutMs, idleTimeoutMs, headerLimitBytes } = this._options
-    const scheme = tls === undefined ? 'http' : 'https'
+    const { keys, connectionLimit, idleTimeoutMs, headerLimitBytes } = this._options
+    const scheme = keys === undefined ? 'http' : 'https'
     const pool = new Pool(`${scheme}://${endpoint.gateAddress}`, {
       connections: connectionLimit,
       pipelining: 1,
       keepAliveTimeout: idleTimeoutMs,
       keepAliveMaxTimeout: idleTimeoutMs,
       maxHeaderSize: headerLimitBytes,
-      connect: { ...tls, timeout: connectTimeoutMs, noDelay: true }
+      connect: (target, callback) => this._connector(target, callback)
     })
     const gate = new RemoteGate({ ...this._options, pool, node: endpoint.node, peer: endpoint.gateAddress })
     return { pool, gate, address: endpoint.gateAddress }
   }
 }
 
+/** Undefined if the certificate is a node's; the authority has been checked before. Nodes have no host names. */
+function checkNodeIdentity (certificate: PeerCertificate): Error | undefined {
+  if (readIdentity(certificate.subjectaltname)?.kind === 'node') return undefined
+  return new Error('the other side has no node certificate')
+}
+
 /** Closes a pool after its exchanges; a pool that was closed before is left as it is. */
 async function closePool (pool: Pool): Promise<void> {
   await pool.close().catch(() => undefined)
--- a/src/routing/RemoteRequest.ts
+++ b/src/routing/RemoteRequest.ts
@@ -2,7 +2,6 @@
 import { PassThrough, type Readable } from 'node:stream'
 import type { Timestamp } from '../common/Types.js'
 import { HEADER, type ICall } from '../gate/Types.js'
-import { BufferedBody } from './BufferedBody.js'
 
 /** Largest allowance for the way of the answer, taken off the time that the gate is given. */
 const HOP_ALLOWANCE_LIMIT_MS = 10
@@ -47,7 +46,7 @@
     HEADER.depth, String(call.depth)
   ]
   const { headers } = call
-  if (call.body !== undefined && call.bodyBytes !== undefined) fields.push('content-length', String(call.bodyBytes))
+  if (call.bodyContent === undefined && call.body !== undefined && call.bodyBytes !== undefined) fields.push('content-length', String(call.bodyBytes))
   for (const name in headers) {
     if (NOT_SENT.has(name)) continue
     const value = headers[name]
@@ -59,9 +58,9 @@
 
 /** The body for undici. A stream goes through a relay, because undici destroys the body of a request that fails. */
 export function bodyToSend (call: ICall): Buffer | Readable | null {
-  const { body } = call
+  const { body, bodyContent } = call
+  if (bodyContent !== undefined) return bodyContent
   if (body === undefined) return null
-  if (body instanceof BufferedBody) return body.content
   const relay = new PassThrough()
   body.on('error', (error) => relay.destroy(error))
   return body.pipe(relay)
--- a/src/routing/RoutedCall.ts
+++ b/src/routing/RoutedCall.ts
@@ -16,7 +16,7 @@
   readonly limit: ILimitResource | undefined
 }
 
-/** A call in the form that gates take; a new body may be set before each attempt. */
+/** A call in the form that gates take; its content is set once a small body was read. */
 export class RoutedCall implements ICall {
   public readonly service: ServiceName
   public readonly route: RouteName
@@ -30,6 +30,7 @@
   public readonly repeat: RepeatRule
   public readonly onCancelled: IEvent<void>
   public body: Readable | undefined
+  public bodyContent: Buffer | undefined
 
   constructor (
     private readonly _request: IInboundRequest,
--- a/src/routing/RouterService.test.ts
+++ b/src/routing/RouterService.test.ts
@@ -13,6 +13,7 @@
 import type { FailureDomain, Milliseconds, NodeId, Region, ServiceName } from '../common/Types.js'
 import type { IRoute, ISnapshot, Resource } from '../documents/Types.js'
 import type { CallOutcome, NotRunReason } from '../gate/Types.js'
+import { REPLAY_LIMIT_BYTES } from './CallBody.js'
 import { RouterService } from './RouterService.js'
 
 const SEED = 11
@@ -169,8 +170,15 @@
     const body = Buffer.from('site approval')
     expect(await bench.send(new FakeRequest('POST', '/status/1', {}, Readable.from([body]), body.length)))
       .to.equal('answered: 200 whole site approval after 2 attempts')
+    const large = Buffer.alloc(REPLAY_LIMIT_BYTES + 1)
     const streamed = new Bench([{ ...refused('draining'), readsBody: true }, OK], [createRoute({ method: 'POST' })])
-    expect(await streamed.send(new FakeRequest('POST', '/status/1', {}, Readable.from([body])))).to.equal('not-run: draining after 1 attempts')
+    expect(await streamed.send(new FakeRequest('POST', '/status/1', {}, Readable.from([large], { objectMode: false }))))
+      .to.equal('not-run: draining after 1 attempts')
+    const limited = new Bench([OK, OK], [createRoute({ method: 'POST', limit: reference('sizes') })])
+    for (const source of [large, large.subarray(0, 1_001)]) {
+      expect(await limited.send(new FakeRequest('POST', '/status/1', {}, Readable.from([source], { objectMode: false }))))
+        .to.equal('not-run: too-large after 0 attempts')
+    }
   })
 
   it('gives up on a body that does not come before the deadline', async () => {
--- a/src/routing/Types.ts
+++ b/src/routing/Types.ts
@@ -1,5 +1,5 @@
 /** Shapes shared by the parts of the router. */
-import type { IDisposable, NetworkAddress, NodeId, RequestId, ServiceName, Timestamp } from '../common/Types.js'
+import type { IDisposable, IEvent, NetworkAddress, NodeId, RequestId, Timestamp } from '../common/Types.js'
 import type { ICallTarget, SettleAnswer } from '../gate/Types.js'
 import type { IRoutableEndpoint } from '../membership/Types.js'
 import type { EndpointStatistics } from './EndpointStatistics.js'
@@ -40,5 +40,9 @@
   settle (node: NodeId, requestId: RequestId, deadlineAt: Timestamp, now: Timestamp): Promise<SettleAnswer | undefined>
 }
 
-/** Occupancy that an answer carried back, with the endpoint it came from. */
-export type OccupancyListener = (service: ServiceName, used: number, slots: number) => void
+/** Keys of this node towards other nodes. */
+export interface INodeKeys {
+  /** In PEM; read again after each `onReloaded`. */
+  readonly material: { readonly certificate: Buffer, readonly key: Buffer, readonly authority: Buffer }
+  readonly onReloaded: IEvent<unknown>
+}
--- a/testing/ScriptedGates.ts
+++ b/testing/ScriptedGates.ts
@@ -75,6 +75,7 @@
 }
 
 async function readAll (call: ICall): Promise<string> {
+  if (call.bodyContent !== undefined) return call.bodyContent.toString()
   const chunks: Buffer[] = []
   for await (const chunk of call.body ?? []) chunks.push(chunk as Buffer)
   return Buffer.concat(chunks).toString()
