--- a/src/daemon/DocumentServices.ts
+++ b/src/daemon/DocumentServices.ts
@@ -9,24 +9,32 @@
 import { EmbeddedTableService } from '../platform/EmbeddedTableService.js'
 import { HttpObjectStore } from '../platform/HttpObjectStore.js'
 import { HttpTableService } from '../platform/HttpTableService.js'
+import { PlatformHttpClient } from '../platform/PlatformHttpClient.js'
 import { IObjectStore, ITableService } from '../platform/Services.js'
 import { FOUNDATION, foundationOf } from './Foundation.js'
+import { IPlatformClient } from './Services.js'
 import type { ISettings } from './settings/Types.js'
 
 /** Registers the platform as the settings name it. */
 export function registerPlatform (kernel: IKernel, settings: ISettings): void {
-  const { kind, url = '', timeout } = settings.platform
-  const isEmbedded = kind === 'embedded'
-  kernel.register({
-    key: ITableService,
-    dependsOn: [],
-    create: () => isEmbedded ? new EmbeddedTableService() : new HttpTableService({ url, timeout })
-  })
+  if (settings.platform.kind === 'embedded') registerEmbeddedPlatform(kernel)
+  else registerHttpPlatform(kernel, settings)
+}
+
+function registerEmbeddedPlatform (kernel: IKernel): void {
+  kernel.register({ key: ITableService, dependsOn: [], create: () => new EmbeddedTableService() })
+  kernel.register({ key: IObjectStore, dependsOn: [], create: () => new EmbeddedObjectStore() })
+}
+
+function registerHttpPlatform (kernel: IKernel, settings: ISettings): void {
+  const { url = '', timeout } = settings.platform
   kernel.register({
-    key: IObjectStore,
-    dependsOn: [],
-    create: () => isEmbedded ? new EmbeddedObjectStore() : new HttpObjectStore({ url, timeout })
+    key: IPlatformClient,
+    dependsOn: FOUNDATION,
+    create: () => new PlatformHttpClient(foundationOf(kernel), { url, requestTimeout: timeout })
   })
+  kernel.register({ key: ITableService, dependsOn: [IPlatformClient], create: () => new HttpTableService(kernel.get(IPlatformClient)) })
+  kernel.register({ key: IObjectStore, dependsOn: [IPlatformClient], create: () => new HttpObjectStore(kernel.get(IPlatformClient)) })
 }
 
 /** Registers parsing, acceptance, reading and the building of snapshots. */
--- a/src/daemon/Services.ts
+++ b/src/daemon/Services.ts
@@ -1,9 +1,9 @@
 /** Keys of the daemon's own services. */
 import { createServiceKey, type IService } from '../common/Services.js'
-import type { KeyService } from './keys/KeyService.js'
+import type { PlatformHttpClient } from '../platform/PlatformHttpClient.js'
 
-/** Present only where keys are on. */
-export const IKeyService = createServiceKey<KeyService>('daemon.keys')
+/** Present only where the platform is reached over HTTP. */
+export const IPlatformClient = createServiceKey<PlatformHttpClient>('daemon.platform-client')
 /** Starts once the node has caught up; whatever serves calls depends on it. */
 export const ICaughtUpService = createServiceKey<IService>('daemon.caught-up')
 export const IOperatorService = createServiceKey<IService>('daemon.operator')
--- a/testing/demonstration/Deployment.ts
+++ b/testing/demonstration/Deployment.ts
@@ -41,8 +41,8 @@
   /** Starts all processes; resolves with the longest time until one was ready, in milliseconds. */
   public async start (): Promise<number> {
     this._folder = await mkdtemp(join(tmpdir(), 'savoryknot-'))
-    const url = await this.platform.start()
-    const plans = await this._plan(url)
+    await this.platform.start()
+    const plans = await this._plan(this.platform.url)
     this.nodes = plans.map((plan) => new NodeProcess(plan, this._folder))
     const times = await Promise.all(this.nodes.map((node) => node.start()))
     return Math.max(...times)
