Prove the keys end to end

Cause: certificates name no host, so the command-line tool refused every node, and nothing showed calls and refusals at whole nodes.

--- a/src/cli/Commands.ts
+++ b/src/cli/Commands.ts
@@ -31,7 +31,7 @@
     new DiffCommand(),
     new StatusCommand(options.clock),
     new EndpointsCommand(),
-    new BurnCommand(),
+    new BurnCommand(options.clock),
     new NodesCommand(),
     new KeysCommand(options.clock)
   ]
--- a/src/cli/Credentials.ts
+++ b/src/cli/Credentials.ts
@@ -1,6 +1,7 @@
 /** Keys of the connection to a node. */
 import { credentials, type ChannelCredentials } from '@grpc/grpc-js'
 import { readFileSync } from 'node:fs'
+import { checkNodeCertificate } from '../common/CertificateIdentity.js'
 import { UsageError } from './CommandErrors.js'
 import type { ICommonOptions } from './Types.js'
 
@@ -11,7 +12,9 @@
   if (certificate === undefined || key === undefined || authority === undefined) {
     throw new UsageError('--certificate, --key and --authority are needed together', { step: 'ctl.keys' })
   }
-  return credentials.createSsl(readKeyFile(authority), readKeyFile(key), readKeyFile(certificate))
+  return credentials.createSsl(readKeyFile(authority), readKeyFile(key), readKeyFile(certificate), {
+    checkServerIdentity: (_host, peer) => checkNodeCertificate(peer)
+  })
 }
 
 function readKeyFile (file: string): Buffer {
--- a/src/common/CertificateIdentity.ts
+++ b/src/common/CertificateIdentity.ts
@@ -1,5 +1,6 @@
 /** What a certificate says about its holder: a URI among its alternative names. */
 import { isName } from './Ids.js'
+import type { PeerCertificate } from 'node:tls'
 import type { TeamName } from './Types.js'
 
 const NODE_URI = 'savoryknot://node'
@@ -27,6 +28,15 @@
   return identities.length === 1 ? identities[0] : undefined
 }
 
+/**
+ * Undefined if the certificate is a node's; its authority has been checked before. Takes the place of the usual
+ * check of the host name, since nodes are found by address and their certificates name no host.
+ */
+export function checkNodeCertificate (certificate: PeerCertificate): Error | undefined {
+  if (readIdentity(certificate.subjectaltname)?.kind === 'node') return undefined
+  return new Error('the other side has no node certificate')
+}
+
 function parseIdentityUri (uri: string): CertificateIdentity | undefined {
   if (uri === NODE_URI) return { kind: 'node' }
   if (!uri.startsWith(OPERATOR_URI_PREFIX)) return undefined
--- /dev/null
+++ b/src/daemon/Daemon.test.ts
@@ -0,0 +1,90 @@
+/** Whole nodes with keys on: calls across nodes, refusals at the gate port, keys that change, a graceful stop. */
+import { expect } from 'chai'
+import { readFileSync } from 'node:fs'
+import { request as plainRequest } from 'node:http'
+import { request as secureRequest, type RequestOptions } from 'node:https'
+import { createSubmissionId } from '../common/Ids.js'
+import type { TeamName, Timestamp } from '../common/Types.js'
+import { createCredentials } from '../cli/Credentials.js'
+import { OperatorClient } from '../cli/OperatorClient.js'
+import { call } from '../../testing/demonstration/Caller.js'
+import { DaemonRig, type IStartedNode } from '../../testing/daemon/DaemonRig.js'
+import { TrialKeys } from '../../testing/daemon/TrialKeys.js'
+import type { IKeyFileNames } from './keys/KeyFiles.js'
+import { splitAddress } from './Listening.js'
+
+const DOCUMENT = readFileSync('examples/tsagaan/status.ini', 'utf8')
+
+/** Status of one request at the gate port, or `refused` if the connection was. */
+function requestGate (node: IStartedNode, options: RequestOptions, isSecure: boolean): Promise<string> {
+  const { host, port } = splitAddress(node.settings.node['gate-address'])
+  const send = isSecure ? secureRequest : plainRequest
+  return new Promise((resolve) => {
+    const request = send({ ...options, host, port, path: '/status/1', checkServerIdentity: () => undefined }, (answer) => {
+      answer.resume()
+      resolve(String(answer.statusCode))
+    })
+    request.on('error', () => resolve('refused'))
+    request.end()
+  })
+}
+
+function pairOf (files: IKeyFileNames): RequestOptions {
+  return { ca: readFileSync(files.authority), cert: readFileSync(files.certificate), key: readFileSync(files.key) }
+}
+
+describe('Daemon with keys', () => {
+  const rig = new DaemonRig()
+  let keys: TrialKeys
+  let operator: IKeyFileNames
+  let first: IStartedNode
+  let second: IStartedNode
+
+  before(async () => {
+    keys = await TrialKeys.create(Date.now() as Timestamp)
+    operator = await keys.issue('operator', { kind: 'operator', team: 'permits' as TeamName })
+    await rig.start()
+    const places = [{ failureDomain: 'darkhan-1', region: 'darkhan' }, { failureDomain: 'darkhan-2', region: 'darkhan' }] as const
+    first = await rig.startNode({ ...places[0], services: [], keys: await keys.issue('n1', { kind: 'node' }) })
+    second = await rig.startNode({ ...places[1], services: ['status'], keys: await keys.issue('n2', { kind: 'node' }) })
+  })
+
+  after(() => rig.stop())
+
+  it('carries a call from one node to the gate of another, also after both have new keys', async () => {
+    const node = first.settings.node['operator-address']
+    const client = new OperatorClient({ node, credentials: createCredentials({ ...operator, node, json: false }) })
+    const reply = await client.submit({ submissionId: createSubmissionId(), service: 'status', text: DOCUMENT, author: 'test' })
+    client.close()
+    expect(reply.kind).to.equal('accepted')
+    expect(await untilAnswered(first)).to.equal(200)
+    await keys.issue('n1', { kind: 'node' })
+    await keys.issue('n2', { kind: 'node' })
+    first.daemon.reloadKeys()
+    second.daemon.reloadKeys()
+    expect((await call(first.callerUrl, 'status', 'GET', '/status/2')).status).to.equal(200)
+  })
+
+  it('refuses at the gate port whoever is not a node', async () => {
+    const foreign = await (await TrialKeys.create(Date.now() as Timestamp)).issue('n3', { kind: 'node' })
+    const started = second.upstreams[0]?.started
+    const results = {
+      plaintext: await requestGate(second, {}, false),
+      noCertificate: await requestGate(second, { ca: readFileSync(operator.authority) }, true),
+      operator: await requestGate(second, pairOf(operator), true),
+      wrongAuthority: await requestGate(second, { ...pairOf(foreign), ca: readFileSync(operator.authority) }, true)
+    }
+    expect(results).toMatchSnapshot()
+    expect(second.upstreams[0]?.started).to.equal(started)
+  })
+})
+
+/** Asks until the document has reached both nodes; gives the last status. */
+async function untilAnswered (node: IStartedNode): Promise<number> {
+  let status = 0
+  for (let attempt = 0; attempt < 100 && status !== 200; attempt++) {
+    status = (await call(node.callerUrl, 'status', 'GET', '/status/1')).status
+    await new Promise((resolve) => setTimeout(resolve, 50))
+  }
+  return status
+}
--- a/src/daemon/keys/KeyService.ts
+++ b/src/daemon/keys/KeyService.ts
@@ -1,7 +1,7 @@
 /** Keys of the process: credentials for every port, reloaded without dropping a stream. */
 import { credentials, experimental, ServerCredentials, status, type ChannelCredentials, type ServerInterceptor, ServerInterceptingCall } from '@grpc/grpc-js'
 import type { PeerCertificate } from 'node:tls'
-import { readIdentity, type CertificateIdentity } from '../../common/CertificateIdentity.js'
+import { checkNodeCertificate, readIdentity, type CertificateIdentity } from '../../common/CertificateIdentity.js'
 import { Emitter } from '../../common/Emitter.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { IEvent } from '../../common/Types.js'
@@ -69,12 +69,6 @@
   channel: (): ChannelCredentials => credentials.createInsecure()
 })
 
-/** Undefined if the certificate is a node's. The authority has been checked before. */
-export function checkNodeCertificate (certificate: PeerCertificate): Error | undefined {
-  if (readIdentity(certificate.subjectaltname)?.kind === 'node') return undefined
-  return new Error('the other side has no node certificate')
-}
-
 /** Refuses every call whose certificate is of another kind. */
 function requireIdentity (kind: CertificateIdentity['kind']): ServerInterceptor {
   return (_method, call) => {
--- a/testing/demonstration/ControlTool.ts
+++ b/testing/demonstration/ControlTool.ts
@@ -9,6 +9,16 @@
   readonly output: string
 }
 
+/** Called with every command and what it printed. */
+export type ToolListener = (words: readonly string[], result: IToolResult) => void
+
+const listeners = new Set<ToolListener>()
+
+/** Adds a listener to all runs. */
+export function onToolRun (listener: ToolListener): void {
+  listeners.add(listener)
+}
+
 /** Runs the tool against one node. */
 export async function runTool (node: string, words: readonly string[]): Promise<IToolResult> {
   const child = spawn(process.execPath, [join(REPOSITORY, 'bin/savoryknotctl.js'), ...words, '--node', node], { cwd: REPOSITORY })
@@ -16,5 +26,7 @@
   child.stdout.setEncoding('utf8').on('data', (text: string) => { output += text })
   child.stderr.setEncoding('utf8').on('data', (text: string) => { output += text })
   const exitCode = await new Promise<number | null>((resolve) => child.once('close', resolve))
-  return { exitCode, output: output.trim() }
+  const result = { exitCode, output: output.trim() }
+  for (const listener of listeners) listener(words, result)
+  return result
 }
--- a/testing/demonstration/Main.ts
+++ b/testing/demonstration/Main.ts
@@ -1,9 +1,12 @@
 /** The demonstration: `npm start` runs a deployment on this machine and goes on until Ctrl-C; `npm start -- --once` ends by itself. */
 import { readFileSync } from 'node:fs'
+import { writeFile } from 'node:fs/promises'
 import { cac } from 'cac'
+import { onToolRun } from './ControlTool.js'
 import { Deployment } from './Deployment.js'
 import { StepTable } from './StepTable.js'
 import { runSteps } from './Steps.js'
+import { Transcript } from './Transcript.js'
 
 const BYTES_PER_MEBIBYTE = 1_048_576
 const BYTES_PER_PAGE = 4_096
@@ -37,15 +40,19 @@
 async function main (): Promise<number> {
   const parser = cac('npm start --')
   parser.option('--once', 'End after the last step')
+  parser.option('--transcript <file>', 'Write the commands of savoryknotctl and their outputs')
   parser.help()
   const { options } = parser.parse()
   if (options.help === true) return 0
+  const transcript = new Transcript()
+  onToolRun((words, result) => transcript.add(words, result))
   const deployment = new Deployment()
   const table = new StepTable()
   try {
     await runSteps(deployment, table)
     const memory = deployment.nodes.map((node) => residentMebibytes(node.processId)).join(', ')
     process.stdout.write(`\n${table.format()}\n\nresident memory of the nodes: ${memory}\n`)
+    if (options.transcript !== undefined) await writeFile(String(options.transcript), transcript.format())
     if (options.once !== true && table.allHold) {
       process.stdout.write(suggestions(deployment))
       await new Promise((resolve) => process.once('SIGINT', resolve))
--- a/testing/demonstration/Steps.ts
+++ b/testing/demonstration/Steps.ts
@@ -27,6 +27,7 @@
   await table.run('a stale submission is a conflict', () => submitStale(deployment))
   await table.run('an invalid document is refused', () => submitInvalid(deployment))
   await table.run('a node stops without cutting off a call', () => stopUnderLoad(deployment))
+  await table.run('the reading commands', () => readEverything(deployment))
   await table.run('it returns and catches up', () => restart(deployment))
 }
 
@@ -110,6 +111,13 @@
   return `exit code 0 after ${answered} calls, all answered`
 }
 
+/** While a node is away, as the others see it. */
+async function readEverything (deployment: Deployment): Promise<string> {
+  const commands = [['status', 'status'], ['endpoints', 'status'], ['nodes'], ['history', 'status'], ['diff', 'status', '1', '2'], ['burn', 'status']]
+  for (const words of commands) requireExit(await runTool(operatorOf(deployment, 0), words), 0)
+  return `${commands.length} commands ended with exit code 0`
+}
+
 async function restart (deployment: Deployment): Promise<string> {
   const readyAfter = await deployment.nodes[1]?.start()
   const result = await call(deployment.nodes[1]?.callerUrl ?? '', 'status', 'GET', '/status/1')
