--- a/src/cli/OperatorClient.ts
+++ b/src/cli/OperatorClient.ts
@@ -1,5 +1,6 @@
 /** Connection to the operator port of one node. */
 import { status, type ChannelCredentials, type ServiceError } from '@grpc/grpc-js'
+import { NODE_SERVER_NAME } from '../common/CertificateIdentity.js'
 import { loadProtocol } from '../common/Protocol.js'
 import type { OperatorClient as GeneratedClient } from '../generated/savoryknot/Operator.js'
 import type { ReceivedBurnReply } from '../generated/savoryknot/BurnReply.js'
@@ -31,7 +32,7 @@
 
   constructor (options: IOperatorClientOptions) {
     this._node = options.node
-    this._client = new (loadProtocol().savoryknot.Operator)(options.node, options.credentials)
+    this._client = new (loadProtocol().savoryknot.Operator)(options.node, options.credentials, { 'grpc.ssl_target_name_override': NODE_SERVER_NAME })
   }
 
   public submit (request: SubmitRequest): Promise<ReceivedSubmitReply> {
--- a/src/common/CertificateIdentity.ts
+++ b/src/common/CertificateIdentity.ts
@@ -3,6 +3,12 @@
 import type { PeerCertificate } from 'node:tls'
 import type { TeamName } from './Types.js'
 
+/**
+ * Server name that RPC clients send. Nodes are found by address, an address may not be sent as a server name,
+ * and the identity is checked by the URI of the certificate in any case.
+ */
+export const NODE_SERVER_NAME = 'node.savoryknot'
+
 const NODE_URI = 'savoryknot://node'
 const OPERATOR_URI_PREFIX = 'savoryknot://operator/'
 const ALTERNATIVE_NAME_SEPARATOR = ', '
--- a/src/membership/GrpcPeerTransport.ts
+++ b/src/membership/GrpcPeerTransport.ts
@@ -3,6 +3,7 @@
   Client, credentials, Server, ServerCredentials, status, type ChannelCredentials, type ChannelOptions,
   type ServerDuplexStream, type ServiceDefinition, type UntypedServiceImplementation
 } from '@grpc/grpc-js'
+import { NODE_SERVER_NAME } from '../common/CertificateIdentity.js'
 import { addDuration } from '../common/Ids.js'
 import { GrpcPeerChannel } from './GrpcPeerChannel.js'
 import { PeerUnreachableError } from './MembershipErrors.js'
@@ -157,6 +158,7 @@
   private _channelOptions (): ChannelOptions {
     const { maximumMessageBytes, keepaliveInterval, keepaliveTimeout } = this._options
     return {
+      'grpc.ssl_target_name_override': NODE_SERVER_NAME,
       'grpc.max_receive_message_length': maximumMessageBytes,
       'grpc.max_send_message_length': maximumMessageBytes,
       'grpc.keepalive_time_ms': keepaliveInterval,
--- a/src/routing/GrpcSettleClient.ts
+++ b/src/routing/GrpcSettleClient.ts
@@ -1,6 +1,7 @@
 /** Settles requests over the peer RPC. */
 import { credentials, Client, type ChannelCredentials } from '@grpc/grpc-js'
 import type { MethodDefinition } from '@grpc/proto-loader'
+import { NODE_SERVER_NAME } from '../common/CertificateIdentity.js'
 import { loadProtocol } from '../common/Protocol.js'
 import type { NetworkAddress, NodeId, RequestId, Timestamp } from '../common/Types.js'
 import type { SettleAnswer } from '../gate/Types.js'
@@ -52,13 +53,18 @@
   }
 
   private _client (address: NetworkAddress): Client {
-    const client = this._clients.get(address) ?? new Client(address, this._options.channelCredentials ?? credentials.createInsecure())
+    const client = this._clients.get(address) ?? this._connect(address)
     this._clients.delete(address)
     this._clients.set(address, client)
     this._closeSurplus()
     return client
   }
 
+  private _connect (address: NetworkAddress): Client {
+    const channelCredentials = this._options.channelCredentials ?? credentials.createInsecure()
+    return new Client(address, channelCredentials, { 'grpc.ssl_target_name_override': NODE_SERVER_NAME })
+  }
+
   private _closeSurplus (): void {
     const limit = this._options.channelLimit ?? DEFAULT_CHANNEL_LIMIT
     for (const [address, client] of this._clients) {
--- a/testing/demonstration/Deployment.ts
+++ b/testing/demonstration/Deployment.ts
@@ -1,9 +1,11 @@
 /** One deployment on one machine: platform, upstreams, and six nodes as processes of their own. */
+import { existsSync } from 'node:fs'
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { PlatformStandIn } from '../platform/PlatformStandIn.js'
 import { UpstreamStandIn } from '../upstream/UpstreamStandIn.js'
+import { runTool, useOperatorKeys } from './ControlTool.js'
 import { findFreePorts } from './FreePorts.js'
 import { NodeProcess, type INodePlan } from './NodeProcess.js'
 
@@ -16,8 +18,10 @@
   { failureDomain: 'mandalgovi-1', region: 'mandalgovi' }, { failureDomain: 'mandalgovi-2', region: 'mandalgovi' }
 ])
 
-/** Services of the first deployment, each after those that it refers to. */
-export const SERVICES = Object.freeze(['status', 'inspection', 'fees'] as const)
+/** Services of the first deployment with the teams that own them, each after those that it refers to. */
+export const SERVICES = Object.freeze([
+  { service: 'status', owner: 'permits' }, { service: 'inspection', owner: 'inspectors' }, { service: 'fees', owner: 'treasury' }
+] as const)
 
 /** Slots of an endpoint, as in the documents. */
 const SLOTS = 9
@@ -38,6 +42,14 @@
   private _upstreams: readonly IUpstream[] = []
   private _folder = ''
 
+  /** With keys, nodes and operators prove who they are. */
+  constructor (private readonly _hasKeys = false) {}
+
+  /** Folder of the key files. */
+  public get keyFolder (): string {
+    return join(this._folder, 'keys')
+  }
+
   /** Starts all processes; resolves with the longest time until one was ready, in milliseconds. */
   public async start (): Promise<number> {
     this._folder = await mkdtemp(join(tmpdir(), 'savoryknot-'))
@@ -48,6 +60,11 @@
     return Math.max(...times)
   }
 
+  /** Acts as a team from now on, where keys are on. */
+  public actAs (team: string): void {
+    if (this._hasKeys) useOperatorKeys(this.keyFolder, team)
+  }
+
   /** Executions of one key, over all upstreams. */
   public executionsOf (key: string): number {
     return this._upstreams.reduce((sum, upstream) => sum + (upstream.standIn.executions.get(key) ?? 0), 0)
@@ -68,14 +85,23 @@
     for (const [index, place] of FAILURE_DOMAINS.entries()) {
       const upstreams = await this._startUpstreams(index + 1)
       const own = ports.slice(index * PORTS_PER_NODE)
-      plans.push({ ...place, ...namePorts(own), name: `node-${index + 1}`, upstreams, platformUrl })
+      const name = `node-${index + 1}`
+      const keys = this._hasKeys ? await this._makeKeys(name) : undefined
+      plans.push({ ...place, ...namePorts(own), name, upstreams, platformUrl, keys })
     }
     return plans
   }
 
+  private async _makeKeys (name: string): Promise<INodePlan['keys']> {
+    if (!existsSync(this.keyFolder)) await makeOperatorKeys(this.keyFolder)
+    await runTool('', ['keys', 'node', name, '--directory', this.keyFolder])
+    const path = join(this.keyFolder, name)
+    return { certificate: `${path}.pem`, key: `${path}.key`, authority: join(this.keyFolder, 'authority.pem') }
+  }
+
   private async _startUpstreams (number: number): Promise<INodePlan['upstreams']> {
     const started: Array<INodePlan['upstreams'][number]> = []
-    for (const service of SERVICES) {
+    for (const { service } of SERVICES) {
       const standIn = new UpstreamStandIn({ service, slots: SLOTS, serviceTimeMs: SERVICE_TIME_MS, connectionCostMs: CONNECTION_COST_MS })
       await standIn.start()
       const endpoint = `${service}-${number}`
@@ -86,6 +112,14 @@
   }
 }
 
+/** An authority, an operator of each team, and one of a foreign authority. */
+async function makeOperatorKeys (folder: string): Promise<void> {
+  await runTool('', ['keys', 'authority', '--directory', folder])
+  for (const { owner } of SERVICES) await runTool('', ['keys', 'operator', owner, '--directory', folder])
+  await runTool('', ['keys', 'authority', '--directory', `${folder}-foreign`])
+  await runTool('', ['keys', 'operator', 'permits', '--directory', `${folder}-foreign`])
+}
+
 /** Gives the first ports of a list their use. */
 function namePorts ([callerPort = 0, gatePort = 0, peerPort = 0, operatorPort = 0, metricsPort = 0]: readonly number[]) {
   return { callerPort, gatePort, peerPort, operatorPort, metricsPort }
--- a/testing/demonstration/Main.ts
+++ b/testing/demonstration/Main.ts
@@ -5,6 +5,7 @@
 import { onToolRun } from './ControlTool.js'
 import { Deployment } from './Deployment.js'
 import { StepTable } from './StepTable.js'
+import { runRefusals } from './Refusals.js'
 import { runSteps } from './Steps.js'
 import { Transcript } from './Transcript.js'
 
@@ -40,16 +41,18 @@
 async function main (): Promise<number> {
   const parser = cac('npm start --')
   parser.option('--once', 'End after the last step')
+  parser.option('--keys', 'Turn certificates on and show refusals')
   parser.option('--transcript <file>', 'Write the commands of savoryknotctl and their outputs')
   parser.help()
   const { options } = parser.parse()
   if (options.help === true) return 0
-  const transcript = new Transcript()
-  onToolRun((words, result) => transcript.add(words, result))
-  const deployment = new Deployment()
+  const transcript = new Transcript(`npm start -- ${process.argv.slice(2).join(' ')}`)
+  onToolRun((run) => transcript.add(run))
+  const deployment = new Deployment(options.keys === true)
   const table = new StepTable()
   try {
     await runSteps(deployment, table)
+    if (options.keys === true) await runRefusals(deployment, table)
     const memory = deployment.nodes.map((node) => residentMebibytes(node.processId)).join(', ')
     process.stdout.write(`\n${table.format()}\n\nresident memory of the nodes: ${memory}\n`)
     if (options.transcript !== undefined) await writeFile(String(options.transcript), transcript.format())
--- a/testing/demonstration/NodeProcess.ts
+++ b/testing/demonstration/NodeProcess.ts
@@ -23,6 +23,8 @@
   readonly metricsPort: number
   readonly upstreams: ReadonlyArray<{ readonly endpoint: string, readonly service: string, readonly port: number }>
   readonly platformUrl: string
+  /** Key files; plaintext without them. */
+  readonly keys?: { readonly certificate: string, readonly key: string, readonly authority: string }
 }
 
 /** Settings of a node in INI. */
@@ -44,9 +46,12 @@
 kind = http
 url = ${plan.platformUrl}
 
-[tls]
-mode = off
-`
+${writeKeys(plan)}`
+}
+
+function writeKeys ({ keys }: INodePlan): string {
+  if (keys === undefined) return '[tls]\nmode = off\n'
+  return `[tls]\nmode = on\ncertificate = ${keys.certificate}\nkey = ${keys.key}\nauthority = ${keys.authority}\n`
 }
 
 /** Starts, watches and stops the process. */
--- a/testing/demonstration/Steps.ts
+++ b/testing/demonstration/Steps.ts
@@ -18,7 +18,11 @@
 export async function runSteps (deployment: Deployment, table: StepTable): Promise<void> {
   await table.run('six nodes start and catch up', async () => `the slowest was ready after ${await deployment.start()} ms`)
   if (!table.allHold) return
-  for (const service of SERVICES) await table.run(`submit ${service}`, () => submitNew(deployment, service))
+  for (const { service, owner } of SERVICES) {
+    deployment.actAs(owner)
+    await table.run(`submit ${service}`, () => submitNew(deployment, service))
+  }
+  deployment.actAs('permits')
   await table.run('all documents in force everywhere', () => waitInForce(deployment))
   await table.run('calls at every node', () => callEverywhere(deployment))
   await table.run('a payment that is sent twice runs once', () => payTwice(deployment))
--- a/testing/demonstration/Transcript.ts
+++ b/testing/demonstration/Transcript.ts
@@ -1,5 +1,5 @@
 /** Keeps the commands of a session with `savoryknotctl`. */
-import type { IToolResult } from './ControlTool.js'
+import type { IToolRun } from './ControlTool.js'
 import { REPOSITORY } from './Repository.js'
 
 const INDENT = '    '
@@ -8,10 +8,13 @@
 export class Transcript {
   private readonly _entries: string[] = []
 
+  /** `command` is what printed the page. */
+  constructor (private readonly _command: string) {}
+
   /** Adds one run. Folders of this machine are left out. */
-  public add (words: readonly string[], result: IToolResult): void {
-    const command = `savoryknotctl ${words.join(' ')}`
-    const lines = [`$ ${command}`, ...result.output.split('\n'), `(exit code ${result.exitCode})`]
+  public add (run: IToolRun): void {
+    const keys = run.certificate === undefined ? '' : `SAVORYKNOT_CERTIFICATE=keys/${run.certificate} `
+    const lines = [`$ ${keys}savoryknotctl ${run.words.join(' ')}`, ...run.output.split('\n'), `(exit code ${run.exitCode})`]
     this._entries.push(lines.map((line) => INDENT + line).join('\n').replaceAll(`${REPOSITORY}/`, '').replace(/\/\S*\/savoryknot-/g, 'savoryknot-'))
   }
 
@@ -20,7 +23,7 @@
     return [
       '# A session with savoryknotctl',
       '',
-      'Printed by `npm start -- --once --transcript docs/TRANSCRIPT.md`, which runs every command against six nodes. ' +
+      `Printed by \`${this._command}\`, which runs every command against six nodes. ` +
         'Each command also had `--node` with the operator port of a node.',
       '',
       this._entries.join('\n\n'),
