--- /dev/null
+++ b/src/common/ReferencePage.ts
@@ -0,0 +1,48 @@
+/** Makes reference pages of INI files from the zod schemas of their sections. */
+import type { z } from 'zod'
+import { describeValue, type IValueMeta } from './IniValues.js'
+
+/** One kind of section. */
+export interface IReferenceSection {
+  /** As in the file, for example `[pool.NAME]`. */
+  readonly heading: string
+  readonly description: string
+  readonly schema: z.ZodObject
+}
+
+/** One key of a section. */
+export interface IReferenceKey {
+  readonly key: string
+  readonly meta: IValueMeta
+}
+
+/** Keys of a section in the order of its schema. */
+export function referenceKeys (section: IReferenceSection): IReferenceKey[] {
+  const shape = section.schema.shape as Readonly<Record<string, z.ZodType>>
+  return Object.entries(shape).map(([key, schema]) => ({ key, meta: describeValue(schema) }))
+}
+
+/** Whether the key may be missing, in words. */
+export function describePresence ({ default: fallback, isOptional }: IValueMeta): string {
+  if (fallback !== undefined) return `default ${fallback}`
+  return isOptional === true ? 'optional' : 'required'
+}
+
+/** The sections in Markdown, one heading and one table each. */
+export function writeReferenceSections (sections: readonly IReferenceSection[]): string {
+  return sections.map(writeSection).join('\n')
+}
+
+function writeSection (section: IReferenceSection): string {
+  const rows = referenceKeys(section).map(({ key, meta }) =>
+    `| \`${key}\` | ${describePresence(meta)} | ${escapeCell(meta.description)} | ${escapeCell(meta.expected)} |`)
+  return [
+    `## ${section.heading}`, '', section.description, '',
+    '| key | presence | meaning | expected value |', '|---|---|---|---|', ...rows, ''
+  ].join('\n')
+}
+
+/** A bar would end the cell, a star might begin emphasis. */
+function escapeCell (text: string): string {
+  return text.replace(/[|*]/g, (character) => `\\${character}`)
+}
