Write checkpoints of the accepted set and trim the change log

Cause: a starting reader had to read every text by itself, and the change log grew without end. Change: whoever accepts the change that is due writes the newest version and text of every service as one object, on condition that the checkpoint is the one it read; rows well behind are removed. A reader behind the trim point gets the newest change of each service; a damaged or foreign checkpoint is passed over.

--- a/src/documents/AcceptanceAttempt.ts
+++ b/src/documents/AcceptanceAttempt.ts
@@ -109,14 +109,14 @@
 
   private _writes (change: IAcceptedChange): IRowWrite[] {
     const { service, version, sequence } = change
-    const value = encodeRow(change)
+    const { id } = this._checked.submission
     const row = describeDocument(change, this._checked.document, this._present)
     return [
       { ...documentRow(service), value: encodeRow(row) },
       { ...HEAD_ROW, value: encodeRow({ sequence }) },
-      { ...changeRow(sequence), value },
-      { ...versionRow(service, version), value },
-      { ...submissionRow(this._checked.submission.id), value: encodeRow({ change }) }
+      { ...changeRow(sequence), value: encodeRow({ ...change, submission: id }) },
+      { ...versionRow(service, version), value: encodeRow(change) },
+      { ...submissionRow(id), value: encodeRow({ change }) }
     ]
   }
 
--- a/src/documents/AcceptanceService.ts
+++ b/src/documents/AcceptanceService.ts
@@ -1,6 +1,7 @@
 /** Accepts documents and deletions by one conditional transaction each. */
+import { Emitter } from '../common/Emitter.js'
 import type { IClockService, ILogService, IRandomService } from '../common/Services.js'
-import type { Milliseconds, Timestamp } from '../common/Types.js'
+import type { IEvent, Milliseconds, Timestamp } from '../common/Types.js'
 import { OutcomeUnknownError, PlatformUnavailableError } from '../platform/PlatformErrors.js'
 import type { IObjectStore, ITableService } from '../platform/Services.js'
 import { AcceptanceAttempt, type AttemptOutcome } from './AcceptanceAttempt.js'
@@ -8,7 +9,7 @@
 import { DOCUMENT_ACCEPTED, DOCUMENT_REFUSED, SUBMISSION_RETRIED, SUBMISSION_UNDECIDED } from './Events.js'
 import type { IAcceptanceService, IDocumentParser } from './Services.js'
 import { textObject } from './store/Tables.js'
-import type { ISubmission, SubmissionOutcome } from './Types.js'
+import type { IAcceptedChange, ISubmission, SubmissionOutcome } from './Types.js'
 
 /** How acceptance meets contention and lost answers. */
 export interface IAcceptanceOptions {
@@ -45,6 +46,9 @@
 export class AcceptanceService implements IAcceptanceService {
   private readonly _services: IAcceptanceServices
   private readonly _options: IAcceptanceOptions
+  private readonly _onAccepted = new Emitter<IAcceptedChange>()
+  /** Fires for each change that was accepted through this service, once. */
+  public readonly onAccepted: IEvent<IAcceptedChange> = this._onAccepted.event
 
   constructor (services: IAcceptanceServices, options: Partial<IAcceptanceOptions> = {}) {
     this._services = services
@@ -57,6 +61,7 @@
       ? await new Acceptance(this._services, this._options, checked, now).run()
       : { kind: 'invalid', faults: checked }
     this._log(submission, outcome)
+    if (outcome.kind === 'accepted' && !outcome.isRepeat) this._onAccepted.fire(outcome.change)
     return outcome
   }
 
--- a/src/documents/AcceptedDocuments.ts
+++ b/src/documents/AcceptedDocuments.ts
@@ -1,9 +1,13 @@
 /** Reads accepted documents from the platform. */
 import { hashContent } from '../common/Ids.js'
+import type { ILogService } from '../common/Services.js'
 import type { ChangeSequence, ContentHash, DocumentVersion, ServiceName } from '../common/Types.js'
 import type { IObjectStore, ITableService } from '../platform/Services.js'
 import type { IRow, RowKey } from '../platform/Types.js'
+import { CHECKPOINT_UNREADABLE } from './Events.js'
 import type { IAcceptedDocuments, IAcceptedSet } from './Services.js'
+import type { ICheckpoint } from './store/CheckpointCodec.js'
+import { CheckpointStore } from './store/CheckpointStore.js'
 import { CHANGE_SCHEMA, DOCUMENT_ROW_SCHEMA, HEAD_SCHEMA, decodeRow } from './store/Rows.js'
 import {
   CHANGES_TABLE, DOCUMENTS_TABLE, FIRST_KEY, HEAD_ROW, VERSIONS_TABLE, changeKey, documentRow, textObject, versionKeys, versionRow
@@ -14,27 +18,44 @@
 export interface IAcceptedDocumentsOptions {
   readonly table: ITableService
   readonly objects: IObjectStore
+  /** Told of a damaged checkpoint. */
+  readonly log?: ILogService
 }
 
 /** Rows of one scan. */
 const PAGE_ROWS = 500
 
-/** Every method costs one read, `readAll` one for each 500 services and one more. */
+/** Each method costs one read, but for `readAll` and for `changesAfter` behind the trimmed part of the change log. */
 export class AcceptedDocuments implements IAcceptedDocuments {
   private readonly _table: ITableService
   private readonly _objects: IObjectStore
+  private readonly _checkpoints: CheckpointStore
+  private readonly _log: ILogService | undefined
 
   constructor (options: IAcceptedDocumentsOptions) {
     this._table = options.table
     this._objects = options.objects
+    this._checkpoints = new CheckpointStore(options.objects)
+    this._log = options.log
   }
 
   public async changesAfter (after: ChangeSequence, limit: number): Promise<readonly IAcceptedChange[]> {
-    const rows = await this._table.scan({ table: CHANGES_TABLE, fromKey: changeKey(after + 1), limit })
-    return rows.map(decodeChange)
+    const changes = await this._scanLog(after, limit)
+    if (isWithoutGaps(changes, after)) return changes
+    const { changes: newest } = await this.readAll()
+    return newest.filter(({ sequence }) => sequence > after).sort(bySequence).slice(0, limit)
   }
 
+  /** Reads the checkpoint and the change log after it; without a checkpoint the row of every service. */
   public async readAll (): Promise<IAcceptedSet> {
+    const { checkpoint, isUnreadable } = await this._checkpoints.read()
+    if (isUnreadable) this._log?.log(CHECKPOINT_UNREADABLE, { step: 'documents.read-all', peer: 'object store' })
+    const set = checkpoint === undefined ? undefined : await this._readAfter(checkpoint)
+    return set ?? await this.readTable()
+  }
+
+  /** As `readAll`, from the rows of the services; costs one read for each 500 services and one more. */
+  public async readTable (): Promise<IAcceptedSet> {
     // The head is read first: a version accepted meanwhile is then read again from the change log, which is harmless.
     const head = await this._table.read(HEAD_ROW)
     const sequence = head === undefined ? 0 as ChangeSequence : decodeRow(head, HEAD_SCHEMA).sequence
@@ -69,8 +90,35 @@
     const row = await this._table.read(versionRow(service, version))
     return row === undefined ? undefined : decodeChange(row)
   }
+
+  private async _scanLog (after: ChangeSequence, limit: number): Promise<IAcceptedChange[]> {
+    const rows = await this._table.scan({ table: CHANGES_TABLE, fromKey: changeKey(after + 1), limit })
+    return rows.map(decodeChange)
+  }
+
+  /** The checkpoint brought up to date; undefined if the log was trimmed beyond it meanwhile. */
+  private async _readAfter (checkpoint: ICheckpoint): Promise<IAcceptedSet | undefined> {
+    const newest = new Map(checkpoint.changes.map((change) => [change.service, change]))
+    let { sequence } = checkpoint
+    for (;;) {
+      const changes = await this._scanLog(sequence, PAGE_ROWS)
+      if (!isWithoutGaps(changes, sequence)) return undefined
+      for (const change of changes) newest.set(change.service, change)
+      sequence = changes[changes.length - 1]?.sequence ?? sequence
+      if (changes.length < PAGE_ROWS) return { sequence, changes: [...newest.values()], texts: checkpoint.texts }
+    }
+  }
 }
 
 function decodeChange (row: IRow): IAcceptedChange {
   return decodeRow(row, CHANGE_SCHEMA)
 }
+
+/** False if changes after `after` are missing from the log. */
+function isWithoutGaps (changes: readonly IAcceptedChange[], after: ChangeSequence): boolean {
+  return changes.every(({ sequence }, position) => sequence === after + 1 + position)
+}
+
+function bySequence (left: IAcceptedChange, right: IAcceptedChange): number {
+  return left.sequence - right.sequence
+}
--- a/src/documents/Events.ts
+++ b/src/documents/Events.ts
@@ -29,6 +29,28 @@
   meaning: 'The answer of the store to a write was lost. The submission is tried again; its row decides, so it cannot be accepted twice.'
 })
 
+export const CHECKPOINT_WRITTEN: IEventDefinition = Object.freeze({
+  number: 3005,
+  name: 'checkpoint-written',
+  level: 'info',
+  meaning: 'The accepted set up to a sequence was written as one object, and the change log well behind it was trimmed.'
+})
+
+export const CHECKPOINT_FAILED: IEventDefinition = Object.freeze({
+  number: 3006,
+  name: 'checkpoint-failed',
+  level: 'warn',
+  meaning: 'A checkpoint could not be written or the change log not be trimmed. Nothing is lost; a later checkpoint makes up for it.'
+})
+
+export const CHECKPOINT_UNREADABLE: IEventDefinition = Object.freeze({
+  number: 3007,
+  name: 'checkpoint-unreadable',
+  level: 'warn',
+  meaning: 'The checkpoint is damaged or of a newer format. The accepted set is read from the rows of the services instead.'
+})
+
 export const DOCUMENTS_EVENTS: readonly IEventDefinition[] = Object.freeze([
-  DOCUMENT_ACCEPTED, DOCUMENT_REFUSED, SUBMISSION_RETRIED, SUBMISSION_UNDECIDED
+  DOCUMENT_ACCEPTED, DOCUMENT_REFUSED, SUBMISSION_RETRIED, SUBMISSION_UNDECIDED,
+  CHECKPOINT_WRITTEN, CHECKPOINT_FAILED, CHECKPOINT_UNREADABLE
 ])
--- a/src/documents/Services.ts
+++ b/src/documents/Services.ts
@@ -13,7 +13,10 @@
 
 /** Reads accepted documents from the platform. */
 export interface IAcceptedDocuments {
-  /** Accepted changes after `after` in order of sequence, at most `limit`. */
+  /**
+   * Accepted changes after `after` in order of sequence, at most `limit`.
+   * Where the change log was trimmed, only the newest change of each service is left.
+   */
   changesAfter (after: ChangeSequence, limit: number): Promise<readonly IAcceptedChange[]>
   /** The newest version of every service together with the sequence that it reflects. */
   readAll (): Promise<IAcceptedSet>
@@ -30,6 +33,8 @@
 export interface IAcceptedSet {
   readonly sequence: ChangeSequence
   readonly changes: readonly IAcceptedChange[]
+  /** Texts that came with the set; the others are had by `readText`. */
+  readonly texts?: ReadonlyMap<ContentHash, string>
 }
 
 /** Parses and checks the text of a document by itself, without the others. */
--- a/src/documents/store/Rows.ts
+++ b/src/documents/store/Rows.ts
@@ -38,6 +38,12 @@
   readonly resources: readonly IResourceEntry[]
 }
 
+/** What the trimming of the change log needs of a row. The row also holds the change. */
+export interface ILogRow {
+  readonly sequence: ChangeSequence
+  readonly submission: SubmissionId
+}
+
 /** An accepted submission. */
 export interface ISubmissionRow {
   readonly change: IAcceptedChange
@@ -56,8 +62,13 @@
   isTombstone: z.boolean(),
   sequence: number.transform((value) => value as ChangeSequence),
   author: z.string(),
-  acceptedAt: number.transform((value) => value as Timestamp),
-  submission: z.string().transform((text) => text as SubmissionId).optional()
+  acceptedAt: number.transform((value) => value as Timestamp)
+})
+
+/** A row of the change log. */
+export const LOG_ROW_SCHEMA: z.ZodType<ILogRow> = z.object({
+  sequence: number.transform((value) => value as ChangeSequence),
+  submission: z.string().transform((text) => text as SubmissionId)
 })
 
 export const DOCUMENT_ROW_SCHEMA: z.ZodType<IDocumentRow> = z.object({
--- a/src/documents/store/Tables.ts
+++ b/src/documents/store/Tables.ts
@@ -16,6 +16,8 @@
 
 /** The row that holds the sequence of the newest change. */
 export const HEAD_ROW: IRowReference = Object.freeze({ table: HEAD_TABLE, key: 'head' as RowKey })
+/** The newest checkpoint. */
+export const CHECKPOINT_OBJECT = 'checkpoint/newest' as ObjectKey
 /** Below every key of the tables here. */
 export const FIRST_KEY = '' as RowKey
 
