--- a/src/documents/CheckpointService.test.ts
+++ b/src/documents/CheckpointService.test.ts
@@ -110,6 +110,7 @@
     const objects: IObjectStore = {
       get: async (key) => {
         const stored = await plainObjects.get(key)
+        await fixture.submit(writer, { service: 'rare', text: writeDocument({ service: 'rare' }), expected: 0 })
         await accept(10)
         await connect().service.write()
         return stored
@@ -117,8 +118,10 @@
       put: (key, content, condition) => plainObjects.put(key, content, condition),
       delete: (key) => plainObjects.delete(key)
     }
-    expect((await new AcceptedDocuments({ table, objects }).readAll()).sequence).to.equal(20)
-    expect(await logSequences()).to.deep.equal([18, 19, 20])
+    const { sequence, changes } = await new AcceptedDocuments({ table, objects }).readAll()
+    expect(sequence).to.equal(21)
+    expect(changes).to.have.deep.members((await fixture.accepted.readTable()).changes)
+    expect(await logSequences()).to.deep.equal([19, 20, 21])
   })
 
   it('lets a reader that fell behind catch up in pages', async () => {
