Start nodes from the checkpoint and write it in the daemon

Cause: checkpoints existed, but nobody wrote them and no starting node used their texts. Run: npx mocha (195 tests pass).

--- a/src/daemon/DocumentServices.ts
+++ b/src/daemon/DocumentServices.ts
@@ -2,8 +2,9 @@
 import { ILogService, type IKernel } from '../common/Services.js'
 import { AcceptanceService } from '../documents/AcceptanceService.js'
 import { AcceptedDocuments } from '../documents/AcceptedDocuments.js'
+import { CheckpointService } from '../documents/CheckpointService.js'
 import { DocumentParser } from '../documents/DocumentParser.js'
-import { IAcceptanceService, IAcceptedDocuments, IDocumentParser, ISnapshotBuilder } from '../documents/Services.js'
+import { IAcceptanceService, IAcceptedDocuments, ICheckpointService, IDocumentParser, ISnapshotBuilder } from '../documents/Services.js'
 import { SnapshotBuilder } from '../documents/SnapshotBuilder.js'
 import { EmbeddedObjectStore } from '../platform/EmbeddedObjectStore.js'
 import { EmbeddedTableService } from '../platform/EmbeddedTableService.js'
@@ -42,8 +43,12 @@
   kernel.register({ key: IDocumentParser, dependsOn: [], create: () => new DocumentParser() })
   kernel.register({
     key: IAcceptedDocuments,
-    dependsOn: [ITableService, IObjectStore],
-    create: () => new AcceptedDocuments({ table: kernel.get(ITableService), objects: kernel.get(IObjectStore) })
+    dependsOn: [ILogService, ITableService, IObjectStore],
+    create: () => new AcceptedDocuments({
+      table: kernel.get(ITableService),
+      objects: kernel.get(IObjectStore),
+      log: kernel.get(ILogService)
+    })
   })
   kernel.register({
     key: IAcceptanceService,
@@ -55,6 +60,16 @@
       parser: kernel.get(IDocumentParser)
     })
   })
+  kernel.register({
+    key: ICheckpointService,
+    dependsOn: [ILogService, ITableService, IObjectStore, IAcceptanceService],
+    create: () => new CheckpointService({
+      table: kernel.get(ITableService),
+      objects: kernel.get(IObjectStore),
+      log: kernel.get(ILogService),
+      onAccepted: kernel.get(IAcceptanceService).onAccepted
+    })
+  })
   kernel.register({
     key: ISnapshotBuilder,
     dependsOn: [ILogService, IDocumentParser, ...FOUNDATION],
--- a/src/distribution/CatchUpService.ts
+++ b/src/distribution/CatchUpService.ts
@@ -2,6 +2,7 @@
 import type { IClockService, ILogService, IRandomService, IService } from '../common/Services.js'
 import { durationBetween } from '../common/Ids.js'
 import type { Milliseconds, Timestamp } from '../common/Types.js'
+import { textsOf } from '../documents/AcceptedSet.js'
 import type { IAcceptedDocuments, IAcceptedSet } from '../documents/Services.js'
 import type { IAcceptedChange } from '../documents/Types.js'
 import type { IMembershipService } from '../membership/Services.js'
@@ -107,6 +108,7 @@
     try {
       const { accepted, clock, timeout } = this._options
       const set = await withTimeout(clock, accepted.readAll(), timeout, 'catch-up.read-all')
+      this._options.snapshots.offer(textsOf(set), clock.now())
       await this._awaitPeers(set)
       await this._readRest(set)
       return this._lacking(set).length === 0 ? { kind: 'store' } : undefined
--- a/src/documents/AcceptanceService.ts
+++ b/src/documents/AcceptanceService.ts
@@ -47,7 +47,6 @@
   private readonly _services: IAcceptanceServices
   private readonly _options: IAcceptanceOptions
   private readonly _onAccepted = new Emitter<IAcceptedChange>()
-  /** Fires for each change that was accepted through this service, once. */
   public readonly onAccepted: IEvent<IAcceptedChange> = this._onAccepted.event
 
   constructor (services: IAcceptanceServices, options: Partial<IAcceptanceOptions> = {}) {
--- a/src/documents/CheckpointService.ts
+++ b/src/documents/CheckpointService.ts
@@ -1,12 +1,13 @@
 /** Writes checkpoints of the accepted set and trims the change log behind them. */
 import { Disposable } from '../common/Disposable.js'
-import type { ILogService, IService } from '../common/Services.js'
+import type { ILogService } from '../common/Services.js'
 import { SavoryknotError } from '../common/SavoryknotError.js'
 import type { ChangeSequence, ContentHash, IEvent } from '../common/Types.js'
 import type { IObjectStore, ITableService } from '../platform/Services.js'
 import type { IRow, IRowScan, IRowWrite } from '../platform/Types.js'
 import { AcceptedDocuments } from './AcceptedDocuments.js'
 import { CHECKPOINT_FAILED, CHECKPOINT_WRITTEN } from './Events.js'
+import type { CheckpointOutcome, ICheckpointService } from './Services.js'
 import { CheckpointStore } from './store/CheckpointStore.js'
 import { LOG_ROW_SCHEMA, decodeRow } from './store/Rows.js'
 import { CHANGES_TABLE, FIRST_KEY, changeKey, changeRow, submissionRow } from './store/Tables.js'
@@ -34,16 +35,13 @@
   readonly onAccepted: IEvent<IAcceptedChange>
 }
 
-/** `overtaken`: another writer was ahead, which is as good. */
-export type CheckpointOutcome = 'written' | 'overtaken' | 'up-to-date'
-
 type Texts = ReadonlyMap<ContentHash, string>
 
 /**
  * No role or lease decides who writes: the put is conditional on the checkpoint that was read, and only what a
  * checkpoint covers that was read or confirmed is trimmed, so two writers or a lost answer do no harm.
  */
-export class CheckpointService extends Disposable implements IService {
+export class CheckpointService extends Disposable implements ICheckpointService {
   private readonly _services: ICheckpointServices
   private readonly _options: ICheckpointOptions
   private readonly _accepted: AcceptedDocuments
--- a/src/documents/Services.ts
+++ b/src/documents/Services.ts
@@ -1,6 +1,6 @@
 /** Interfaces of acceptance, of the reading of accepted documents, and of the building of snapshots. */
-import { createServiceKey } from '../common/Services.js'
-import type { ChangeSequence, ContentHash, DocumentVersion, ServiceName, Timestamp } from '../common/Types.js'
+import { createServiceKey, type IService } from '../common/Services.js'
+import type { ChangeSequence, ContentHash, DocumentVersion, IEvent, ServiceName, Timestamp } from '../common/Types.js'
 import type {
   IAcceptedChange, IRejection, ISnapshot, ISubmission, IVersionedText, ParseResult, SubmissionOutcome
 } from './Types.js'
@@ -9,8 +9,18 @@
 export interface IAcceptanceService {
   /** Rejects with a platform error if the outcome could not be learned; repeat with the same id. */
   submit (submission: ISubmission, now: Timestamp): Promise<SubmissionOutcome>
+  /** Fires for each change that was accepted through this service, once. */
+  readonly onAccepted: IEvent<IAcceptedChange>
 }
 
+/** Writes checkpoints of the accepted set, on its own when changes are accepted. */
+export interface ICheckpointService extends IService {
+  write (): Promise<CheckpointOutcome>
+}
+
+/** `overtaken`: another writer was ahead, which is as good. */
+export type CheckpointOutcome = 'written' | 'overtaken' | 'up-to-date'
+
 /** Reads accepted documents from the platform. */
 export interface IAcceptedDocuments {
   /**
@@ -58,6 +68,7 @@
 }
 
 export const IAcceptanceService = createServiceKey<IAcceptanceService>('documents.acceptance')
+export const ICheckpointService = createServiceKey<ICheckpointService>('documents.checkpoint')
 export const IAcceptedDocuments = createServiceKey<IAcceptedDocuments>('documents.accepted')
 export const IDocumentParser = createServiceKey<IDocumentParser>('documents.parser')
 export const ISnapshotBuilder = createServiceKey<ISnapshotBuilder>('documents.snapshot-builder')
