--- a/src/membership/BootstrapService.ts
+++ b/src/membership/BootstrapService.ts
@@ -11,12 +11,20 @@
 import type { DirectoryService } from './DirectoryService.js'
 import type { IDirectoryEntry, IDirectoryRead } from './DirectoryTypes.js'
 import type { MembershipService } from './MembershipService.js'
-import type { OverlayService } from './OverlayService.js'
+import type { IPeerLink } from './Services.js'
+import type { INodeRecord } from './Types.js'
+
+/** What the bootstrap uses of the overlay. */
+export interface IContacts {
+  readonly links: readonly IPeerLink[]
+  /** Opens a link; rejects with `JoinRefusedError` or another error. */
+  contact (address: NetworkAddress): Promise<INodeRecord>
+}
 
 /** What the bootstrap needs. */
 export interface IBootstrapServiceOptions {
   readonly membership: MembershipService
-  readonly overlay: OverlayService
+  readonly overlay: IContacts
   readonly directory: DirectoryService
   readonly clock: IClockService
   readonly random: IRandomService
--- a/src/membership/DomainReachability.ts
+++ b/src/membership/DomainReachability.ts
@@ -70,6 +70,13 @@
     this._statements.set(origin, { receivedAt: now, silences })
   }
 
+  /** Drops statements of nodes that are no gateways any more, who hear nobody from then on. */
+  public keepStatements (gateways: readonly NodeId[]): void {
+    for (const origin of this._statements.keys()) {
+      if (!gateways.includes(origin)) this._statements.delete(origin)
+    }
+  }
+
   public isReachable (failureDomain: FailureDomain): boolean {
     return this._domains.get(failureDomain)?.isReachable ?? true
   }
@@ -81,11 +88,12 @@
       .map((domain) => ({ failureDomain: domain.failureDomain, silence: durationBetween(domain.lastLinkedAt, now) }))
   }
 
-  /** Brings reachability up to date; gives what changed. Only statements of nodes that are alive count. */
-  public sweep (now: Timestamp, isAlive: (id: NodeId) => boolean): readonly IReachabilityChange[] {
-    this._applyStatements(now, isAlive)
+  /** Brings reachability up to date; gives what changed. */
+  public sweep (now: Timestamp): readonly IReachabilityChange[] {
+    this._dropOldStatements(now)
     const changes: IReachabilityChange[] = []
     for (const domain of this._domains.values()) {
+      if (this._statements.size > 0) domain.lastHeardAt = later(domain.lastLinkedAt, this._lastStatedAt(domain.failureDomain, now))
       const isReachable = !this._isSilent(domain, domain.lastHeardAt, now)
       if (isReachable === domain.isReachable) continue
       domain.isReachable = isReachable
@@ -94,20 +102,20 @@
     return changes
   }
 
-  private _applyStatements (now: Timestamp, isAlive: (id: NodeId) => boolean): void {
+  private _dropOldStatements (now: Timestamp): void {
     for (const [origin, statement] of this._statements) {
-      const isValid = isAlive(origin) && durationBetween(statement.receivedAt, now) <= this._options.statementLifetime
-      if (isValid) this._applyStatement(statement, now)
-      else this._statements.delete(origin)
+      if (durationBetween(statement.receivedAt, now) > this._options.statementLifetime) this._statements.delete(origin)
     }
   }
 
-  private _applyStatement (statement: IStatement, now: Timestamp): void {
-    for (const domain of this._domains.values()) {
-      const silence = statement.silences.get(domain.failureDomain)
-      const heardAt = silence === undefined ? now : addDuration(statement.receivedAt, -silence as Milliseconds)
-      domain.lastHeardAt = later(domain.lastHeardAt, heardAt)
+  /** When a failure domain was last heard by any gateway; a gateway that does not name it hears it still. */
+  private _lastStatedAt (failureDomain: FailureDomain, now: Timestamp): Timestamp {
+    let latest = 0 as Timestamp
+    for (const { receivedAt, silences } of this._statements.values()) {
+      const silence = silences.get(failureDomain)
+      latest = later(latest, silence === undefined ? now : addDuration(receivedAt, -silence as Milliseconds))
     }
+    return latest
   }
 
   private _isSilent (domain: IHeardDomain, heardAt: Timestamp, now: Timestamp): boolean {
--- a/src/membership/DomainStatements.ts
+++ b/src/membership/DomainStatements.ts
@@ -52,6 +52,7 @@
 
   private _state (now: Timestamp): void {
     const { membership, roles, broadcast } = this._options
+    membership.reachability.keepStatements(roles.holders('gateway', membership.self.failureDomain))
     if (!roles.isHeldBySelf('gateway')) return
     const silent = membership.reachability.silentDomains(now)
     const names = silent.map((domain) => domain.failureDomain).join()
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -235,7 +235,7 @@
     const { dead, forgotten } = this._timers.takeDue(now)
     for (const id of dead) this.declareDead(id, now)
     for (const id of forgotten) this._members.delete(id)
-    const changes = this.reachability.sweep(now, (id) => this._members.get(id)?.state === 'alive')
+    const changes = this.reachability.sweep(now)
     for (const { failureDomain, isReachable } of changes) {
       this._options.log.log(isReachable ? DOMAIN_REACHABLE : DOMAIN_UNREACHABLE, { step: 'membership.reachability', failureDomain })
     }
--- a/src/membership/Options.ts
+++ b/src/membership/Options.ts
@@ -128,8 +128,8 @@
 /** Defaults of `IBootstrapSettings`. */
 export const DEFAULT_BOOTSTRAP_SETTINGS: IBootstrapSettings = Object.freeze({
   peers: [],
-  startJitter: 1_000 as Milliseconds,
-  retryDelay: 500 as Milliseconds,
+  startJitter: 2_000 as Milliseconds,
+  retryDelay: 1_000 as Milliseconds,
   longestRetryDelay: 10_000 as Milliseconds,
   refreshInterval: 10_000 as Milliseconds,
   rewriteInterval: 60_000 as Milliseconds,
--- a/src/membership/RecordExchange.ts
+++ b/src/membership/RecordExchange.ts
@@ -128,7 +128,9 @@
   }
 
   private _isWanted (entry: IPendingRecord, link: PeerLink): boolean {
-    if (entry.knownBy.has(link) || entry.record.id === link.peer.id) return false
+    // Who is accused must learn of it, to refute.
+    const isOwnNews = entry.record.id === link.peer.id && entry.record.state === 'alive'
+    if (entry.knownBy.has(link) || isOwnNews) return false
     return link.isLocal || entry.record.failureDomain === this._options.membership.self.failureDomain
   }
 
--- a/testing/membership/MemoryFleet.ts
+++ b/testing/membership/MemoryFleet.ts
@@ -29,7 +29,7 @@
   private readonly _random: RandomService
   private _created = 0
 
-  constructor (private readonly _seed: number, private readonly _options: Partial<IMembershipStackOptions> = {}) {
+  constructor (private readonly _seed: number) {
     this._random = new RandomService(_seed)
     const latency = { least: 0.5, most: 8 }
     this.network = new MemoryNetwork({ clock: this.clock, random: this._random, latency, dialTimeout: 1_000 as Milliseconds })
@@ -37,16 +37,16 @@
   }
 
   /** Starts nodes in a failure domain; time does not pass. */
-  public async add (domain: number, count: number): Promise<IMemoryNode[]> {
+  public async add (domain: number, count: number, options: Partial<IMembershipStackOptions> = {}): Promise<IMemoryNode[]> {
     const added: IMemoryNode[] = []
-    for (let position = 0; position < count; position++) added.push(this._create(domain, this._createAddress(domain)))
+    for (let position = 0; position < count; position++) added.push(this._create(domain, this._createAddress(domain), options))
     await Promise.all(added.map((node) => node.start()))
     return added
   }
 
   /** Starts a new process at the address of one that is gone. */
   public async replace (gone: IMemoryNode): Promise<IMemoryNode> {
-    const node = this._create(domainNumber(gone), gone.address)
+    const node = this._create(domainNumber(gone), gone.address, {})
     await node.start()
     return node
   }
@@ -80,16 +80,16 @@
     await stopping
   }
 
-  private _create (domain: number, address: NetworkAddress): IMemoryNode {
+  private _create (domain: number, address: NetworkAddress, options: Partial<IMembershipStackOptions>): IMemoryNode {
     const failureDomain = `domain-${domain}` as FailureDomain
     const region = `region-${Math.floor(domain / 2)}` as Region
     const id = createHash('sha256').update(`${this._seed}/${this._created++}`).digest('hex').slice(0, 24) as NodeId
     const log = new RecordingLog()
     const transport = this.network.createTransport(address, failureDomain)
     const self = { id, failureDomain, region, peerAddress: address, gateAddress: address, software: 'test' }
-    const random = new RandomService(this._random.integer(2 ** 31))
+    const random = new RandomService(this._random.integer(2 ** 32))
     const { clock, store: objects } = this
-    const stack = new MembershipStack({ self, transport, objects, clock, random, log, metrics: new MetricsService(), ...this._options })
+    const stack = new MembershipStack({ self, transport, objects, clock, random, log, metrics: new MetricsService(), ...options })
     const endpoint = { id: `${address}/0` as EndpointId, service: FLEET_SERVICE, state: 'serving' as const, slots: 9, since: clock.now() }
     stack.membership.announceEndpoint(endpoint, clock.now())
     const node = Object.assign(stack, { address, log, transport })
