Index the alive members by failure domain and bound the dials to one that is cut off

Roles and targets read an index by failure domain now, the bucket of a member comes from its id without a hash, and a failure domain has a wait of its own between dials. Time in which this process itself did not run is no silence of its peers.

--- a/src/membership/BootstrapService.ts
+++ b/src/membership/BootstrapService.ts
@@ -3,7 +3,6 @@
 import { DIRECTORY_SLOT_TAKEN, DIRECTORY_UNAVAILABLE, JOIN_ATTEMPT_FAILED, JOINED } from './Events.js'
 import { JoinRefusedError } from './MembershipErrors.js'
 import { DEFAULT_BOOTSTRAP_SETTINGS, type IBootstrapSettings } from './Options.js'
-import { aliveMembers } from './OverlayTargets.js'
 import { isNetworkAddress } from './RecordCodec.js'
 import { shuffle } from './Shuffle.js'
 import type { IClockService, ILogService, IRandomService, IService } from '../common/Services.js'
@@ -108,7 +107,7 @@
   private _candidates (entries: readonly IDirectoryEntry[]): readonly NetworkAddress[] {
     const { membership, random } = this._options
     const { self } = membership
-    const known = aliveMembers(membership, self.failureDomain)
+    const known = membership.aliveIn(self.failureDomain).values()
     const addresses = new Set<NetworkAddress>([...entries, ...known].map((member) => member.peerAddress))
     for (const peer of this._settings.peers) {
       if (isNetworkAddress(peer)) addresses.add(peer)
--- a/src/membership/DirectoryRefresher.ts
+++ b/src/membership/DirectoryRefresher.ts
@@ -2,7 +2,6 @@
 import { Disposable } from '../common/Disposable.js'
 import { DIRECTORY_UNAVAILABLE } from './Events.js'
 import { DEFAULT_BOOTSTRAP_SETTINGS, type IBootstrapSettings } from './Options.js'
-import { aliveMembers } from './OverlayTargets.js'
 import { shuffle } from './Shuffle.js'
 import type { IClockService, ILogService, IRandomService, IService } from '../common/Services.js'
 import type { FailureDomain, Milliseconds, Timestamp } from '../common/Types.js'
@@ -105,7 +104,7 @@
   /** Keeps those of the present object that are alive, so that the object rarely changes. */
   private _chooseMembers (present: IDirectoryObject | undefined): readonly IDirectoryEntry[] {
     const { membership, random } = this._options
-    const alive = aliveMembers(membership, membership.self.failureDomain)
+    const alive = [...membership.aliveIn(membership.self.failureDomain).values()]
     const aliveById = new Map(alive.map((record) => [record.id, record]))
     const kept = (present?.members ?? []).filter((entry) => aliveById.has(entry.id))
     const added = shuffle(alive.filter((record) => !kept.some((entry) => entry.id === record.id)), random)
--- a/src/membership/MemberDigest.ts
+++ b/src/membership/MemberDigest.ts
@@ -6,12 +6,16 @@
 /** Buckets over which members are spread by hash of their id. */
 export const MEMBER_BUCKETS = 256
 
+/** Hexadecimal digits that tell the bucket. */
+const BUCKET_DIGITS = 2
+
 const WORD_BYTES = 4
 const DIGEST_BYTES = 2 * WORD_BYTES
 
-/** Bucket of a member. */
+/** Bucket of a member. Ids are random hexadecimal digits; ids of another form fall into few buckets, which costs only bytes. */
 export function bucketOf (id: NodeId): number {
-  return createHash('sha256').update(id).digest()[0] as number
+  const bucket = Number.parseInt(id.slice(0, BUCKET_DIGITS), 16)
+  return Number.isNaN(bucket) ? 0 : bucket
 }
 
 /** Keeps eight bytes for each bucket, the exclusive or of its members; costs the same for a change whatever the number of members. */
--- a/src/membership/MembershipService.test.ts
+++ b/src/membership/MembershipService.test.ts
@@ -124,7 +124,7 @@
   const membership = createService(self)
   membership.merge(all.map((record) => alive.includes(record) ? record : { ...record, state: 'dead' }), 0 as never)
   const roles = new RoleService({ membership, clock: new ManualClock() })
-  return new OverlayTargets({ membership, roles, settings: DEFAULT_OVERLAY_SETTINGS }).local()
+  return new OverlayTargets({ membership, roles, random: new RandomService(SEED), settings: DEFAULT_OVERLAY_SETTINGS }).local()
 }
 
 /** Number of nodes that can be reached from the first one. */
--- a/src/membership/MembershipService.ts
+++ b/src/membership/MembershipService.ts
@@ -14,7 +14,7 @@
 import { hasPlausibleIncarnation, isGone, isNewerRecord } from './RecordOrder.js'
 import { SuspicionTimers } from './SuspicionTimers.js'
 import type { IClockService, IEventDefinition, ILogService, IMetricsService, IRandomService, IService } from '../common/Services.js'
-import type { EndpointId, IEvent, ILocation, NetworkAddress, NodeId, ServiceName, Timestamp } from '../common/Types.js'
+import type { EndpointId, FailureDomain, IEvent, ILocation, NetworkAddress, NodeId, ServiceName, Timestamp } from '../common/Types.js'
 import type { IMembershipService } from './Services.js'
 import type { EndpointState, IDomainView, IEndpoint, INodeRecord, IRoutableEndpoint, MemberState } from './Types.js'
 
@@ -39,6 +39,8 @@
 
 const STATEMENT_LIFETIME_INTERVALS = 3
 
+const NO_MEMBERS: ReadonlyMap<NodeId, INodeRecord> = new Map()
+
 const STATE_EVENTS: Readonly<Record<MemberState, IEventDefinition>> = Object.freeze({
   alive: MEMBER_JOINED, suspect: MEMBER_SUSPECTED, dead: MEMBER_DEAD, left: MEMBER_LEFT
 })
@@ -49,6 +51,7 @@
   public readonly reachability: DomainReachability
   private readonly _settings: IMembershipSettings
   private readonly _members = new Map<NodeId, INodeRecord>()
+  private readonly _aliveByDomain = new Map<FailureDomain, Map<NodeId, INodeRecord>>()
   private readonly _index: EndpointIndex
   private readonly _timers: SuspicionTimers
   private readonly _onEndpointsChanged = this.register(new Emitter<ReadonlySet<ServiceName>>())
@@ -79,6 +82,11 @@
     return this._members
   }
 
+  /** Members of a failure domain that are alive, by id. */
+  public aliveIn (failureDomain: FailureDomain): ReadonlyMap<NodeId, INodeRecord> {
+    return this._aliveByDomain.get(failureDomain) ?? NO_MEMBERS
+  }
+
   /** True while this node has no link although it knows others; then nobody else counts as reachable. */
   public get isIsolated (): boolean {
     return this._isIsolated
@@ -214,6 +222,7 @@
     if (held !== undefined && !isGone(held.state)) this.digest.toggle(held)
     if (!isGone(record.state)) this.digest.toggle(record)
     this._members.set(record.id, record)
+    this._indexAlive(held, record)
     this._index.replace(held, record, changed)
     this.reachability.discover(record.failureDomain, record.region, now)
     this._timers.observe(record, { isJudged: record.failureDomain === this._self.failureDomain, now })
@@ -221,6 +230,17 @@
     this._onRecordChanged.fire(record)
   }
 
+  private _indexAlive (held: INodeRecord | undefined, record: INodeRecord): void {
+    if (held !== undefined) this._aliveByDomain.get(held.failureDomain)?.delete(held.id)
+    if (record.state !== 'alive') return
+    let alive = this._aliveByDomain.get(record.failureDomain)
+    if (alive === undefined) {
+      alive = new Map()
+      this._aliveByDomain.set(record.failureDomain, alive)
+    }
+    alive.set(record.id, record)
+  }
+
   private _logChange (held: INodeRecord | undefined, record: INodeRecord): void {
     if (held?.state === record.state || record.id === this._self.id) return
     const event = record.state === 'alive' && held !== undefined ? MEMBER_REFUTED : STATE_EVENTS[record.state]
--- a/src/membership/OverlayService.ts
+++ b/src/membership/OverlayService.ts
@@ -8,7 +8,7 @@
 import { LinkTable } from './LinkTable.js'
 import { JoinRefusedError } from './MembershipErrors.js'
 import { DEFAULT_OVERLAY_SETTINGS, type IOverlaySettings } from './Options.js'
-import { aliveMembers, OverlayTargets } from './OverlayTargets.js'
+import { OverlayTargets } from './OverlayTargets.js'
 import { PeerLink } from './PeerLink.js'
 import { toWireRecord } from './RecordCodec.js'
 import { isGone, isNewerRecord } from './RecordOrder.js'
@@ -54,7 +54,7 @@
     this._settings = { ...DEFAULT_OVERLAY_SETTINGS, ..._options.settings }
     const { membership, roles, random, clock } = _options
     this._table = new LinkTable(membership.self.id)
-    this._targets = this.register(new OverlayTargets({ membership, roles, settings: this._settings }))
+    this._targets = this.register(new OverlayTargets({ membership, roles, random, settings: this._settings }))
     this._backoff = new RedialBackoff({ ...this._settings, random })
     this._admission = new JoinAdmission(this._settings)
     this._nextDeadProbeAt = addDuration(clock.now(), DEAD_PROBE_INTERVAL_MS)
@@ -143,7 +143,7 @@
 
   private _chooseOthers (except: NodeId): NetworkAddress[] {
     const { membership, random } = this._options
-    const others = aliveMembers(membership, membership.self.failureDomain)
+    const others = [...membership.aliveIn(membership.self.failureDomain).values()]
       .filter((record) => record.id !== except && record.id !== membership.self.id)
     const chosen = new Set<NetworkAddress>()
     for (let draw = 0; draw < OTHERS_IN_REFUSAL && others.length > 0; draw++) {
@@ -171,6 +171,7 @@
     const { peer } = link
     log.log(LINK_OPENED, { step: 'overlay.link', peer: peer.id, address: peer.peerAddress, failureDomain: peer.failureDomain })
     this._backoff.recordSuccess(peer.id)
+    this._backoff.recordSuccess(peer.failureDomain)
     const held = membership.members.get(peer.id)
     membership.merge([peer], clock.now())
     membership.reachability.hear(peer.failureDomain, clock.now())
@@ -206,15 +207,15 @@
   }
 
   private _maintainGateway (failureDomain: FailureDomain, now: Timestamp): void {
-    const { membership, clock } = this._options
+    const { membership } = this._options
     for (const link of this.links) {
       if (link.peer.failureDomain === failureDomain) membership.reachability.hear(failureDomain, link.lastHeardAt)
     }
-    if (this._table.hasDomain(failureDomain)) return
-    const candidates = this._targets.gateway(failureDomain)
-    if (candidates.some((id) => this._dialling.has(id))) return
-    const next = candidates.find((id) => this._backoff.mayDial(id, now))
-    if (next !== undefined) this._want(next, clock.now())
+    if (this._table.hasDomain(failureDomain) || !this._backoff.mayDial(failureDomain, now)) return
+    const gateways = this._targets.gateways(failureDomain)
+    if (gateways.length === 0 || gateways.some((id) => this._dialling.has(id))) return
+    const next = gateways.find((id) => this._backoff.mayDial(id, now)) ?? this._targets.anyMember(failureDomain)
+    if (next !== undefined) this._want(next, now)
   }
 
   private _want (id: NodeId, now: Timestamp): void {
@@ -238,7 +239,8 @@
     } catch (error) {
       const now = clock.now()
       this._backoff.recordFailure(record.id, now)
-      if (!(error instanceof JoinRefusedError) && this._isLocal(record)) this._judgeUnresponsive(record.id, now)
+      if (!this._isLocal(record)) this._backoff.recordFailure(record.failureDomain, now)
+      else if (!(error instanceof JoinRefusedError)) this._judgeUnresponsive(record.id, now)
     }
   }
 
--- a/src/membership/OverlayTargets.ts
+++ b/src/membership/OverlayTargets.ts
@@ -1,11 +1,11 @@
 /** Which members a node should be linked to. */
 import { Disposable } from '../common/Disposable.js'
 import { Rendezvous } from './Rendezvous.js'
+import type { IRandomService } from '../common/Services.js'
 import type { FailureDomain, NodeId } from '../common/Types.js'
 import type { MembershipService } from './MembershipService.js'
 import type { IOverlaySettings } from './Options.js'
 import type { RoleService } from './RoleService.js'
-import type { INodeRecord } from './Types.js'
 
 /** Gateways that a failure domain is thought to have while it is unreachable. */
 const GATEWAYS = 2
@@ -14,6 +14,7 @@
 export interface IOverlayTargetsOptions {
   readonly membership: MembershipService
   readonly roles: RoleService
+  readonly random: IRandomService
   readonly settings: IOverlaySettings
 }
 
@@ -41,15 +42,20 @@
     return this._local
   }
 
-  /** Members of another failure domain to try in turn, if this node is a gateway; else none. */
-  public gateway (failureDomain: FailureDomain): readonly NodeId[] {
+  /** The gateways of another failure domain in the order in which this node tries them; none if it is no gateway itself. */
+  public gateways (failureDomain: FailureDomain): readonly NodeId[] {
     const { membership, roles } = this._options
     const rank = roles.holders('gateway', membership.self.failureDomain).indexOf(membership.self.id)
     if (rank < 0) return []
-    const preferred = this._gatewaysOf(failureDomain)
-    const rotated = [...preferred.slice(rank), ...preferred.slice(0, rank)]
-    const others = aliveMembers(membership, failureDomain).map((record) => record.id).filter((id) => !preferred.includes(id))
-    return [...rotated, ...others]
+    const gateways = this._gatewaysOf(failureDomain)
+    return [...gateways.slice(rank), ...gateways.slice(0, rank)]
+  }
+
+  /** Any member of another failure domain, for when its gateways do not answer. */
+  public anyMember (failureDomain: FailureDomain): NodeId | undefined {
+    const { membership, random } = this._options
+    const alive = [...membership.aliveIn(failureDomain).keys()]
+    return alive[random.integer(Math.max(1, alive.length))]
   }
 
   /** Failure domains other than the own one. */
@@ -62,7 +68,7 @@
   private _chooseLocal (): readonly NodeId[] {
     const { membership, settings } = this._options
     const self = membership.self.id
-    const others = aliveMembers(membership, membership.self.failureDomain).map((record) => record.id).filter((id) => id !== self)
+    const others = [...membership.aliveIn(membership.self.failureDomain).keys()].filter((id) => id !== self)
     const ring = [...others].sort()
     const start = ring.findIndex((id) => id > self)
     const ordered = start < 0 ? ring : [...ring.slice(start), ...ring.slice(0, start)]
@@ -76,15 +82,6 @@
     const { membership, roles } = this._options
     const holders = roles.holders('gateway', failureDomain)
     if (holders.length > 0) return holders
-    return this._gatewayRank.top(aliveMembers(membership, failureDomain).map((record) => record.id), GATEWAYS)
-  }
-}
-
-/** Members of a failure domain that are alive. */
-export function aliveMembers (membership: MembershipService, failureDomain: FailureDomain): readonly INodeRecord[] {
-  const alive: INodeRecord[] = []
-  for (const record of membership.members.values()) {
-    if (record.failureDomain === failureDomain && record.state === 'alive') alive.push(record)
+    return this._gatewayRank.top(membership.aliveIn(failureDomain).keys(), GATEWAYS)
   }
-  return alive
 }
--- a/src/membership/PeerLink.ts
+++ b/src/membership/PeerLink.ts
@@ -92,17 +92,15 @@
     const { settings } = this._options
     const lateness = durationBetween(this._nextTickAt, now)
     this._nextTickAt = addDuration(now, this._tickInterval)
-    if (lateness > settings.silenceTimeout / 2) this._forgiveSilence(lateness, now)
+    // While this process did not run, what the peer sent waited to be read.
+    this._lastHeardAt = Math.min(now, this._lastHeardAt + Math.max(0, lateness)) as Timestamp
+    if (lateness > settings.silenceTimeout / 2) {
+      this._options.log.log(PROCESS_RESUMED, { step: 'overlay.heartbeat', peer: this.peer.id, latenessMs: lateness })
+    }
     if (durationBetween(this._lastHeardAt, now) > settings.silenceTimeout) this._finish('silent')
     else if (durationBetween(this._lastSentAt, now) >= settings.heartbeatInterval - this._tickInterval / 2) this._sendHeartbeat()
   }
 
-  /** This process itself did not run, so what the peer sent may still wait to be read. */
-  private _forgiveSilence (lateness: Milliseconds, now: Timestamp): void {
-    this._options.log.log(PROCESS_RESUMED, { step: 'overlay.heartbeat', peer: this.peer.id, latenessMs: lateness })
-    this._lastHeardAt = now
-  }
-
   private _sendHeartbeat (): void {
     this._number++
     this.send({ ping: { number: this._number } })
--- a/src/membership/RedialBackoff.ts
+++ b/src/membership/RedialBackoff.ts
@@ -1,7 +1,7 @@
-/** When a peer that could not be reached may be dialled again. */
+/** When a peer, or a failure domain, that could not be reached may be dialled again. */
 import { addDuration } from '../common/Ids.js'
 import type { IRandomService } from '../common/Services.js'
-import type { Milliseconds, NodeId, Timestamp } from '../common/Types.js'
+import type { FailureDomain, Milliseconds, NodeId, Timestamp } from '../common/Types.js'
 
 /** Bounds of the wait. */
 export interface IRedialBackoffOptions {
@@ -21,16 +21,16 @@
 
 /** Doubles the wait with each failure and draws its second half at random. */
 export class RedialBackoff {
-  private readonly _failures = new Map<NodeId, IFailures>()
+  private readonly _failures = new Map<NodeId | FailureDomain, IFailures>()
 
   constructor (private readonly _options: IRedialBackoffOptions) {}
 
-  public mayDial (id: NodeId, now: Timestamp): boolean {
+  public mayDial (id: NodeId | FailureDomain, now: Timestamp): boolean {
     const failures = this._failures.get(id)
     return failures === undefined || now >= failures.notBefore
   }
 
-  public recordFailure (id: NodeId, now: Timestamp): void {
+  public recordFailure (id: NodeId | FailureDomain, now: Timestamp): void {
     const { redialDelay, longestRedialDelay, random } = this._options
     if (this._failures.size >= MAXIMUM_PEERS) this._failures.clear()
     const count = (this._failures.get(id)?.count ?? 0) + 1
@@ -39,7 +39,7 @@
     this._failures.set(id, { count, notBefore: addDuration(now, delay) })
   }
 
-  public recordSuccess (id: NodeId): void {
+  public recordSuccess (id: NodeId | FailureDomain): void {
     this._failures.delete(id)
   }
 }
--- a/src/membership/RoleService.ts
+++ b/src/membership/RoleService.ts
@@ -3,7 +3,7 @@
 import { Emitter } from '../common/Emitter.js'
 import { Rendezvous } from './Rendezvous.js'
 import type { IClockService, IService } from '../common/Services.js'
-import type { FailureDomain, IDisposable, IEvent, Milliseconds, NodeId, Region } from '../common/Types.js'
+import type { FailureDomain, IDisposable, IEvent, Milliseconds, NodeId } from '../common/Types.js'
 import type { MembershipService } from './MembershipService.js'
 import type { IRoleService } from './Services.js'
 import type { INodeRecord, Role } from './Types.js'
@@ -65,8 +65,7 @@
 
   /** The best member of the region, and the best one outside the first one's failure domain if there is any. */
   private _sourceReaders (failureDomain: FailureDomain): readonly NodeId[] {
-    const region = this._regionOf(failureDomain)
-    const candidates = this._candidates((record) => record.region === region)
+    const candidates = this._domainsOfRegion(failureDomain).flatMap((domain) => this._candidates(domain))
     const first = this._top('source-reader', candidates, 1)[0]
     if (first === undefined) return []
     const firstDomain = this._options.membership.members.get(first)?.failureDomain
@@ -76,33 +75,26 @@
   }
 
   private _topOfDomain (role: Role, failureDomain: FailureDomain, count: number): readonly NodeId[] {
-    return this._top(role, this._candidates((record) => record.failureDomain === failureDomain), count)
+    return this._top(role, this._candidates(failureDomain), count)
   }
 
   private _top (role: Role, candidates: readonly INodeRecord[], count: number): readonly NodeId[] {
     return (this._ranks.get(role) as Rendezvous).top(candidates.map((record) => record.id), count)
   }
 
-  private _candidates (isWanted: (record: INodeRecord) => boolean): readonly INodeRecord[] {
+  private _candidates (failureDomain: FailureDomain): readonly INodeRecord[] {
     const { membership } = this._options
-    const candidates: INodeRecord[] = []
-    for (const record of membership.members.values()) {
-      if (isWanted(record) && this._isCandidate(record)) candidates.push(record)
-    }
-    return candidates
-  }
-
-  private _isCandidate (record: INodeRecord): boolean {
-    const { membership } = this._options
-    if (record.state !== 'alive') return false
-    if (record.id === membership.self.id) return true
-    return !membership.isIsolated && membership.reachability.isReachable(record.failureDomain)
+    const alive = membership.aliveIn(failureDomain)
+    const isOwn = failureDomain === membership.self.failureDomain
+    if (isOwn && membership.isIsolated) return alive.has(membership.self.id) ? [membership.self] : []
+    const isHeard = isOwn || (!membership.isIsolated && membership.reachability.isReachable(failureDomain))
+    return isHeard ? [...alive.values()] : []
   }
 
-  private _regionOf (failureDomain: FailureDomain): Region | undefined {
-    const { self, reachability } = this._options.membership
-    if (self.failureDomain === failureDomain) return self.region
-    return [...reachability.domains].find((domain) => domain.failureDomain === failureDomain)?.region
+  private _domainsOfRegion (failureDomain: FailureDomain): readonly FailureDomain[] {
+    const domains = [...this._options.membership.reachability.domains]
+    const region = domains.find((domain) => domain.failureDomain === failureDomain)?.region
+    return domains.filter((domain) => domain.region === region).map((domain) => domain.failureDomain)
   }
 
   private _invalidate (): void {
