--- a/src/distribution/DocumentSession.ts
+++ b/src/distribution/DocumentSession.ts
@@ -1,6 +1,6 @@
 /** Exchange of versions with the peer at the other end of one link. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
-import { addDuration } from '../common/Ids.js'
+import { addDuration, durationBetween } from '../common/Ids.js'
 import type { IClockService, ILogService, IRandomService } from '../common/Services.js'
 import type { DocumentVersion, ILocation, Milliseconds, ServiceName, Timestamp } from '../common/Types.js'
 import type { IVersionEntry } from '../documents/Types.js'
@@ -17,12 +17,13 @@
 import type { IPullSource } from './PullTask.js'
 import type { ISnapshotService } from './Services.js'
 import { Signal } from './Signal.js'
+import { jitter, reasonOf } from './Timeouts.js'
 import { decodeDigest, encodeDigest } from './VersionDigest.js'
 import { decodeVersionEntry, encodeVersionEntry } from './VersionEntryCodec.js'
 
 /** Timing of a session. */
 export interface ISessionTiming {
-  /** Time over which announcements are gathered into one message. */
+  /** Shortest time between two announcements; what is learned meanwhile goes into the second one. */
   readonly batchDelay: Milliseconds
   /** Time between two digests; the actual time is drawn from half of it to one and a half. */
   readonly digestInterval: Milliseconds
@@ -72,6 +73,7 @@
   private readonly _peerVersions = new Map<ServiceName, DocumentVersion>()
   private readonly _outbox = new Map<ServiceName, IVersionEntry>()
   private _isFlushDue = false
+  private _nextFlushAt = 0 as Timestamp
   private _isOpen = true
   private _peerDigest: bigint | undefined
   private _isPeerCaughtUp = false
@@ -124,8 +126,11 @@
       if (this._knownVersion(entry.service) < entry.version) this._outbox.set(entry.service, entry)
     }
     if (this._outbox.size === 0 || this._isFlushDue) return
+    const { clock } = this._options
+    const wait = durationBetween(clock.now(), this._nextFlushAt)
+    if (wait <= 0) return this._flush()
     this._isFlushDue = true
-    this._options.clock.after(this._options.timing.batchDelay, () => this._flush())
+    clock.after(wait, () => this._flush())
   }
 
   /** Tells the peer the digest of what this node holds. */
@@ -136,6 +141,7 @@
 
   private _flush (): void {
     this._isFlushDue = false
+    this._nextFlushAt = addDuration(this._options.clock.now(), this._options.timing.batchDelay)
     const entries = [...this._outbox.values()].filter((entry) => this._knownVersion(entry.service) < entry.version)
     this._outbox.clear()
     if (entries.length === 0) return
@@ -146,7 +152,7 @@
     const { random, timing } = this._options
     while (this._isOpen) {
       this.sendDigest()
-      await this._digestSignal.wait(timing.digestInterval * (0.5 + random.fraction()) as Milliseconds)
+      await this._digestSignal.wait(jitter(random, timing.digestInterval, 0.5))
     }
   }
 
@@ -155,8 +161,7 @@
     try {
       this._handle(message, now)
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error)
-      this._options.log.log(PEER_MESSAGE_MALFORMED, { step: 'session.handle', peer: this.name, reason })
+      this._options.log.log(PEER_MESSAGE_MALFORMED, { step: 'session.handle', peer: this.name, reason: reasonOf(error) })
     }
   }
 
--- a/src/distribution/PullTask.ts
+++ b/src/distribution/PullTask.ts
@@ -9,6 +9,7 @@
 import type { HeldDocuments } from './HeldDocuments.js'
 import type { ISnapshotService } from './Services.js'
 import { Signal } from './Signal.js'
+import { reasonOf } from './Timeouts.js'
 import { decodeVersionEntry } from './VersionEntryCodec.js'
 import type { PeerMessage } from '../generated/savoryknot/PeerMessage.js'
 
@@ -163,8 +164,7 @@
     try {
       return this._decodeOrThrow(request, body, peer)
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error)
-      this._options.log.log(BODY_REFUSED, { step: 'pull.receive', peer, service: this._service, reason })
+      this._options.log.log(BODY_REFUSED, { step: 'pull.receive', peer, service: this._service, reason: reasonOf(error) })
       return undefined
     }
   }
--- a/src/distribution/SourceReader.ts
+++ b/src/distribution/SourceReader.ts
@@ -11,7 +11,7 @@
 import type { ISnapshotService, ISourceService } from './Services.js'
 import { Signal } from './Signal.js'
 import { TextReader } from './TextReader.js'
-import { backoff, reasonOf, withTimeout } from './Timeouts.js'
+import { backoff, jitter, reasonOf, withTimeout } from './Timeouts.js'
 
 /** Options of `SourceReader`; those with defaults may be left out. */
 export interface ISourceReaderOptions {
@@ -116,7 +116,7 @@
   private _pause (): Milliseconds {
     const { random, interval, backoffLimit } = this._options
     if (this._failures > 0) return backoff(random, this._failures, interval, backoffLimit)
-    return interval * (0.5 + random.fraction()) as Milliseconds
+    return jitter(random, interval, 0.5)
   }
 
   private async _pollSafely (rank: number): Promise<void> {
--- a/src/distribution/Timeouts.ts
+++ b/src/distribution/Timeouts.ts
@@ -17,10 +17,16 @@
 /** Time to wait before the next attempt: full jitter below a bound that doubles with each failure. */
 export function backoff (random: IRandomService, failures: number, first: Milliseconds, limit: Milliseconds): Milliseconds {
   const bound = Math.min(limit, first * 2 ** Math.min(failures, 16))
-  return bound * random.fraction() as Milliseconds
+  return Math.round(bound * random.fraction()) as Milliseconds
 }
 
-/** Message of anything that was thrown. */
+/** A whole number of milliseconds drawn evenly from `interval` less and plus its share `spread`. */
+export function jitter (random: IRandomService, interval: number, spread: number): Milliseconds {
+  return Math.round(interval * (1 - spread + 2 * spread * random.fraction())) as Milliseconds
+}
+
+/** Message of anything that was thrown, with that of its cause. */
 export function reasonOf (error: unknown): string {
-  return error instanceof Error ? error.message : String(error)
+  if (!(error instanceof Error)) return String(error)
+  return error.cause === undefined ? error.message : `${error.message}: ${reasonOf(error.cause)}`
 }
--- a/src/distribution/reports/ReportService.ts
+++ b/src/distribution/reports/ReportService.ts
@@ -1,5 +1,6 @@
 /** Reports what is in force on this node, collects where this node is the collector, and reads all reports. */
 import { Disposable } from '../../common/Disposable.js'
+import { addDuration } from '../../common/Ids.js'
 import type { IClockService, IInvariantService, ILogService, IRandomService, IService } from '../../common/Services.js'
 import type { Milliseconds, NodeId, Timestamp } from '../../common/Types.js'
 import type { InForceReport, ReceivedInForceReport } from '../../generated/savoryknot/InForceReport.js'
@@ -9,6 +10,7 @@
 import { REPORT_REFUSED } from '../Events.js'
 import type { IBurnMinute, IDomainReport, IReportService, ISnapshotService } from '../Services.js'
 import { Signal } from '../Signal.js'
+import { jitter } from '../Timeouts.js'
 import { DomainObjects } from './DomainObjects.js'
 import { DomainReader } from './DomainReader.js'
 import { DomainWriter } from './DomainWriter.js'
@@ -60,6 +62,9 @@
 
 type RequiredReportOptions = Omit<IReportServiceOptions, keyof typeof DEFAULT_REPORT_OPTIONS>
 
+/** Share by which intervals are drawn shorter or longer. */
+const JITTER = 0.2
+
 /** Nodes asked for a whole report by one beacon. */
 const WHOLE_FROM = 16
 
@@ -142,7 +147,7 @@
       const now = clock.now()
       if (this._isCollector()) await this._collect(now)
       else this._reportIfDue(now)
-      await this._signal.wait(writeInterval * (0.8 + 0.4 * random.fraction()) as Milliseconds)
+      await this._signal.wait(jitter(random, writeInterval, JITTER))
     }
   }
 
@@ -185,7 +190,7 @@
   private _repeatAt (now: Timestamp): Timestamp {
     const { random, repeatInterval, repeatIntervalPerMember } = this._options
     const interval = repeatInterval + repeatIntervalPerMember * this._localMembers().size
-    return now + interval * (0.8 + 0.4 * random.fraction()) as Timestamp
+    return addDuration(now, jitter(random, interval, JITTER))
   }
 
   private async _collect (now: Timestamp): Promise<void> {
@@ -202,7 +207,7 @@
   private _sendBeaconIfDue (now: Timestamp): void {
     const wholeFrom = this._collector.lacking.slice(0, WHOLE_FROM)
     if (now < this._nextBeaconAt && wholeFrom.length === 0) return
-    this._nextBeaconAt = now + this._options.beaconInterval as Timestamp
+    this._nextBeaconAt = addDuration(now, this._options.beaconInterval)
     this._beaconNumber = Math.max(this._beaconNumber + 1, now)
     this._carrier.flood({ collector: this._options.membership.self.id, number: this._beaconNumber, wholeFrom })
   }
