--- a/testing/fleet/Fleet.ts
+++ b/testing/fleet/Fleet.ts
@@ -8,7 +8,7 @@
 import { FaultyPlatform } from '../platform/FaultyPlatform.js'
 import { FleetNode } from './FleetNode.js'
 import { DEFAULT_FLEET_LATENCIES, domainName, FleetShape, regionOf, type IFleetLatencies } from './FleetShape.js'
-import { RegionTraffic } from './FleetTransport.js'
+import { RegionTraffic } from './RegionTraffic.js'
 
 /** Options of a fleet. */
 export interface IFleetOptions {
@@ -20,16 +20,21 @@
   readonly controlPlane: Omit<IControlPlaneOptions, 'self'>
   /** Nodes that are started at the same time. */
   readonly startedTogether: number
+  /** Kinds of messages that no node sends, for comparisons. */
+  readonly suppressed: ReadonlySet<string>
 }
 
 /** Defaults of `Fleet`. */
 export const DEFAULT_FLEET_OPTIONS: IFleetOptions = Object.freeze({
-  seed: 1, domains: 6, latencies: DEFAULT_FLEET_LATENCIES, controlPlane: {}, startedTogether: 12
+  seed: 1, domains: 6, latencies: DEFAULT_FLEET_LATENCIES, controlPlane: {}, startedTogether: 12, suppressed: new Set<string>()
 })
 
 /** One-way latency from each region to the store, which is in the first region. */
 const STORE_LATENCY_FACTOR = 2
 
+/** Pools of each text, with a route to each. */
+const TEXT_POOLS = Array.from({ length: 13 }, (_, position) => `pool-${position}`)
+
 const POLL_MS = 5 as Milliseconds
 
 /** The nodes, their network and their platform. */
@@ -69,7 +74,8 @@
   public async add (count: number, service?: (position: number) => ServiceName): Promise<void> {
     for (let first = 0; first < count; first += this._options.startedTogether) {
       const size = Math.min(this._options.startedTogether, count - first)
-      await Promise.all(Array.from({ length: size }, (_, offset) => this.addTo((first + offset) % this.domains, service?.(first + offset))))
+      const positions = Array.from({ length: size }, (_, offset) => first + offset)
+      await Promise.all(positions.map((position) => this.addTo(position % this.domains, service?.(position))))
     }
   }
 
@@ -83,7 +89,8 @@
       traffic: this.traffic,
       platform: this._ways[domain],
       controlPlane: this._options.controlPlane,
-      service
+      service,
+      suppressed: this._options.suppressed
     })
     this.nodes.push(node)
     await node.start()
@@ -135,15 +142,21 @@
   }
 
   /** Submits a new text of a service through a node; the version that was accepted, or undefined. */
-  public async submit (node: FleetNode, service: string, expected: number, text = this.createText(service)): Promise<number | undefined> {
-    this._submissions++
-    const outcome = await node.submit(`fleet-${this._options.seed}-${this._submissions}`, service as ServiceName, expected, text)
+  public async submit (node: FleetNode, service: string, expected: number, isAnswerLost = false): Promise<number | undefined> {
+    const draft = { id: this.createSubmissionId(), service, expected, text: this.createText(service) }
+    const outcome = await node.submit(draft, isAnswerLost)
     return outcome.kind === 'accepted' ? outcome.change.version : undefined
   }
 
-  /** A valid text that no other submission has. */
+  public createSubmissionId (): string {
+    this._submissions++
+    return `fleet-${this._options.seed}-${this._submissions}`
+  }
+
+  /** A valid text of about 2.5 KB that no other submission has. */
   public createText (service: string): string {
-    return writeDocument({ service, pools: ['endpoints'], targets: [`${service}/endpoints`], note: `${this.random.integer(2 ** 31)}` })
+    const targets = TEXT_POOLS.map((pool) => `${service}/${pool}`)
+    return writeDocument({ service, pools: TEXT_POOLS, targets, note: `${this.random.integer(2 ** 31)}` })
   }
 
   /** Waits until the condition holds; the time it took, or undefined if it did not hold in time. */
--- a/testing/fleet/FleetNode.ts
+++ b/testing/fleet/FleetNode.ts
@@ -6,12 +6,13 @@
 import {
   IClockService, IInvariantService, ILogService, IMetricsService, IRandomService, type IServiceKey
 } from '../../src/common/Services.js'
-import type { FailureDomain, Milliseconds, NetworkAddress, Region, SubmissionId, ServiceName, DocumentVersion, EndpointId } from '../../src/common/Types.js'
+import type {
+  DocumentVersion, EndpointId, FailureDomain, Milliseconds, NetworkAddress, Region, ServiceName, SubmissionId
+} from '../../src/common/Types.js'
 import { type IControlPlaneOptions, registerControlPlane } from '../../src/distribution/ControlPlane.js'
 import { IHeldDocuments } from '../../src/distribution/HeldDocuments.js'
 import { ICatchUpService, IReportService, ISnapshotService, ISourceService } from '../../src/distribution/Services.js'
 import { AcceptanceService } from '../../src/documents/AcceptanceService.js'
-import { AcceptedDocuments } from '../../src/documents/AcceptedDocuments.js'
 import { DocumentParser } from '../../src/documents/DocumentParser.js'
 import { IAcceptedDocuments, ISnapshotBuilder } from '../../src/documents/Services.js'
 import { SnapshotBuilder } from '../../src/documents/SnapshotBuilder.js'
@@ -23,7 +24,9 @@
 import type { FaultyPlatform } from '../platform/FaultyPlatform.js'
 import { RecordingLog } from '../RecordingLog.js'
 import type { FleetShape } from './FleetShape.js'
-import { FleetTransport, type RegionTraffic } from './FleetTransport.js'
+import { CountingDocuments } from './CountingDocuments.js'
+import { FleetTransport } from './FleetTransport.js'
+import type { RegionTraffic } from './RegionTraffic.js'
 import { PausableClock } from './PausableClock.js'
 
 /** What a node of a fleet needs. */
@@ -37,6 +40,18 @@
   readonly controlPlane: Omit<IControlPlaneOptions, 'self'>
   /** Service of which the node has one endpoint; none if undefined. */
   readonly service: ServiceName | undefined
+  /** Kinds of messages that the node never sends. */
+  readonly suppressed: ReadonlySet<string>
+}
+
+/** A submission of a fleet. */
+export interface IFleetSubmission {
+  readonly id: string
+  readonly service: string
+  /** 0 for a new service. */
+  readonly expected: number
+  /** Undefined to delete the service. */
+  readonly text: string | undefined
 }
 
 /** Longest wait for a dial that does not answer. */
@@ -57,11 +72,11 @@
 
   constructor (public readonly options: IFleetNodeOptions) {
     const { clock, log, metrics } = this
-    const { shape, failureDomain, region, traffic, platform } = options
+    const { shape, failureDomain, region, traffic, platform, suppressed } = options
     this._random = new RandomService(options.seed)
     this._grpc = new GrpcPeerTransport({ address: '127.0.0.1:0' as NetworkAddress, clock, log, metrics })
     const shaped = new ShapedTransport({ inner: this._grpc, failureDomain, shape, clock, dialTimeout: DIAL_TIMEOUT_MS })
-    this._transport = new FleetTransport({ inner: shaped, clock, region, traffic })
+    this._transport = new FleetTransport({ inner: shaped, clock, region, traffic, suppressed })
     this.acceptance = new AcceptanceService({ ...platform, parser: new DocumentParser(), clock, random: this._random, log })
   }
 
@@ -76,7 +91,8 @@
     const { failureDomain, region, shape, service, controlPlane } = this.options
     shape.domains.set(address, failureDomain)
     this._registerBase()
-    registerControlPlane(this.kernel, { ...controlPlane, self: { failureDomain, region, peerAddress: address, gateAddress: address, software: 'fleet' } })
+    const self = { failureDomain, region, peerAddress: address, gateAddress: address, software: 'fleet' }
+    registerControlPlane(this.kernel, { ...controlPlane, self })
     await this.kernel.start()
     if (service === undefined) return
     const endpoint = { id: `${address}/0` as EndpointId, service, state: 'serving' as const, slots: 9, since: this.clock.now() }
@@ -105,11 +121,13 @@
     return this.get(IReportService)
   }
 
-  /** Submits through this node, as its operator port does. */
-  public async submit (id: string, service: ServiceName, expected: number, text: string | undefined): Promise<SubmissionOutcome> {
-    const submission = { id: id as SubmissionId, service, expected: expected === 0 ? 'new' as const : expected as DocumentVersion, text, author: 'fleet' }
+  /** Submits through this node, as its operator port does; with `isAnswerLost` the node does not learn the outcome. */
+  public async submit (draft: IFleetSubmission, isAnswerLost = false): Promise<SubmissionOutcome> {
+    const { id, service, expected, text } = draft
+    const version = expected === 0 ? 'new' as const : expected as DocumentVersion
+    const submission = { id: id as SubmissionId, service: service as ServiceName, expected: version, text, author: 'fleet' }
     const outcome = await this.acceptance.submit(submission, this.clock.now())
-    if (outcome.kind === 'accepted') this.get(ISourceService).noteAccepted(outcome.change, text ?? '', this.clock.now())
+    if (outcome.kind === 'accepted' && !isAnswerLost) this.get(ISourceService).noteAccepted(outcome.change, text ?? '', this.clock.now())
     return outcome
   }
 
@@ -148,7 +166,7 @@
     this._provide(IInvariantService, this.invariants)
     this._provide(IPeerTransport, this._transport)
     this._provide(IObjectStore, objects)
-    this._provide(IAcceptedDocuments, new AcceptedDocuments({ table, objects }))
+    this._provide(IAcceptedDocuments, new CountingDocuments({ table, objects }, this.options.region, this.options.traffic))
     this._provide(ISnapshotBuilder, new SnapshotBuilder({ parser: new DocumentParser(), invariants: this.invariants }))
   }
 
--- a/testing/fleet/FleetTransport.ts
+++ b/testing/fleet/FleetTransport.ts
@@ -1,26 +1,9 @@
 /** Transport of one node of a fleet: holds messages while it is paused, drops them once it is killed, counts bytes by pair of regions. */
-import { encodePeerMessage } from '../../src/membership/PeerCodec.js'
 import type { IEvent, NetworkAddress, Region } from '../../src/common/Types.js'
 import type { PeerMessage, ReceivedPeerMessage } from '../../src/generated/savoryknot/PeerMessage.js'
 import type { IPeerChannel, IPeerTransport } from '../../src/membership/Services.js'
 import type { PausableClock } from './PausableClock.js'
-
-/** Bytes and messages between regions by `from>to`; inside a region both are equal. */
-export class RegionTraffic {
-  public readonly bytes = new Map<string, number>()
-  public readonly bodies = new Map<string, number>()
-
-  public count (from: Region, to: Region, message: PeerMessage): void {
-    const pair = `${from}>${to}`
-    this.bytes.set(pair, (this.bytes.get(pair) ?? 0) + encodePeerMessage(message).length)
-    if (message.body) this.bodies.set(pair, (this.bodies.get(pair) ?? 0) + 1)
-  }
-
-  public reset (): void {
-    this.bytes.clear()
-    this.bodies.clear()
-  }
-}
+import type { RegionTraffic } from './RegionTraffic.js'
 
 /** What the transport needs. */
 export interface IFleetTransportOptions {
@@ -28,6 +11,8 @@
   readonly clock: PausableClock
   readonly region: Region
   readonly traffic: RegionTraffic
+  /** Kinds of messages that are never sent, for comparisons. */
+  readonly suppressed: ReadonlySet<string>
 }
 
 /** Wraps the shaped transport. */
@@ -89,9 +74,10 @@
 
   public send (message: PeerMessage): boolean {
     if (this._transport.isKilled) return false
-    const { region, traffic } = this._transport.options
+    const { region, traffic, suppressed } = this._transport.options
+    if (suppressed.size > 0 && Object.keys(message).some((kind) => suppressed.has(kind))) return true
     const isSent = this._inner.send(message)
-    if (isSent && this._remoteRegion !== undefined) traffic.count(region, this._remoteRegion, message)
+    if (isSent && this._remoteRegion !== undefined) traffic.countMessage(region, this._remoteRegion, message)
     return isSent
   }
 
