Prove at most once by histories of claims under faults

Cause: a claim's write may be lost, dropped, or take effect long after its sender gave up, and gates may die at any step.

--- /dev/null
+++ b/testing/gate/ClaimWorld.ts
@@ -0,0 +1,201 @@
+/** Several claim services over one table whose operations take effect in an order, and with faults, that the test chooses. */
+import { MetricsService } from '../../src/common/MetricsService.js'
+import type { DocumentVersion, IdempotencyKey, NodeId, RequestId, ResourceName, RouteName, ServiceName, Timestamp } from '../../src/common/Types.js'
+import { ClaimService } from '../../src/gate/ClaimService.js'
+import { GateMetrics } from '../../src/gate/GateMetrics.js'
+import type { CallOutcome, IAnswerSink, ICall } from '../../src/gate/Types.js'
+import { EmbeddedObjectStore } from '../../src/platform/EmbeddedObjectStore.js'
+import { EmbeddedTableService } from '../../src/platform/EmbeddedTableService.js'
+import { OutcomeUnknownError, PlatformUnavailableError } from '../../src/platform/PlatformErrors.js'
+import type { ITableService } from '../../src/platform/Services.js'
+import { ManualClock, settlePromises } from '../ManualClock.js'
+import { RecordingLog } from '../RecordingLog.js'
+
+/** What becomes of one operation on the table. */
+export type DeliveryFault = 'none' | 'down' | 'lost' | 'dropped' | 'late'
+
+/** How a run ends. */
+export type RunEnd = 'answered' | 'unknown' | 'not-run'
+
+/** One step of a history; numbers are taken modulo what there is. */
+export type WorldStep =
+  | { readonly kind: 'request', readonly gate: number, readonly key: number, readonly body: number }
+  | { readonly kind: 'deliver', readonly position: number, readonly fault: DeliveryFault }
+  | { readonly kind: 'finish', readonly position: number, readonly end: RunEnd }
+  | { readonly kind: 'advance', readonly duration: number }
+  | { readonly kind: 'kill', readonly gate: number }
+
+interface IOperation {
+  readonly gate: number
+  deliver (fault: DeliveryFault): Promise<void>
+}
+
+interface IRun {
+  readonly gate: number
+  finish (end: RunEnd): void
+}
+
+/** One request and what became of it. */
+export interface IWorldRequest {
+  readonly key: string
+  readonly body: string
+  outcome: CallOutcome | undefined
+  runs: number
+  text: string
+}
+
+const DEADLINE_MS = 3_000
+const GATES = 3
+const KEYS = 2
+
+/** The world in which histories are played. */
+export class ClaimWorld {
+  public readonly clock = new ManualClock()
+  public readonly requests: IWorldRequest[] = []
+  /** Executions of each key that reached the upstream. */
+  public readonly executions = new Map<string, number>()
+  public hasKilled = false
+  private readonly _table = new EmbeddedTableService()
+  private readonly _operations: IOperation[] = []
+  private readonly _runs: IRun[] = []
+  private readonly _dead = new Set<number>()
+  private readonly _gates = Array.from({ length: GATES }, (_, gate) => this._createGate(gate))
+
+  /** Plays one step. */
+  public async play (step: WorldStep): Promise<void> {
+    if (step.kind === 'request') this._request(step.gate % GATES, step.key % KEYS, step.body)
+    if (step.kind === 'deliver') await take(this._operations, step.position)?.deliver(step.fault)
+    if (step.kind === 'finish') take(this._runs, step.position)?.finish(step.end)
+    if (step.kind === 'advance') await this.clock.advance(step.duration)
+    if (step.kind === 'kill') this._kill(step.gate % GATES)
+    await settlePromises()
+  }
+
+  /** Lets everything that is under way come to its end, without further faults. */
+  public async finish (): Promise<void> {
+    for (let round = 0; round < 60; round++) {
+      while (this._operations.length > 0) await this.play({ kind: 'deliver', position: 0, fault: 'none' })
+      while (this._runs.length > 0) await this.play({ kind: 'finish', position: 0, end: 'answered' })
+      await this.clock.advance(1_000)
+    }
+  }
+
+  private _kill (gate: number): void {
+    this.hasKilled = true
+    this._dead.add(gate)
+    this._gates[gate]?.dispose()
+  }
+
+  private _request (gate: number, keyNumber: number, bodyNumber: number): void {
+    if (this._dead.has(gate)) return
+    const key = `key-${keyNumber}`
+    const request: IWorldRequest = { key, body: `body-${bodyNumber}`, outcome: undefined, runs: 0, text: '' }
+    this.requests.push(request)
+    const sink = createSink((text) => { request.text += text })
+    const call = createCall(key, request.body, this.requests.length, this.clock.now() + DEADLINE_MS)
+    const service = this._gates[gate] as ClaimService
+    service.execute(call, sink, (_content, recorder) => this._run(gate, request, call, service, recorder)).then((outcome) => {
+      if (!this._dead.has(gate)) request.outcome = outcome
+    }, () => { throw new Error('execute rejected') })
+  }
+
+  private _run (gate: number, request: IWorldRequest, call: ICall, service: ClaimService, sink: IAnswerSink): Promise<CallOutcome> {
+    return new Promise((resolve) => {
+      const finish = (end: RunEnd): void => {
+        if (this._dead.has(gate)) return
+        if (end === 'not-run' || !service.takePermission(call)) {
+          resolve({ kind: 'not-run', reason: 'overloaded', step: 'test' })
+          return
+        }
+        request.runs++
+        this.executions.set(request.key, (this.executions.get(request.key) ?? 0) + 1)
+        if (end === 'unknown') {
+          resolve({ kind: 'unknown', reason: 'lost', step: 'test' })
+          return
+        }
+        sink.begin(200, { 'content-type': 'text/plain' })
+        sink.write(Buffer.from(`answer to ${request.body}`))
+        sink.end()
+        resolve({ kind: 'answered', status: 200 })
+      }
+      this._runs.push({ gate, finish })
+    })
+  }
+
+  private _createGate (gate: number): ClaimService {
+    const log = new RecordingLog()
+    return new ClaimService({
+      clock: this.clock,
+      log,
+      metrics: new GateMetrics(new MetricsService()),
+      table: this._slowTable(gate),
+      objects: new EmbeddedObjectStore(),
+      node: `node-${gate}` as NodeId
+    })
+  }
+
+  /** A table whose operations wait until they are delivered. */
+  private _slowTable (gate: number): ITableService {
+    const enqueue = <TResult>(run: () => Promise<TResult>): Promise<TResult> => new Promise((resolve, reject) => {
+      const deliver = async (fault: DeliveryFault): Promise<void> => {
+        if (fault === 'down') reject(new PlatformUnavailableError('down', { step: 'test' }))
+        else if (fault === 'none') resolve(await run())
+        else {
+          reject(new OutcomeUnknownError('lost', { step: 'test' }))
+          if (fault === 'lost') await run()
+          if (fault === 'late') this._operations.push({ gate, deliver: async () => { await run() } })
+        }
+      }
+      this._operations.push({ gate, deliver })
+    })
+    return {
+      read: (reference) => enqueue(() => this._table.read(reference)),
+      scan: (scan) => this._table.scan(scan),
+      transact: (transaction) => enqueue(() => this._table.transact(transaction))
+    }
+  }
+}
+
+function take<TItem> (items: TItem[], position: number): TItem | undefined {
+  return items.length === 0 ? undefined : items.splice(position % items.length, 1)[0]
+}
+
+function createSink (onText: (text: string) => void): IAnswerSink {
+  let hasBegun = false
+  return {
+    get hasBegun () { return hasBegun },
+    onDrained: () => ({ dispose: () => {} }),
+    begin: () => { hasBegun = true },
+    write: (chunk) => {
+      onText(Buffer.from(chunk).toString())
+      return true
+    },
+    end: () => {},
+    abort: () => {}
+  }
+}
+
+function createCall (key: string, body: string, number: number, deadlineAt: number): ICall {
+  const content = Buffer.from(body)
+  return {
+    requestId: `request-${number}` as RequestId,
+    service: 'fees' as ServiceName,
+    route: 'pay' as RouteName,
+    version: 1 as DocumentVersion,
+    targetService: 'fees' as ServiceName,
+    targetResource: 'endpoints' as ResourceName,
+    method: 'POST',
+    path: '/fees',
+    headers: {},
+    body: undefined,
+    bodyContent: content,
+    bodyBytes: content.byteLength,
+    deadlineAt: deadlineAt as Timestamp,
+    class: 'critical',
+    repeat: 'at-most-once',
+    idempotencyKey: key as IdempotencyKey,
+    depth: 0,
+    onCancelled: () => ({ dispose: () => {} }),
+    isCancelled: false
+  }
+}
