--- /dev/null
+++ b/bench/gate/Deployments.ts
@@ -0,0 +1,39 @@
+/** The two deployments as far as the benchmarks of the gate need them. */
+import type { Milliseconds } from '../../src/common/Types.js'
+import type { IPoolResource } from '../../src/documents/Types.js'
+import type { IUpstreamStandInOptions } from '../../testing/upstream/UpstreamStandIn.js'
+
+/** One service of a deployment. */
+export interface IDeployment {
+  readonly name: string
+  readonly service: string
+  readonly endpoints: number
+  readonly upstream: Partial<IUpstreamStandInOptions>
+  readonly pool: Partial<IPoolResource>
+}
+
+/** Time for which a request takes a slot. */
+export const SERVICE_TIME_MS = 100
+
+/** Slots, connections, connection and probe costs are those of the brief. */
+export const DEPLOYMENTS: readonly IDeployment[] = Object.freeze([
+  {
+    name: 'tsagaan',
+    service: 'status',
+    endpoints: 6,
+    upstream: { slots: 9, serviceTimeMs: SERVICE_TIME_MS, connectionCostMs: 1 },
+    pool: { slots: 9, connections: 110, queue: 18, queueTimeout: 200 as Milliseconds, healthInterval: 2_000 as Milliseconds }
+  },
+  {
+    name: 'lakeshore',
+    service: 'gallery',
+    endpoints: 6,
+    upstream: { slots: 6, serviceTimeMs: SERVICE_TIME_MS, connectionCostMs: 1, probeCostMs: 6 },
+    pool: { slots: 6, connections: 120, queue: 12, queueTimeout: 200 as Milliseconds, healthInterval: 2_000 as Milliseconds }
+  }
+])
+
+/** Requests a second that all endpoints of a deployment can run. */
+export function capacityOf (deployment: IDeployment): number {
+  return deployment.endpoints * (deployment.upstream.slots ?? 0) * 1_000 / SERVICE_TIME_MS
+}
--- a/testing/gate/FakeMembership.ts
+++ b/testing/gate/FakeMembership.ts
@@ -11,10 +11,10 @@
   public readonly onRecordChanged = new Emitter<INodeRecord>().event
   /** States in the order in which they were announced. */
   public readonly states: EndpointState[] = []
-  /** When the present state was announced. */
-  public stateSince = 0
   public readonly self: INodeRecord
 
+  private readonly _times: number[] = []
+
   constructor (id: string) {
     this.self = {
       id: id as NodeId,
@@ -34,6 +34,12 @@
     return this.states.at(-1)
   }
 
+  /** The state that was announced last before `time`. */
+  public stateAt (time: number): EndpointState | undefined {
+    const later = this._times.findIndex((announcedAt) => announcedAt > time)
+    return later < 0 ? this.state : this.states[later - 1]
+  }
+
   public endpoints (): readonly IRoutableEndpoint[] {
     return []
   }
@@ -48,7 +54,7 @@
 
   public setEndpointState (_id: EndpointId, state: EndpointState, now: Timestamp): void {
     this.states.push(state)
-    this.stateSince = now
+    this._times.push(now)
   }
 
   public async leave (): Promise<void> {}
--- a/testing/gate/FakeSnapshots.ts
+++ b/testing/gate/FakeSnapshots.ts
@@ -5,7 +5,7 @@
 } from '../../src/common/Types.js'
 import type { ISnapshotService } from '../../src/distribution/Services.js'
 import type {
-  IActiveDocument, ILimitResource, IPoolResource, IRoute, IServiceDocument, ISnapshot, RepeatRule, RequestClass, Resource
+  IActiveDocument, ILimitResource, IPoolResource, IRetryResource, IRoute, IServiceDocument, ISnapshot, RepeatRule, RequestClass, Resource
 } from '../../src/documents/Types.js'
 
 /** What a test varies. */
@@ -13,6 +13,7 @@
   readonly service: string
   readonly pool: Partial<IPoolResource>
   readonly limit: Partial<ILimitResource>
+  readonly retry: Partial<IRetryResource>
   readonly deadlineMs: number
   readonly drainGraceMs: number
 }
@@ -37,6 +38,16 @@
   kind: 'limit', name: 'bodies' as ResourceName, isExported: false, requestBytes: 100_000, responseBytes: 200_000, rate: 0
 })
 
+const DEFAULT_RETRY: IRetryResource = Object.freeze({
+  kind: 'retry',
+  name: 'reads' as ResourceName,
+  isExported: false,
+  attempts: 3,
+  budget: 10,
+  backoff: 25 as Milliseconds,
+  backoffLimit: 250 as Milliseconds
+})
+
 /** Names of the routes that every fake document has. */
 export const FAKE_ROUTES = Object.freeze({ read: 'read', poll: 'poll', file: 'file', pay: 'pay' })
 
@@ -45,11 +56,13 @@
   const service = (options.service ?? 'status') as ServiceName
   const pool: IPoolResource = { ...DEFAULT_POOL, ...options.pool }
   const limit: ILimitResource = { ...DEFAULT_LIMIT, ...options.limit }
+  const retry: IRetryResource = { ...DEFAULT_RETRY, ...options.retry }
   const route = (name: string, repeat: RepeatRule, requestClass: RequestClass): IRoute => ({
     name: name as RouteName,
     method: '*',
-    path: '/**',
+    path: `/${name}/**`,
     target: { service, resource: pool.name },
+    retry: repeat === 'idempotent' ? { service, resource: retry.name } : undefined,
     limit: { service, resource: limit.name },
     repeat,
     class: requestClass,
@@ -60,7 +73,7 @@
     service,
     owner: 'permits' as TeamName,
     objective: { availability: 99.9, latency: 250 as Milliseconds, window: 2_592_000_000 as Milliseconds },
-    resources: [pool, limit],
+    resources: [pool, limit, retry],
     routes: [
       route(FAKE_ROUTES.read, 'idempotent', 'critical'), route(FAKE_ROUTES.poll, 'idempotent', 'background'),
       route(FAKE_ROUTES.file, 'non-idempotent', 'normal'), route(FAKE_ROUTES.pay, 'at-most-once', 'normal')
--- /dev/null
+++ b/testing/gate/GateFleet.ts
@@ -0,0 +1,184 @@
+/** Several gates, each with a stand-in upstream, behind one router, in one process. Only the way to the upstreams uses sockets. */
+import { ClockService } from '../../src/common/ClockService.js'
+import { Emitter } from '../../src/common/Emitter.js'
+import { RandomService } from '../../src/common/RandomService.js'
+import type { EndpointId, Milliseconds, NetworkAddress, NodeId, ServiceName, Timestamp } from '../../src/common/Types.js'
+import type { CallOutcome, IAnswerSink } from '../../src/gate/Types.js'
+import type { IRoutableEndpoint } from '../../src/membership/Types.js'
+import { RouterService } from '../../src/routing/RouterService.js'
+import type { IRemoteGates } from '../../src/routing/Types.js'
+import { FakeSnapshots, createFakeDocument } from './FakeSnapshots.js'
+import { GateRig, type IGateRigOptions } from './GateRig.js'
+
+/** How the fleet is made. */
+export interface IGateFleetOptions {
+  readonly seed: number
+  readonly gates: number
+  readonly rig: Partial<IGateRigOptions>
+  /** Time until the router learns of a state that a gate announced. */
+  readonly announcementDelayMs: number
+}
+
+/** What a caller saw. */
+export interface IFleetAnswer {
+  readonly outcome: CallOutcome
+  readonly durationMs: number
+}
+
+/** Gates that can be replaced while calls go on. */
+export class GateFleet {
+  public readonly rigs: GateRig[] = []
+  public readonly router: RouterService
+  private readonly _options: IGateFleetOptions
+  private readonly _snapshots: FakeSnapshots
+  private readonly _onEndpointsChanged = new Emitter<ReadonlySet<ServiceName>>()
+  private readonly _service: ServiceName
+  private _endpoints: readonly IRoutableEndpoint[] = []
+  /** Gates that are no longer announced but may still be called. */
+  private readonly _retired: GateRig[] = []
+  private _created = 0
+  private readonly _watch: NodeJS.Timeout
+
+  constructor (options: IGateFleetOptions) {
+    this._options = options
+    this._service = (options.rig.document?.service ?? 'status') as ServiceName
+    this._snapshots = new FakeSnapshots([createFakeDocument(options.rig.document)])
+    const sample = new GateRig(options.rig)
+    this.router = new RouterService({
+      snapshots: this._snapshots,
+      membership: { endpoints: () => this._endpoints, onEndpointsChanged: this._onEndpointsChanged.event },
+      remoteGates: this._remoteGates(),
+      location: sample.membership.self,
+      clock: new ClockService(),
+      random: new RandomService(options.seed),
+      log: sample.log,
+      metrics: sample.metrics,
+      invariants: sample.invariants
+    })
+    this._watch = setInterval(() => { this._refresh() }, 5)
+  }
+
+  public async start (): Promise<this> {
+    for (let number = 0; number < this._options.gates; number++) this.rigs.push(await this.create())
+    await new Promise((resolve) => { setTimeout(resolve, this._options.announcementDelayMs + 50) })
+    return this
+  }
+
+  /** Starts one more gate with an upstream of its own. */
+  public async create (): Promise<GateRig> {
+    this._created++
+    return await new GateRig({ ...this._options.rig, name: `node-${this._created}` }).start()
+  }
+
+  public async stop (): Promise<void> {
+    clearInterval(this._watch)
+    await this.router.stop()
+    await Promise.all(this.rigs.map((rig) => rig.stop()))
+  }
+
+  /** Puts another gate in the place of `rig`. */
+  public replace (rig: GateRig, successor: GateRig): void {
+    this.rigs.splice(this.rigs.indexOf(rig), 1, successor)
+    this._retired.push(rig)
+  }
+
+  /** Every gate that there was. */
+  public get all (): readonly GateRig[] {
+    return [...this.rigs, ...this._retired]
+  }
+
+  /** Breaches of invariants at all gates. */
+  public get breaches (): number {
+    return this.all.reduce((sum, rig) => sum + rig.invariants.breaches, 0)
+  }
+
+  /** Sends one call without a body through the router. */
+  public async call (path: string, headers: Record<string, string> = {}): Promise<IFleetAnswer> {
+    const startedAt = performance.now()
+    const request = {
+      service: this._service,
+      method: 'GET',
+      path,
+      headers,
+      body: undefined,
+      bodyBytes: undefined,
+      onCancelled: () => ({ dispose: () => {} }),
+      isCancelled: false
+    }
+    const outcome = await this.router.route(request, createDiscardingSink(), Date.now() as Timestamp)
+    return { outcome, durationMs: performance.now() - startedAt }
+  }
+
+  /** The endpoints as the router may know them by now. */
+  private _refresh (): void {
+    const known = Date.now() - this._options.announcementDelayMs
+    const endpoints = this.rigs.filter(({ membership }) => membership.stateAt(known) === 'serving').map((rig) => this._describe(rig))
+    const isSame = endpoints.length === this._endpoints.length && endpoints.every(({ id }, index) => id === this._endpoints[index]?.id)
+    if (isSame) return
+    this._endpoints = endpoints
+    this._onEndpointsChanged.fire(new Set([this._service]))
+  }
+
+  private _describe (rig: GateRig): IRoutableEndpoint {
+    const { id, failureDomain, region } = rig.membership.self
+    return {
+      id: id as string as EndpointId,
+      service: this._service,
+      state: 'serving',
+      slots: rig.gate.occupancy(this._service)?.slots ?? 0,
+      since: 0 as Timestamp,
+      failureDomain,
+      region,
+      node: id,
+      gateAddress: '127.0.0.1:1' as NetworkAddress,
+      isReachable: true
+    }
+  }
+
+  private _remoteGates (): IRemoteGates {
+    const find = (node: NodeId): GateRig => this.all.find((rig) => rig.membership.self.id === node) as GateRig
+    return {
+      target: ({ node }) => find(node).gate,
+      warm: () => {},
+      retain: () => {},
+      close: async () => {},
+      dispose: () => {}
+    }
+  }
+}
+
+/** Takes an answer and keeps nothing of it. */
+export function createDiscardingSink (): IAnswerSink {
+  let hasBegun = false
+  return {
+    get hasBegun () { return hasBegun },
+    onDrained: () => ({ dispose: () => {} }),
+    begin: () => { hasBegun = true },
+    write: () => true,
+    end: () => {},
+    abort: () => {}
+  }
+}
+
+/** Pauses. */
+export function pause (duration: number): Promise<void> {
+  return new Promise((resolve) => { setTimeout(resolve, duration as Milliseconds) })
+}
+
+/** The value below which a share of the samples lies; 0 without samples. */
+export function quantile (samples: readonly number[], share: number): number {
+  const sorted = [...samples].sort((left, right) => left - right)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0
+}
+
+/** Starts actions at random times with a mean rate, for a time; resolves when the last has been started. */
+export async function startAtRate (rate: number, durationMs: number, random: RandomService, action: () => void): Promise<void> {
+  const begin = performance.now()
+  let next = begin
+  while (next < begin + durationMs) {
+    next += -Math.log(1 - random.fraction()) * 1_000 / rate
+    const wait = next - performance.now()
+    if (wait > 1) await pause(wait)
+    action()
+  }
+}
--- a/testing/upstream/UpstreamStandIn.ts
+++ b/testing/upstream/UpstreamStandIn.ts
@@ -43,6 +43,8 @@
 export class UpstreamStandIn {
   /** Executions by the value of the header `idempotency-key`, or by request id. */
   public readonly executions = new Map<string, number>()
+  /** Request ids that were executed. */
+  public readonly executedRequests = new Set<string>()
   /** Executions begun. */
   public started = 0
   /** Requests whose sender went away before the answer was whole. */
@@ -174,6 +176,7 @@
 
   private _count (message: IncomingMessage): void {
     const key = String(message.headers['idempotency-key'] ?? message.headers[HEADER.requestId])
+    this.executedRequests.add(String(message.headers[HEADER.requestId]))
     this.started++
     this.lastStartAt = Date.now()
     this.executions.set(key, (this.executions.get(key) ?? 0) + 1)
