--- a/src/routing/Burn.test.ts
+++ b/src/routing/Burn.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from '../../testing/ManualClock.js'
 import { createActive, createRoute, createSnapshot, SERVICE } from '../../testing/RoutingFixtures.js'
 import { renderBurnPage } from '../common/BurnPage.js'
-import type { FailureDomain, Milliseconds, ServiceName, Timestamp } from '../common/Types.js'
+import type { FailureDomain, Milliseconds, Region, ServiceName, Timestamp } from '../common/Types.js'
 import type { IBurnMinute, IDomainReport } from '../distribution/Services.js'
 import { isGoodCall } from './BurnRules.js'
 import { BurnService } from './BurnService.js'
@@ -23,7 +23,7 @@
   const burn = new BurnService({
     snapshots: { current: createSnapshot(createActive([createRoute()])) },
     reports: { addBurn: (counts) => { collected.push(...counts) }, read: async () => [report()] },
-    failureDomain: DOMAIN,
+    location: { failureDomain: DOMAIN, region: 'east' as Region },
     clock
   })
   burn.start()
--- a/src/routing/BurnService.ts
+++ b/src/routing/BurnService.ts
@@ -1,7 +1,7 @@
 /** Counts and burn rates of services' objectives. */
 import { Disposable } from '../common/Disposable.js'
 import type { IClockService, IService } from '../common/Services.js'
-import type { FailureDomain, Milliseconds, ServiceName, Timestamp } from '../common/Types.js'
+import type { FailureDomain, ILocation, Milliseconds, ServiceName, Timestamp } from '../common/Types.js'
 import type { IBurnMinute, IReportService, ISnapshotService } from '../distribution/Services.js'
 import type { IBurnSum } from './BurnRing.js'
 import { BURN_WINDOWS_MS, BurnWindows, toBurnWindow } from './BurnWindows.js'
@@ -13,7 +13,8 @@
 export interface IBurnServiceOptions {
   readonly snapshots: Pick<ISnapshotService, 'current'>
   readonly reports: IReportService
-  readonly failureDomain: FailureDomain
+  /** Where this node runs. */
+  readonly location: ILocation
   readonly clock: IClockService
   /** Time between two hand-overs of counts to the collectors. */
   readonly flushIntervalMs?: number
@@ -65,10 +66,11 @@
 
   public local (now: Timestamp): readonly IBurnReport[] {
     const reports: IBurnReport[] = []
+    const { failureDomain } = this._options.location
     for (const [service, windows] of this._windows) {
       const objective = this._objective(service)
       if (objective === undefined) continue
-      reports.push({ service, failureDomain: this._options.failureDomain, objective, windows: windows.read(objective, now) })
+      reports.push({ service, failureDomain, objective, windows: windows.read(objective, now) })
     }
     return reports
   }
