--- /dev/null
+++ b/src/Embedding.test.ts
@@ -0,0 +1,20 @@
+/** Holds the documented public interface and the exports together. */
+import { expect } from 'chai'
+import { readFileSync } from 'node:fs'
+import * as embedding from './Embedding.js'
+
+describe('Embedding', () => {
+  it('exports exactly the classes and functions that typings/savoryknot.d.ts documents', () => {
+    const text = readFileSync(new URL('../typings/savoryknot.d.ts', import.meta.url), 'utf8')
+    const documented = [...text.matchAll(/^export (?:class|function) (\w+)/gm)].map((match) => match[1] as string)
+    const exported = Object.keys(embedding)
+    // The client is made by its function only.
+    expect([...exported, 'MeshClient'].sort()).to.deep.equal(documented.sort())
+  })
+
+  it('documents every part with a comment', () => {
+    const lines = readFileSync(new URL('../typings/savoryknot.d.ts', import.meta.url), 'utf8').split('\n')
+    const bare = lines.filter((line, at) => line.startsWith('export ') && !/(\*\/|\*\/\s*)$/.test(lines[at - 1] ?? ''))
+    expect(bare).to.deep.equal([])
+  })
+})
