Measure the latency that the mesh adds to a call

bench added-latency: direct and routed calls in turn, upstream, nodes and caller in processes of their own, for a call served at the node reached, at another node, and from the embedded library; added p99 is the difference of quantiles.

--- /dev/null
+++ b/bench/AddedLatency.ts
@@ -0,0 +1,135 @@
+/** Latency that the mesh adds to a call, by path. */
+import { createServer, type AddressInfo } from 'node:net'
+import { BOUNDS } from './Bounds.js'
+import { BenchProcess } from './latency/BenchProcess.js'
+import type { CallPath, IBlockResult } from './latency/Protocol.js'
+import type { IBench, IBenchOptions, IFigure } from './Types.js'
+
+const DESIGN_RATE = 91
+const HIGH_RATE = 500
+const BLOCK_MS = 4_000
+const QUICK_BLOCK_MS = 2_000
+const ROUNDS = 6
+const QUICK_ROUNDS = 2
+const WARM_UP_MS = 3_000
+const CLOSED_MS = 3_000
+const MICROSECONDS_PER_MS = 1_000
+const BYTES_PER_MEGABYTE = 1_000_000
+const UPSTREAM_SLOTS = 1_000
+
+const PATHS: readonly CallPath[] = ['one-hop', 'two-hops', 'embedded']
+
+/** The processes of one run. */
+interface IRig {
+  readonly upstream: BenchProcess
+  readonly near: BenchProcess
+  readonly far: BenchProcess
+  readonly caller: BenchProcess
+}
+
+/** Paired calls, direct and through the mesh in turn, in blocks that alternate between the paths. */
+export const ADDED_LATENCY: IBench = {
+  name: 'added-latency',
+  summary: 'latency added to a call served at the node it reached, at another node, and from the embedded library; processor time per call',
+  run: async (options, report) => {
+    const rig = await startRig()
+    try {
+      await warmUp(rig)
+      await measureRate(rig, DESIGN_RATE, options, report)
+      await measureRate(rig, HIGH_RATE, options, report)
+      await measureMost(rig, options, report)
+    } finally {
+      await Promise.all(Object.values(rig).map((process: BenchProcess) => process.stop()))
+    }
+  }
+}
+
+async function startRig (): Promise<IRig> {
+  const upstream = new BenchProcess('./UpstreamProcess.js', { service: 'status', slots: UPSTREAM_SLOTS })
+  const upstreamAddress = (await upstream.next('ready')).addresses.upstream as string
+  const gate = await freeAddress()
+  const endpoints = [{ node: 'near', gateAddress: gate, slots: UPSTREAM_SLOTS }]
+  const near = new BenchProcess('./NodeProcess.js', { id: 'near', upstream: upstreamAddress, gateAddress: gate, endpoints })
+  const nearFront = (await near.next('ready')).addresses.front as string
+  const far = new BenchProcess('./NodeProcess.js', { id: 'far', gateAddress: await freeAddress(), endpoints })
+  const farFront = (await far.next('ready')).addresses.front as string
+  const caller = new BenchProcess('./CallerProcess.js', { upstream: upstreamAddress, gate, nearFront, farFront })
+  await caller.next('ready')
+  return { upstream, near, far, caller }
+}
+
+async function warmUp (rig: IRig): Promise<void> {
+  for (const rate of [0, DESIGN_RATE]) await runBlock(rig, ['direct', ...PATHS], rate, WARM_UP_MS)
+}
+
+async function measureRate (rig: IRig, rate: number, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
+  const direct = new Map<CallPath, number[]>(PATHS.map((path) => [path, []]))
+  const through = new Map<CallPath, number[]>(PATHS.map((path) => [path, []]))
+  const processor = new Map<CallPath, number>()
+  let failures = 0
+  for (let round = 0; round < (options.quick ? QUICK_ROUNDS : ROUNDS); round++) {
+    for (const path of PATHS) {
+      const before = await nodeTime(rig)
+      const result = await runBlock(rig, ['direct', path], rate, options.quick ? QUICK_BLOCK_MS : BLOCK_MS)
+      processor.set(path, (processor.get(path) ?? 0) + await nodeTime(rig) - before)
+      direct.get(path)?.push(...result.latencies.direct ?? [])
+      through.get(path)?.push(...result.latencies[path] ?? [])
+      failures += result.failures
+    }
+  }
+  for (const path of PATHS) {
+    reportPath(path, rate, direct.get(path) ?? [], through.get(path) ?? [], report)
+    const calls = through.get(path)?.length ?? 1
+    report({ name: `${path} processor time of the nodes per call at ${rate}/s`, value: round((processor.get(path) ?? 0) / calls), unit: 'ms' })
+  }
+  report({ name: `failed calls at ${rate}/s`, value: failures, unit: 'calls', bound: BOUNDS.none })
+}
+
+/** Added latency as the difference of quantiles over the paired calls. */
+function reportPath (path: CallPath, rate: number, direct: number[], through: number[], report: (figure: IFigure) => void): void {
+  for (const [label, share] of [['p50', 0.5], ['p99', 0.99]] as const) {
+    report({ name: `${path} ${label} direct at ${rate}/s`, value: round(quantile(direct, share)), unit: 'ms' })
+    report({ name: `${path} ${label} at ${rate}/s`, value: round(quantile(through, share)), unit: 'ms' })
+    const isBound = label === 'p99' && rate === DESIGN_RATE
+    const added = round(quantile(through, share) - quantile(direct, share))
+    report({ name: `${path} ${label} added at ${rate}/s`, value: added, unit: 'ms', ...(isBound ? { bound: BOUNDS.addedLatencyP99Ms } : {}) })
+  }
+}
+
+async function measureMost (rig: IRig, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
+  for (const path of ['direct', ...PATHS] as const) {
+    const result = await runBlock(rig, [path], 0, options.quick ? QUICK_BLOCK_MS : CLOSED_MS)
+    const calls = result.latencies[path]?.length ?? 0
+    report({ name: `${path} most calls a second, 16 at once`, value: Math.round(calls / result.elapsedMs * 1_000), unit: 'calls/s' })
+  }
+  const { residentBytes } = await rig.near.usage()
+  report({ name: 'resident memory of the near node, without control plane, after the load', value: round(residentBytes / BYTES_PER_MEGABYTE), unit: 'MB' })
+}
+
+async function runBlock (rig: IRig, paths: readonly CallPath[], rate: number, durationMs: number): Promise<IBlockResult> {
+  rig.caller.send({ kind: 'block', paths, rate, durationMs })
+  return await rig.caller.next('block-result')
+}
+
+/** Processor time of both nodes so far, in milliseconds. */
+async function nodeTime (rig: IRig): Promise<number> {
+  const usages = await Promise.all([rig.near.usage(), rig.far.usage()])
+  return usages.reduce((sum, usage) => sum + usage.processorMicroseconds, 0) / MICROSECONDS_PER_MS
+}
+
+function quantile (values: number[], share: number): number {
+  const sorted = [...values].sort((left, right) => left - right)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0
+}
+
+function round (value: number): number {
+  return Math.round(value * 1_000) / 1_000
+}
+
+async function freeAddress (): Promise<string> {
+  const server = createServer()
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return `127.0.0.1:${port}`
+}
--- /dev/null
+++ b/bench/latency/StaticMesh.ts
@@ -0,0 +1,106 @@
+/** A mesh whose member view and documents stand still: the path of calls without a control plane. */
+import { Emitter } from '../../src/common/Emitter.js'
+import { InvariantService } from '../../src/common/InvariantService.js'
+import { MetricsService } from '../../src/common/MetricsService.js'
+import { RandomService } from '../../src/common/RandomService.js'
+import { ClockService } from '../../src/common/ClockService.js'
+import type { IClockService, IInvariantService, ILogService, IMetricsService, IRandomService } from '../../src/common/Services.js'
+import type { EndpointId, FailureDomain, ILocation, NetworkAddress, NodeId, Region, ServiceName, Timestamp } from '../../src/common/Types.js'
+import type { ISnapshotService } from '../../src/distribution/Services.js'
+import type { ISnapshot } from '../../src/documents/Types.js'
+import type { IMembershipService } from '../../src/membership/Services.js'
+import type { EndpointState, IEndpoint, INodeRecord, IRoutableEndpoint } from '../../src/membership/Types.js'
+import type { ISettleClient } from '../../src/routing/Types.js'
+import { createActive, createRoute, createSnapshot, SERVICE } from '../../testing/RoutingFixtures.js'
+
+export const LOCATION: ILocation = { failureDomain: 'north' as FailureDomain, region: 'east' as Region }
+const SEED = 20_261_204
+
+/** One endpoint of the mesh. */
+export interface IStaticEndpoint {
+  readonly node: string
+  readonly gateAddress: string
+  readonly failureDomain?: string
+  readonly slots: number
+}
+
+/** What every part of the path uses. */
+export interface IFoundation {
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly log: ILogService
+  readonly metrics: IMetricsService
+  readonly invariants: IInvariantService
+}
+
+/** The foundation of one process; events of level `error` go to standard error. */
+export function createFoundation (seed = SEED): IFoundation {
+  const log: ILogService = {
+    log: (event, fields) => {
+      if (event.level === 'error') process.stderr.write(`${event.name} ${JSON.stringify(fields)}\n`)
+    }
+  }
+  const metrics = new MetricsService()
+  return { clock: new ClockService(), random: new RandomService(seed), log, metrics, invariants: new InvariantService({ log, metrics }) }
+}
+
+/** The documents of the fixtures, with one route and its resources. */
+export function createSnapshots (snapshot: ISnapshot = createSnapshot(createActive([createRoute()]))): ISnapshotService {
+  return { current: snapshot, onReplaced: new Emitter<ISnapshot>().event, rejections: [], offer: () => undefined }
+}
+
+/** A settle client that learns nothing. */
+export const NO_SETTLEMENT: ISettleClient = { settle: async () => undefined, dispose: () => undefined }
+
+/** Member view of the given endpoints; the node's own endpoint states are kept. */
+export class StaticMembership implements IMembershipService {
+  public readonly members = new Map<NodeId, INodeRecord>()
+  public readonly onEndpointsChanged = new Emitter<ReadonlySet<ServiceName>>().event
+  public readonly onRecordChanged = new Emitter<INodeRecord>().event
+  public readonly self: INodeRecord
+  private readonly _endpoints: readonly IRoutableEndpoint[]
+
+  constructor (self: string, endpoints: readonly IStaticEndpoint[]) {
+    this._endpoints = endpoints.map((endpoint, at) => toRoutable(endpoint, at))
+    this.self = {
+      ...LOCATION,
+      id: self as NodeId,
+      peerAddress: '127.0.0.1:1' as NetworkAddress,
+      gateAddress: '127.0.0.1:1' as NetworkAddress,
+      incarnation: 1,
+      sequence: 1,
+      state: 'alive',
+      endpoints: [],
+      software: 'bench'
+    }
+  }
+
+  public endpoints (service: ServiceName): readonly IRoutableEndpoint[] {
+    return service === SERVICE ? this._endpoints : []
+  }
+
+  public domains (): readonly [] {
+    return []
+  }
+
+  public announceEndpoint (_endpoint: IEndpoint): void {}
+
+  public setEndpointState (_id: EndpointId, _state: EndpointState): void {}
+
+  public async leave (): Promise<void> {}
+}
+
+function toRoutable (endpoint: IStaticEndpoint, at: number): IRoutableEndpoint {
+  return {
+    ...LOCATION,
+    ...(endpoint.failureDomain === undefined ? {} : { failureDomain: endpoint.failureDomain as FailureDomain }),
+    id: `endpoint-${at}` as EndpointId,
+    service: SERVICE,
+    state: 'serving',
+    slots: endpoint.slots,
+    since: 0 as Timestamp,
+    node: endpoint.node as NodeId,
+    gateAddress: endpoint.gateAddress as NetworkAddress,
+    isReachable: true
+  }
+}
--- a/src/daemon/CallServices.ts
+++ b/src/daemon/CallServices.ts
@@ -43,7 +43,7 @@
       ...foundationOf(kernel),
       snapshots: kernel.get(ISnapshotService),
       reports: kernel.get(IReportService),
-      failureDomain: kernel.get(IMembershipService).self.failureDomain
+      location: kernel.get(IMembershipService).self
     })
   })
 }
