Make the pages of settings and of savoryknotctl from the code

Cause: pages written by hand drift from the code. Change: docs/SETTINGS.md from the zod schemas, docs/SAVORYKNOTCTL.md and the help command from the commands, a completion script for bash; the pages are held by the test that holds docs/EVENTS.md. Documentation moves to a folder of its own above daemon/ and cli/.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 /** Folders of src/ from the lowest to the highest. A folder imports only from itself and from folders before it. */
-const LAYERS = ['common', 'platform', 'documents', 'membership', 'distribution', 'gate', 'routing', 'daemon', 'cli']
+const LAYERS = ['common', 'platform', 'documents', 'membership', 'distribution', 'gate', 'routing', 'daemon', 'cli', 'documentation']
 
 /** Builds the rule that forbids a folder to import from the folders above it. */
 function forbidImportsAbove (layer, index) {
--- a/src/cli/CommandLine.test.ts
+++ b/src/cli/CommandLine.test.ts
@@ -90,7 +90,7 @@
   it('prints what the reading commands read', async () => {
     const tool = new ToolRun()
     tool.client.texts = ['[service]\nname = status\ndeadline = 1 s\n', '[service]\nname = status\ndeadline = 2 s\n']
-    const lines = ['show status', 'show status --version 1', 'history status', 'diff status 1 2', 'endpoints', 'burn', 'nodes', 'history status --json']
+    const lines = ['show status', 'show status --version 1', 'history status', 'diff status 1 2', 'endpoints', 'burn', 'nodes', 'history status --json', 'help submit', 'completion']
     const codes: number[] = []
     for (const line of lines) codes.push(await tool.run(line))
     expect({ codes, printed: tool.printed }).toMatchSnapshot()
--- a/src/cli/Commands.ts
+++ b/src/cli/Commands.ts
@@ -3,9 +3,11 @@
 import type { IDocumentParser } from '../documents/Services.js'
 import { BurnCommand } from './commands/BurnCommand.js'
 import { CheckCommand } from './commands/CheckCommand.js'
+import { CompletionCommand } from './commands/CompletionCommand.js'
 import { DeleteCommand } from './commands/DeleteCommand.js'
 import { DiffCommand } from './commands/DiffCommand.js'
 import { EndpointsCommand } from './commands/EndpointsCommand.js'
+import { HelpCommand } from './commands/HelpCommand.js'
 import { HistoryCommand } from './commands/HistoryCommand.js'
 import { KeysCommand } from './commands/KeysCommand.js'
 import { NodesCommand } from './commands/NodesCommand.js'
@@ -22,7 +24,7 @@
 
 /** In the order of the help. */
 export function createCommands (options: ICommandsOptions): readonly ICommand[] {
-  return [
+  const commands: readonly ICommand[] = [
     new CheckCommand(options.parser),
     new SubmitCommand(options.parser),
     new DeleteCommand(),
@@ -35,4 +37,5 @@
     new NodesCommand(),
     new KeysCommand(options.clock)
   ]
+  return [...commands, new CompletionCommand(commands), new HelpCommand(commands)]
 }
--- /dev/null
+++ b/src/cli/commands/CompletionCommand.ts
@@ -0,0 +1,37 @@
+/** `savoryknotctl completion`: prints a completion script. */
+import { nameOf } from '../Manual.js'
+import { EXIT_CODE, type ExitCode, type ICommand, type ICommandContext } from '../Types.js'
+
+const COMMON_FLAGS = ['--node', '--json', '--certificate', '--key', '--authority', '--help']
+
+/** Knows the other commands. */
+export class CompletionCommand implements ICommand {
+  public readonly usage = 'completion'
+  public readonly summary = 'Print a completion script for bash'
+  public readonly options = []
+  public readonly example = 'savoryknotctl completion > savoryknotctl.bash'
+
+  constructor (private readonly _commands: readonly ICommand[]) {}
+
+  public async run (context: ICommandContext): Promise<ExitCode> {
+    const cases = this._commands.map((command) => `    ${nameOf(command)}) words="${flagsOf(command).join(' ')}" ;;`)
+    context.output.line([
+      '_savoryknotctl () {',
+      '  local words',
+      // Commands come first; file names complete after flags and arguments.
+      `  case "\${COMP_WORDS[1]}" in`,
+      ...cases,
+      `    *) words="${this._commands.map(nameOf).join(' ')}" ;;`,
+      '  esac',
+      `  COMPREPLY=($(compgen -W "$words" -- "\${COMP_WORDS[COMP_CWORD]}") $(compgen -f -- "\${COMP_WORDS[COMP_CWORD]}"))`,
+      '}',
+      'complete -F _savoryknotctl savoryknotctl'
+    ].join('\n'))
+    return EXIT_CODE.done
+  }
+}
+
+/** Flags of a command without their values. */
+function flagsOf (command: ICommand): string[] {
+  return [...command.options.map((option) => option.flag.split(' ')[0] ?? ''), ...COMMON_FLAGS]
+}
--- a/src/daemon/documentation/EventCatalogue.ts
+++ b/src/documentation/EventCatalogue.ts
@@ -1,13 +1,13 @@
 /** All events of the program. */
-import { COMMON_EVENTS } from '../../common/Events.js'
-import type { IEventDefinition } from '../../common/Services.js'
-import { DOCUMENTS_EVENTS } from '../../documents/Events.js'
-import { DISTRIBUTION_EVENTS } from '../../distribution/Events.js'
-import { GATE_EVENTS } from '../../gate/Events.js'
-import { MEMBERSHIP_EVENTS } from '../../membership/Events.js'
-import { PLATFORM_EVENTS } from '../../platform/Events.js'
-import { ROUTING_EVENTS } from '../../routing/Events.js'
-import { DAEMON_EVENTS } from '../Events.js'
+import { COMMON_EVENTS } from '../common/Events.js'
+import type { IEventDefinition } from '../common/Services.js'
+import { DOCUMENTS_EVENTS } from '../documents/Events.js'
+import { DISTRIBUTION_EVENTS } from '../distribution/Events.js'
+import { GATE_EVENTS } from '../gate/Events.js'
+import { MEMBERSHIP_EVENTS } from '../membership/Events.js'
+import { PLATFORM_EVENTS } from '../platform/Events.js'
+import { ROUTING_EVENTS } from '../routing/Events.js'
+import { DAEMON_EVENTS } from '../daemon/Events.js'
 
 /** Every event, in the order of its number. */
 export const ALL_EVENTS: readonly IEventDefinition[] = [
--- a/src/daemon/documentation/Pages.test.ts
+++ b/src/documentation/Pages.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import { readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
-import type { IEventDefinition } from '../../common/Services.js'
+import type { IEventDefinition } from '../common/Services.js'
 import { ALL_EVENTS } from './EventCatalogue.js'
 import { PAGES } from './Pages.js'
 
--- /dev/null
+++ b/src/documentation/Pages.ts
@@ -0,0 +1,22 @@
+/** Pages of docs/ that are made from the code. */
+import { ClockService } from '../common/ClockService.js'
+import { createCommands } from '../cli/Commands.js'
+import { writeManualPage } from '../cli/Manual.js'
+import { DocumentParser } from '../documents/DocumentParser.js'
+import { writeDocumentsPage } from '../documents/ReferencePage.js'
+import { ALL_EVENTS, writeEventsPage } from './EventCatalogue.js'
+import { writeSettingsPage } from './SettingsPage.js'
+
+/** One page. */
+export interface IPage {
+  /** Relative to the repository. */
+  readonly file: string
+  write (): string
+}
+
+export const PAGES: readonly IPage[] = Object.freeze([
+  { file: 'docs/EVENTS.md', write: () => writeEventsPage(ALL_EVENTS) },
+  { file: 'docs/DOCUMENTS.md', write: writeDocumentsPage },
+  { file: 'docs/SETTINGS.md', write: writeSettingsPage },
+  { file: 'docs/SAVORYKNOTCTL.md', write: () => writeManualPage(createCommands({ parser: new DocumentParser(), clock: new ClockService() })) }
+])
