--- a/src/cli/commands/CompletionCommand.ts
+++ b/src/cli/commands/CompletionCommand.ts
@@ -14,16 +14,17 @@
   constructor (private readonly _commands: readonly ICommand[]) {}
 
   public async run (context: ICommandContext): Promise<ExitCode> {
+    const current = expand('COMP_WORDS[COMP_CWORD]')
     const cases = this._commands.map((command) => `    ${nameOf(command)}) words="${flagsOf(command).join(' ')}" ;;`)
     context.output.line([
       '_savoryknotctl () {',
       '  local words',
       // Commands come first; file names complete after flags and arguments.
-      `  case "\${COMP_WORDS[1]}" in`,
+      `  case "${expand('COMP_WORDS[1]')}" in`,
       ...cases,
       `    *) words="${this._commands.map(nameOf).join(' ')}" ;;`,
       '  esac',
-      `  COMPREPLY=($(compgen -W "$words" -- "\${COMP_WORDS[COMP_CWORD]}") $(compgen -f -- "\${COMP_WORDS[COMP_CWORD]}"))`,
+      `  COMPREPLY=($(compgen -W "$words" -- "${current}") $(compgen -f -- "${current}"))`,
       '}',
       'complete -F _savoryknotctl savoryknotctl'
     ].join('\n'))
@@ -31,6 +32,11 @@
   }
 }
 
+/** A parameter expansion of the shell. */
+function expand (expression: string): string {
+  return `$\{${expression}}`
+}
+
 /** Flags of a command without their values. */
 function flagsOf (command: ICommand): string[] {
   return [...command.options.map((option) => option.flag.split(' ')[0] ?? ''), ...COMMON_FLAGS]
