Run whole processes under random faults

Cause: kills, pauses, planned stops, herds, platform faults and racing operators were proved in one process only.

--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -6,6 +6,7 @@
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
+import { SYSTEM_BENCH } from './system/SystemBench.js'
 import type { IBench } from './Types.js'
 
 export const BENCHES: readonly IBench[] = Object.freeze([
@@ -15,5 +16,6 @@
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
-  OVERLOAD_BENCH
+  OVERLOAD_BENCH,
+  SYSTEM_BENCH
 ])
--- a/testing/demonstration/NodeProcess.ts
+++ b/testing/demonstration/NodeProcess.ts
@@ -102,6 +102,21 @@
     await this._exit
   }
 
+  /** Pauses the process, as a stalled VM does. */
+  public freeze (): void {
+    this._child?.kill('SIGSTOP')
+  }
+
+  /** Lets a paused process go on. */
+  public resume (): void {
+    this._child?.kill('SIGCONT')
+  }
+
+  /** True while the process runs, paused or not. */
+  public get isRunning (): boolean {
+    return this._child !== undefined && this._child.exitCode === null && this._child.signalCode === null
+  }
+
   private _keepLines (text: string): void {
     this._lastLines = [...this._lastLines, ...text.split('\n').filter((line) => line !== '')].slice(-20)
   }
--- a/testing/demonstration/Steps.ts
+++ b/testing/demonstration/Steps.ts
@@ -45,7 +45,8 @@
   return result.output
 }
 
-async function submitNew (deployment: Deployment, service: string): Promise<string> {
+/** Submits an example document that is new. */
+export async function submitNew (deployment: Deployment, service: string): Promise<string> {
   const words = ['submit', join(EXAMPLES, `${service}.ini`), '--expect', 'new', '--author', 'demonstration']
   return requireExit(await runTool(operatorOf(deployment, 0), words), 0)
 }
