Call the platform unavailable after three failures in a row

Cause: in a trial with one node and lost answers the log told of an unavailable platform and of its return with each write. Change: the event 2001 follows the third failure in a row.

--- a/src/platform/Events.ts
+++ b/src/platform/Events.ts
@@ -5,7 +5,7 @@
   number: 2001,
   name: 'platform-unavailable',
   level: 'warn',
-  meaning: 'The platform stopped answering. Logged once until it answers again. Nodes go on with what they have; submissions are refused.'
+  meaning: 'Three requests in a row had no answer. Logged once until there is one. Nodes go on with what they have; submissions are refused.'
 })
 
 export const PLATFORM_AVAILABLE: IEventDefinition = Object.freeze({
--- a/src/platform/PlatformHttpClient.ts
+++ b/src/platform/PlatformHttpClient.ts
@@ -55,6 +55,7 @@
 const METRIC_NAME = 'savoryknot_platform_request_seconds'
 const MILLISECONDS_PER_SECOND = 1_000
 const LATENCY_BUCKETS_SECONDS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10]
+const FAILURES_UNTIL_UNAVAILABLE = 3
 /** Largest answer read, in bytes. */
 const MAXIMUM_ANSWER_BYTES = 67_108_864
 /** Errors that arise before a byte of the request was sent. */
@@ -71,6 +72,7 @@
   private readonly _origin: string
   private readonly _prefix: string
   private _isAvailable = true
+  private _failures = 0
 
   constructor (services: IPlatformHttpServices, options: Pick<IPlatformHttpOptions, 'url'> & Partial<IPlatformHttpOptions>) {
     this._services = services
@@ -93,7 +95,7 @@
     let outcome = 'answered'
     try {
       const answer = await this._send(request)
-      this._noteAvailable(true, request.step)
+      this._noteAnswer(request.step)
       return answer
     } catch (error) {
       outcome = error instanceof OutcomeUnknownError ? 'unknown' : 'unavailable'
@@ -139,17 +141,22 @@
     return new OutcomeUnknownError('answer of the platform was lost', origin)
   }
 
-  private _noteFailure (error: unknown, step: string): void {
-    const { log } = this._services
-    if (error instanceof OutcomeUnknownError) log.log(PLATFORM_ANSWER_LOST, { step, peer: this._origin, reason: error.message })
-    this._noteAvailable(false, step)
+  private _noteAnswer (step: string): void {
+    this._failures = 0
+    if (this._isAvailable) return
+    this._isAvailable = true
+    this._services.log.log(PLATFORM_AVAILABLE, { step, peer: this._origin })
   }
 
-  /** Logs changes only. */
-  private _noteAvailable (isAvailable: boolean, step: string): void {
-    if (isAvailable === this._isAvailable) return
-    this._isAvailable = isAvailable
-    this._services.log.log(isAvailable ? PLATFORM_AVAILABLE : PLATFORM_UNAVAILABLE, { step, peer: this._origin })
+  /** Calls the platform unavailable after some failures in a row, so that single ones do not fill the log. */
+  private _noteFailure (error: unknown, step: string): void {
+    const { log } = this._services
+    const fields = { step, peer: this._origin, reason: error instanceof Error ? error.message : String(error) }
+    if (error instanceof OutcomeUnknownError) log.log(PLATFORM_ANSWER_LOST, fields)
+    this._failures++
+    if (!this._isAvailable || this._failures < FAILURES_UNTIL_UNAVAILABLE) return
+    this._isAvailable = false
+    log.log(PLATFORM_UNAVAILABLE, fields)
   }
 
   private _createDispatcher (): Dispatcher {
