Keep bursts of submissions under the store's rate

Change: attempts of one node run one after the other, the first backoff is 200 ms and the limit 4 s.

--- a/src/documents/AcceptanceService.ts
+++ b/src/documents/AcceptanceService.ts
@@ -5,6 +5,7 @@
 import { OutcomeUnknownError, PlatformUnavailableError } from '../platform/PlatformErrors.js'
 import type { IObjectStore, ITableService } from '../platform/Services.js'
 import { AcceptanceAttempt, type AttemptOutcome } from './AcceptanceAttempt.js'
+import { AttemptQueue } from './AttemptQueue.js'
 import { checkSubmission, type ICheckedSubmission } from './CheckedSubmission.js'
 import { DOCUMENT_ACCEPTED, DOCUMENT_REFUSED, SUBMISSION_RETRIED, SUBMISSION_UNDECIDED } from './Events.js'
 import type { IAcceptanceService, IDocumentParser } from './Services.js'
@@ -25,7 +26,7 @@
 
 /** Defaults of `AcceptanceService`. */
 export const DEFAULT_ACCEPTANCE_OPTIONS: IAcceptanceOptions = Object.freeze({
-  attempts: 20, lostAnswers: 3, backoff: 10 as Milliseconds, backoffLimit: 500 as Milliseconds
+  attempts: 20, lostAnswers: 3, backoff: 200 as Milliseconds, backoffLimit: 4_000 as Milliseconds
 })
 
 /** What acceptance needs. */
@@ -46,6 +47,7 @@
 export class AcceptanceService implements IAcceptanceService {
   private readonly _services: IAcceptanceServices
   private readonly _options: IAcceptanceOptions
+  private readonly _queue = new AttemptQueue()
   private readonly _onAccepted = new Emitter<IAcceptedChange>()
   public readonly onAccepted: IEvent<IAcceptedChange> = this._onAccepted.event
 
@@ -57,7 +59,7 @@
   public async submit (submission: ISubmission, now: Timestamp): Promise<SubmissionOutcome> {
     const checked = checkSubmission(submission, this._services.parser)
     const outcome: SubmissionOutcome = 'submission' in checked
-      ? await new Acceptance(this._services, this._options, checked, now).run()
+      ? await new Acceptance(this._services, this._options, this._queue, checked, now).run()
       : { kind: 'invalid', faults: checked }
     this._log(submission, outcome)
     if (outcome.kind === 'accepted' && !outcome.isRepeat) this._onAccepted.fire(outcome.change)
@@ -85,6 +87,7 @@
   constructor (
     private readonly _services: IAcceptanceServices,
     private readonly _options: IAcceptanceOptions,
+    private readonly _queue: AttemptQueue,
     private readonly _checked: ICheckedSubmission,
     private readonly _now: Timestamp
   ) {}
@@ -101,7 +104,7 @@
 
   private async _run (): Promise<SubmissionOutcome> {
     for (let attempt = 1; attempt <= this._options.attempts; attempt++) {
-      const outcome = await this._attempt()
+      const outcome = await this._queue.run(() => this._attempt())
       if (outcome.kind !== 'overtaken') return outcome
       await this._backOff(attempt)
     }
