--- a/src/membership/OverlayService.ts
+++ b/src/membership/OverlayService.ts
@@ -261,7 +261,7 @@
 
   /** Closes links that this node dialled and does not want, once those that it wants are open. */
   private _closeUnneeded (wanted: readonly NodeId[]): void {
-    if (wanted.some((id) => this._table.get(id) === undefined)) return
+    if (wanted.length === 0 || wanted.some((id) => this._table.get(id) === undefined)) return
     const isGateway = this._options.roles.isHeldBySelf('gateway')
     for (const link of this.links) {
       if (!link.isDialled) continue
--- a/testing/fleet/Fleet.ts
+++ b/testing/fleet/Fleet.ts
@@ -20,6 +20,8 @@
   readonly controlPlane: Omit<IControlPlaneOptions, 'self'>
   /** Nodes that are started at the same time. */
   readonly startedTogether: number
+  /** A platform that others use too; an own one by default. */
+  readonly platform?: FaultyPlatform
 }
 
 /** Defaults of `Fleet`. */
@@ -51,7 +53,7 @@
     this._options = { ...DEFAULT_FLEET_OPTIONS, ...options }
     this.random = new RandomService(this._options.seed)
     this.shape = new FleetShape(this._options.latencies)
-    this.platform = new FaultyPlatform({ clock: this.clock, random: this.random })
+    this.platform = this._options.platform ?? new FaultyPlatform({ clock: this.clock, random: this.random })
     this._ways = Array.from({ length: this._options.domains }, () => this.platform.connect())
     this.healStore()
   }
@@ -74,7 +76,7 @@
   }
 
   /** Starts one node in a failure domain. */
-  public async addTo (domain: number, service?: ServiceName): Promise<FleetNode> {
+  public async addTo (domain: number, service?: ServiceName, controlPlane = this._options.controlPlane): Promise<FleetNode> {
     const node = new FleetNode({
       failureDomain: domainName(domain),
       region: regionOf(domain),
@@ -82,7 +84,7 @@
       shape: this.shape,
       traffic: this.traffic,
       platform: this._ways[domain],
-      controlPlane: this._options.controlPlane,
+      controlPlane,
       service
     })
     this.nodes.push(node)
