--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -2,6 +2,7 @@
 import { ADDED_LATENCY } from './AddedLatency.js'
 import { AT_REST } from './AtRest.js'
 import { CONTROL_BYTES } from './ControlBytes.js'
+import { CONTROL_COST_BENCH } from './ControlCostBench.js'
 import { CONVERGENCE } from './Convergence.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
@@ -13,6 +14,7 @@
   ADDED_LATENCY,
   AT_REST,
   CONTROL_BYTES,
+  CONTROL_COST_BENCH,
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
