Run random faults for long over real sockets, checked from outside

Checked from outside: versions never fall, no version is accepted twice, no report counts more members than have a version.

--- /dev/null
+++ b/bench/Soak.ts
@@ -0,0 +1,83 @@
+/** A long randomised run with every fault, all invariants on, and checks from outside after each recovery. */
+import type { Milliseconds, ServiceName } from '../src/common/Types.js'
+import { Fleet } from '../testing/fleet/Fleet.js'
+import { BOUNDS } from './Bounds.js'
+import { SETTLE_LIMIT_MS } from './fleet/Sizes.js'
+import { SoakActions } from './fleet/SoakActions.js'
+import { SoakModel } from './fleet/SoakModel.js'
+import type { IBench, IBenchOptions, IFigure } from './Types.js'
+
+/** Upstream VMs of today, three a failure domain. */
+const NODES = 18
+/** Actions between two recoveries. */
+const ACTIONS = 30
+const ACTION_INTERVAL_MS = 800
+const LIMIT_MS = 30_000
+const QUICK_MINUTES = 0.5
+const MINUTE_MS = 60_000
+
+/** Times from the end of the faults. */
+interface IRecovery {
+  /** Until every node has the newest version of every service in force. */
+  readonly agreed: number
+  /** Until the reports say so, too. */
+  readonly reported: number
+}
+
+/** Time from `start` until the condition holds; `LIMIT_MS` if it does not. */
+async function timeUntil (fleet: Fleet, start: number, holds: () => Promise<boolean>): Promise<number> {
+  while (performance.now() - start < LIMIT_MS) {
+    if (await holds()) return performance.now() - start
+    await fleet.clock.sleep(20 as Milliseconds)
+  }
+  return LIMIT_MS
+}
+
+/** One round of faults and the recovery from them. */
+async function runRound (fleet: Fleet, model: SoakModel, actions: SoakActions): Promise<IRecovery> {
+  for (let count = 0; count < ACTIONS; count++) {
+    await actions.runOne()
+    await fleet.clock.sleep(fleet.random.integer(ACTION_INTERVAL_MS) as Milliseconds)
+    await model.checkReports()
+  }
+  await actions.recover()
+  const start = performance.now()
+  await actions.awaitSubmissions()
+  const agreed = await timeUntil(fleet, start, () => model.agrees())
+  const reported = await timeUntil(fleet, start, () => model.isReportedComplete())
+  return { agreed, reported }
+}
+
+async function run (options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
+  const fleet = new Fleet({ seed: options.seed })
+  const model = new SoakModel(fleet)
+  const actions = new SoakActions(fleet, model)
+  const recoveries: IRecovery[] = []
+  try {
+    await fleet.add(NODES, () => 'service-0' as ServiceName)
+    if (await fleet.until(() => fleet.isSettled, SETTLE_LIMIT_MS) === undefined) throw new Error('the fleet did not settle')
+    model.watchAll()
+    const end = performance.now() + (options.quick ? QUICK_MINUTES : options.minutes) * MINUTE_MS
+    while (performance.now() < end) recoveries.push(await runRound(fleet, model, actions))
+    reportRun(recoveries, fleet, model, report)
+  } finally {
+    await fleet.stop()
+  }
+  for (const [name, count] of [...actions.counts].sort()) report({ name: `actions-${name}`, value: count, unit: 'times' })
+}
+
+function reportRun (recoveries: readonly IRecovery[], fleet: Fleet, model: SoakModel, report: (figure: IFigure) => void): void {
+  report({ name: 'recoveries', value: recoveries.length, unit: 'recoveries' })
+  report({ name: 'agree-after-recovery-max', value: Math.max(...recoveries.map((each) => each.agreed)), unit: 'ms', bound: BOUNDS.convergenceMs })
+  report({ name: 'reported-after-recovery-max', value: Math.max(...recoveries.map((each) => each.reported)), unit: 'ms' })
+  report({ name: 'breaches', value: fleet.breaches, unit: 'breaches of invariants', bound: BOUNDS.none })
+  report({ name: 'steps-back', value: model.stepsBack, unit: 'versions that fell, seen from outside', bound: BOUNDS.none })
+  report({ name: 'double-versions', value: model.doubleVersions, unit: 'versions accepted twice', bound: BOUNDS.none })
+  report({ name: 'reports-ahead', value: model.reportsAhead, unit: 'reports that counted too much', bound: BOUNDS.none })
+}
+
+export const SOAK: IBench = Object.freeze({
+  name: 'soak',
+  summary: 'A long randomised run of changes, races, kills, pauses, cuts and faults of the store.',
+  run
+})
