--- a/src/membership/BootstrapService.ts
+++ b/src/membership/BootstrapService.ts
@@ -3,7 +3,6 @@
 import { DIRECTORY_SLOT_TAKEN, DIRECTORY_UNAVAILABLE, JOIN_ATTEMPT_FAILED, JOINED } from './Events.js'
 import { JoinRefusedError } from './MembershipErrors.js'
 import { DEFAULT_BOOTSTRAP_SETTINGS, type IBootstrapSettings } from './Options.js'
-import { aliveMembers } from './OverlayTargets.js'
 import { isNetworkAddress } from './RecordCodec.js'
 import { shuffle } from './Shuffle.js'
 import type { IClockService, ILogService, IRandomService, IService } from '../common/Services.js'
@@ -11,12 +10,20 @@
 import type { DirectoryService } from './DirectoryService.js'
 import type { IDirectoryEntry, IDirectoryRead } from './DirectoryTypes.js'
 import type { MembershipService } from './MembershipService.js'
-import type { OverlayService } from './OverlayService.js'
+import type { IPeerLink } from './Services.js'
+import type { INodeRecord } from './Types.js'
+
+/** What the bootstrap uses of the overlay. */
+export interface IContacts {
+  readonly links: readonly IPeerLink[]
+  /** Opens a link; rejects with `JoinRefusedError` or another error. */
+  contact (address: NetworkAddress): Promise<INodeRecord>
+}
 
 /** What the bootstrap needs. */
 export interface IBootstrapServiceOptions {
   readonly membership: MembershipService
-  readonly overlay: OverlayService
+  readonly overlay: IContacts
   readonly directory: DirectoryService
   readonly clock: IClockService
   readonly random: IRandomService
@@ -100,7 +107,7 @@
   private _candidates (entries: readonly IDirectoryEntry[]): readonly NetworkAddress[] {
     const { membership, random } = this._options
     const { self } = membership
-    const known = aliveMembers(membership, self.failureDomain)
+    const known = membership.aliveIn(self.failureDomain).values()
     const addresses = new Set<NetworkAddress>([...entries, ...known].map((member) => member.peerAddress))
     for (const peer of this._settings.peers) {
       if (isNetworkAddress(peer)) addresses.add(peer)
