--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -3,6 +3,7 @@
 import { CONTROL_BYTES } from './ControlBytes.js'
 import { CONVERGENCE } from './Convergence.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
+import { DISTRIBUTION_COST } from './DistributionCost.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
 import { SOAK } from './Soak.js'
@@ -13,6 +14,7 @@
   CONTROL_BYTES,
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
+  DISTRIBUTION_COST,
   DRAIN_BENCH,
   OVERLOAD_BENCH,
   SOAK
