--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -4,6 +4,8 @@
 import { CONTROL_BYTES } from './ControlBytes.js'
 import { CONTROL_COST_BENCH } from './ControlCostBench.js'
 import { CONVERGENCE } from './Convergence.js'
+import { DISTRIBUTION_COST } from './DistributionCost.js'
+import { SOAK } from './Soak.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
@@ -16,6 +18,8 @@
   CONTROL_BYTES,
   CONTROL_COST_BENCH,
   CONVERGENCE,
+  DISTRIBUTION_COST,
+  SOAK,
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
   OVERLOAD_BENCH,
