--- a/testing/fleet/Fleet.ts
+++ b/testing/fleet/Fleet.ts
@@ -20,13 +20,10 @@
   readonly controlPlane: Omit<IControlPlaneOptions, 'self'>
   /** Nodes that are started at the same time. */
   readonly startedTogether: number
-<<<<<<< HEAD
   /** Kinds of messages that no node sends, for comparisons. */
   readonly suppressed: ReadonlySet<string>
-=======
   /** A platform that others use too; an own one by default. */
   readonly platform?: FaultyPlatform
->>>>>>> area-membership
 }
 
 /** Defaults of `Fleet`. */
@@ -93,14 +90,9 @@
       shape: this.shape,
       traffic: this.traffic,
       platform: this._ways[domain],
-<<<<<<< HEAD
-      controlPlane: this._options.controlPlane,
+      controlPlane,
       service,
       suppressed: this._options.suppressed
-=======
-      controlPlane,
-      service
->>>>>>> area-membership
     })
     this.nodes.push(node)
     await node.start()
--- a/testing/gate/FakeMembership.ts
+++ b/testing/gate/FakeMembership.ts
@@ -34,15 +34,14 @@
     return this.states.at(-1)
   }
 
-<<<<<<< HEAD
   /** The state that was announced last before `time`. */
   public stateAt (time: number): EndpointState | undefined {
     const later = this._times.findIndex((announcedAt) => announcedAt > time)
     return later < 0 ? this.state : this.states[later - 1]
-=======
+  }
+
   public presentIn (): ReadonlyMap<NodeId, INodeRecord> {
     return this.members
->>>>>>> area-membership
   }
 
   public endpoints (): readonly IRoutableEndpoint[] {
