--- a/bench/latency/StaticMesh.ts
+++ b/bench/latency/StaticMesh.ts
@@ -79,6 +79,10 @@
     return service === SERVICE ? this._endpoints : []
   }
 
+  public presentIn (): ReadonlyMap<NodeId, INodeRecord> {
+    return this.members
+  }
+
   public domains (): readonly [] {
     return []
   }
