--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -1,8 +1,15 @@
 /** Runs benchmarks: `npm run --silent bench -- NAME [--baseline] [--quick] [--seed N] [--minutes N]`; without a name, all of them. */
+import { writeFile } from 'node:fs/promises'
 import { cac } from 'cac'
 import { BENCHES } from './Benches.js'
-import type { IBench, IBenchOptions, IFigure } from './Types.js'
+import { runInProcess } from './BenchProcess.js'
+import { writeBenchTable } from './BenchTable.js'
+import type { IBench, IBenchOptions, IFigure, IPrintedFigure } from './Types.js'
 
+const EXIT_DONE = 0
+const EXIT_FAILED = 1
+const EXIT_INVALID = 2
+const TABLE_FILE = 'docs/BENCHMARKS.md'
 const DEFAULT_SEED = 20_261_204
 const DEFAULT_MINUTES = 2
 
@@ -12,7 +19,7 @@
   return figure.direction === 'at-least' ? figure.value >= figure.bound : figure.value <= figure.bound
 }
 
-/** Runs one benchmark, prints its figures, tells whether every bound held. */
+/** Runs one benchmark in this process, prints its figures, tells whether every bound held. */
 async function runOne (bench: IBench, options: IBenchOptions): Promise<boolean> {
   let allHold = true
   await bench.run(options, (figure) => {
@@ -24,6 +31,30 @@
   return allHold
 }
 
+/** Runs all benchmarks, each in a process of its own, and writes the table; a quick run prints it only. */
+async function runAll (options: IBenchOptions): Promise<boolean> {
+  const figures: IPrintedFigure[] = []
+  const failed: string[] = []
+  for (const bench of BENCHES) {
+    const result = await runInProcess(bench.name, options)
+    figures.push(...result.figures)
+    if (!result.allHold) failed.push(bench.name)
+  }
+  const command = `npm run bench${options.quick ? ' -- --quick' : ''}`
+  const table = writeBenchTable(figures, { command, seed: options.seed, finishedAt: new Date() })
+  if (options.quick) process.stdout.write(`\n${table}`)
+  else await writeFile(TABLE_FILE, table)
+  if (failed.length > 0) process.stdout.write(`\nbounds failed in: ${failed.join(', ')}\n`)
+  return failed.length === 0
+}
+
+/** Options as the command line gives them. */
+function readOptions (options: Readonly<Record<string, unknown>>): IBenchOptions {
+  return {
+    seed: Number(options.seed), minutes: Number(options.minutes), baseline: options.baseline === true, quick: options.quick === true
+  }
+}
+
 /** Parses the command line and runs what it names. */
 async function main (): Promise<number> {
   const command = cac('bench')
@@ -33,21 +64,13 @@
   command.option('--quick', 'A shorter run')
   command.help()
   const { args, options } = command.parse()
-  if (options.help === true) return 0
-  const chosen = args.length === 0 ? BENCHES : BENCHES.filter((bench) => args.includes(bench.name))
-  if (chosen.length === 0) {
-    process.stderr.write(`no such benchmark: ${args.join(' ')}; there are ${BENCHES.map((bench) => bench.name).join(', ')}\n`)
-    return 2
-  }
-  const benchOptions: IBenchOptions = {
-    seed: Number(options.seed), minutes: Number(options.minutes), baseline: options.baseline === true, quick: options.quick === true
-  }
-  let allHold = true
-  for (const bench of chosen) {
-    const isHeld = await runOne(bench, benchOptions)
-    allHold = allHold && isHeld
-  }
-  return allHold ? 0 : 1
+  if (options.help === true) return EXIT_DONE
+  const benchOptions = readOptions(options)
+  if (args.length === 0) return await runAll(benchOptions) ? EXIT_DONE : EXIT_FAILED
+  const bench = BENCHES.find((candidate) => candidate.name === args[0])
+  if (bench !== undefined) return await runOne(bench, benchOptions) ? EXIT_DONE : EXIT_FAILED
+  process.stderr.write(`no such benchmark: ${args[0]}; there are ${BENCHES.map((candidate) => candidate.name).join(', ')}\n`)
+  return EXIT_INVALID
 }
 
-process.exitCode = await main()
+process.exit(await main())
--- a/bench/Types.ts
+++ b/bench/Types.ts
@@ -11,6 +11,14 @@
   readonly direction?: 'at-most' | 'at-least'
 }
 
+/** A figure as it is printed. */
+export interface IPrintedFigure extends IFigure {
+  readonly bench: string
+  /** Undefined for a figure without a bound. */
+  readonly holds?: boolean
+  readonly seed: number
+}
+
 /** Arguments of a benchmark run. */
 export interface IBenchOptions {
   readonly seed: number
