Give each part of the system run its own random numbers

Change: a generator each. Also prints the last events of a node that did not stop with exit code 0, which was seen once under load.

--- a/bench/system/SystemBench.ts
+++ b/bench/system/SystemBench.ts
@@ -27,14 +27,17 @@
 
 async function run (options: IBenchOptions, report: Report): Promise<void> {
   const deployment = new Deployment()
-  const random = new RandomService(options.seed)
+  // Each part draws from its own numbers, so that the faults of a seed do not depend on the speed of the calls.
+  const callRandom = new RandomService(options.seed)
+  const operatorRandom = new RandomService(options.seed + 1)
+  const faultRandom = new RandomService(options.seed + 2)
   const record = new CallRecord()
   const parts = {
     deployment,
     record,
-    load: new CallLoad(deployment, random, record),
-    operators: new Operators(deployment, random),
-    faults: new Faults(deployment, random)
+    load: new CallLoad(deployment, callRandom, record),
+    operators: new Operators(deployment, operatorRandom),
+    faults: new Faults(deployment, faultRandom)
   }
   try {
     await deployment.start()
@@ -45,6 +48,9 @@
     report(atMost('invariant breaches at the end', await countBreaches(deployment), 'breaches', BOUNDS.none))
   } finally {
     const codes = await deployment.stop()
+    for (const [position, code] of codes.entries()) {
+      if (code !== 0) process.stderr.write(`exit code ${code}:\n${deployment.nodes[position]?.lastLines.join('\n')}\n`)
+    }
     report(atMost('nodes that did not stop with exit code 0', codes.filter((code) => code !== 0).length, 'nodes', BOUNDS.none))
   }
 }
--- a/testing/demonstration/NodeProcess.ts
+++ b/testing/demonstration/NodeProcess.ts
@@ -90,6 +90,11 @@
     return Date.now() - startedAt
   }
 
+  /** What the process logged last. */
+  public get lastLines (): readonly string[] {
+    return this._lastLines
+  }
+
   /** Sends SIGTERM; resolves with the exit code. */
   public stop (): Promise<number | null> {
     this._child?.kill('SIGTERM')
