Read rows that newer software wrote

Cause: a kind of resource that this software does not know, in one row, made the reading of all services fail, so that a node of the older software could not start beside the newer. Change: kinds in rows are read as text. Run: the test failed before (MalformedRowError from readAll) and passes now.

--- a/src/documents/AcceptanceService.test.ts
+++ b/src/documents/AcceptanceService.test.ts
@@ -5,6 +5,7 @@
 import { runToEnd } from '../../testing/RunToEnd.js'
 import { OutcomeUnknownError, PlatformUnavailableError } from '../platform/PlatformErrors.js'
 import type { ChangeSequence, ServiceName } from '../common/Types.js'
+import { documentRow } from './store/Tables.js'
 
 const SEED = 20_261_204
 const STATUS = writeDocument({ service: 'status' })
@@ -164,6 +165,18 @@
     expect((await fixture.accepted.readAll()).sequence).to.equal(100)
   })
 
+  it('goes on beside newer software whose rows have further fields and kinds of resources', async () => {
+    await submit({ service: 'status', text: STATUS, expected: 0 })
+    const reference = documentRow('status' as ServiceName)
+    const row = await fixture.platform.plainTable.read(reference)
+    const value = { ...JSON.parse(row?.value ?? ''), future: {} }
+    value.exports.push({ kind: 'cache', resource: 'answers', size: 1 })
+    await fixture.platform.plainTable.transact({ conditions: [], writes: [{ ...reference, value: JSON.stringify(value) }] })
+    expect((await fixture.accepted.readAll()).changes).to.have.length(1)
+    expect(await submit({ service: 'fees', text: FEES, expected: 0 })).to.equal('accepted 1')
+    expect(await submit({ service: 'status', text: writeDocument({ service: 'status', note: 'b' }), expected: 1 })).to.equal('accepted 2')
+  })
+
   it('costs two reads and two writes for a change without new references', async () => {
     await submit({ service: 'status', text: STATUS, expected: 0 })
     await submit({ service: 'fees', text: FEES, expected: 0 })
--- a/src/documents/store/Rows.ts
+++ b/src/documents/store/Rows.ts
@@ -52,7 +52,9 @@
 const name = z.string().refine(isName)
 const number = z.number().int().min(0)
 
-const resourceSchema = z.object({ kind: z.enum(['pool', 'retry', 'limit']), resource: name.transform((text) => text as ResourceName) })
+// Newer software may know further kinds.
+const kind = z.string().transform((text) => text as ResourceKind)
+const resourceSchema = z.object({ kind, resource: name.transform((text) => text as ResourceName) })
 const service = name.transform((text) => text as ServiceName)
 
 export const CHANGE_SCHEMA: z.ZodType<IAcceptedChange> = z.object({
