--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -4,6 +4,7 @@
 import { CONTROL_BYTES } from './ControlBytes.js'
 import { CONVERGENCE } from './Convergence.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
+import { DocumentFuzz } from './DocumentFuzz.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { FreshReader } from './FreshReader.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
@@ -16,6 +17,7 @@
   CONTROL_BYTES,
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
+  new DocumentFuzz(),
   DRAIN_BENCH,
   new FreshReader(),
   OVERLOAD_BENCH,
