Refuse submissions whose fields cannot be kept

Cause: id, service, author and expected version of a submission became keys and values of rows unchecked where acceptance is used without the daemon. Change: each is checked, with one fault each.

--- a/src/documents/AcceptanceService.test.ts
+++ b/src/documents/AcceptanceService.test.ts
@@ -68,6 +68,9 @@
     expect(await submit({ service: 'status', expected: 0 })).to.include('cannot be deleted')
     expect(await submit({ service: 'fees', text: STATUS, expected: 0 })).to.include('document is of service status')
     expect(await submit({ service: 'status', text: 'nonsense', expected: 0 })).to.include('stray line')
+    const hostile = { ...fixture.complete({ service: '../status', expected: -1, id: 'a\nb' }), author: 'x'.repeat(1_000) }
+    const outcome = await writer.acceptance.submit(hostile, fixture.clock.now())
+    expect(outcome.kind === 'invalid' && outcome.faults).to.have.length(4)
     expect(writer.faults.counts).to.deep.include({ reads: 0, writes: 0 })
   })
 
--- a/src/documents/CheckedSubmission.ts
+++ b/src/documents/CheckedSubmission.ts
@@ -1,5 +1,5 @@
 /** A submission whose text was checked by itself. */
-import { hashContent } from '../common/Ids.js'
+import { hashContent, isName } from '../common/Ids.js'
 import type { ContentHash } from '../common/Types.js'
 import type { IDocumentParser } from './Services.js'
 import type { IDocumentFault, IServiceDocument, ISubmission } from './Types.js'
@@ -11,8 +11,28 @@
   readonly hash: ContentHash
 }
 
-/** Checks the text by itself; answers the faults if there are any. */
+/** Longest author kept with a version, in characters. */
+const MAXIMUM_AUTHOR_CHARACTERS = 128
+const ID_PATTERN = /^[\x21-\x7e]{1,128}$/
+
+/** Checks the submission by itself; answers the faults if there are any. */
 export function checkSubmission (submission: ISubmission, parser: IDocumentParser): ICheckedSubmission | readonly IDocumentFault[] {
+  const faults = checkFields(submission)
+  return faults.length > 0 ? faults : checkText(submission, parser)
+}
+
+/** These become keys and values of rows, so none may be larger or other than rows can hold. */
+function checkFields ({ id, service, expected, author }: ISubmission): IDocumentFault[] {
+  const messages: string[] = []
+  if (!ID_PATTERN.test(id)) messages.push('submission id is malformed; expected 1 to 128 printable ASCII characters without spaces')
+  if (!isName(service)) messages.push('service is malformed; expected up to 63 lower-case letters, digits and inner hyphens')
+  if (author.length > MAXIMUM_AUTHOR_CHARACTERS) messages.push(`author is too long; expected at most ${MAXIMUM_AUTHOR_CHARACTERS} characters`)
+  const isVersion = expected === 'new' || (Number.isSafeInteger(expected) && expected >= 1)
+  if (!isVersion) messages.push('expected version is malformed; expected a whole number from 1, or new')
+  return messages.map(wholeFault)
+}
+
+function checkText (submission: ISubmission, parser: IDocumentParser): ICheckedSubmission | readonly IDocumentFault[] {
   const { text } = submission
   if (text === undefined) {
     if (submission.expected === 'new') return [wholeFault('a service that does not exist cannot be deleted')]
