--- a/src/distribution/SourceReader.ts
+++ b/src/distribution/SourceReader.ts
@@ -3,6 +3,7 @@
 import { addDuration } from '../common/Ids.js'
 import type { IClockService, ILogService, IMetricsService, IRandomService, IService } from '../common/Services.js'
 import type { ChangeSequence, Milliseconds, ServiceName, Timestamp } from '../common/Types.js'
+import { textsOf } from '../documents/AcceptedSet.js'
 import type { IAcceptedDocuments } from '../documents/Services.js'
 import type { IAcceptedChange } from '../documents/Types.js'
 import type { IMembershipService, IRoleService } from '../membership/Services.js'
@@ -11,7 +12,7 @@
 import type { ISnapshotService, ISourceService } from './Services.js'
 import { Signal } from './Signal.js'
 import { TextReader } from './TextReader.js'
-import { backoff, reasonOf, withTimeout } from './Timeouts.js'
+import { backoff, jitter, reasonOf, withTimeout } from './Timeouts.js'
 
 /** Options of `SourceReader`; those with defaults may be left out. */
 export interface ISourceReaderOptions {
@@ -116,7 +117,7 @@
   private _pause (): Milliseconds {
     const { random, interval, backoffLimit } = this._options
     if (this._failures > 0) return backoff(random, this._failures, interval, backoffLimit)
-    return interval * (0.5 + random.fraction()) as Milliseconds
+    return jitter(random, interval, 0.5)
   }
 
   private async _pollSafely (rank: number): Promise<void> {
@@ -142,6 +143,7 @@
     if (this._cursor === undefined) {
       const set = await withTimeout(clock, accepted.readAll(), timeout, 'source.read-all')
       this._cursor = set.sequence
+      this._options.snapshots.offer(textsOf(set), clock.now())
       return set.changes
     }
     const changes = await withTimeout(clock, accepted.changesAfter(this._cursor, batch), timeout, 'source.changes-after')
--- a/src/documents/Services.ts
+++ b/src/documents/Services.ts
@@ -1,6 +1,6 @@
 /** Interfaces of acceptance, of the reading of accepted documents, and of the building of snapshots. */
-import { createServiceKey } from '../common/Services.js'
-import type { ChangeSequence, ContentHash, DocumentVersion, ServiceName, Timestamp } from '../common/Types.js'
+import { createServiceKey, type IService } from '../common/Services.js'
+import type { ChangeSequence, ContentHash, DocumentVersion, IEvent, ServiceName, Timestamp } from '../common/Types.js'
 import type {
   IAcceptedChange, IRejection, ISnapshot, ISubmission, IVersionedText, ParseResult, SubmissionOutcome
 } from './Types.js'
@@ -9,11 +9,24 @@
 export interface IAcceptanceService {
   /** Rejects with a platform error if the outcome could not be learned; repeat with the same id. */
   submit (submission: ISubmission, now: Timestamp): Promise<SubmissionOutcome>
+  /** Fires for each change that was accepted through this service, once. */
+  readonly onAccepted: IEvent<IAcceptedChange>
 }
 
+/** Writes checkpoints of the accepted set, on its own when changes are accepted. */
+export interface ICheckpointService extends IService {
+  write (): Promise<CheckpointOutcome>
+}
+
+/** `overtaken`: another writer was ahead, which is as good. */
+export type CheckpointOutcome = 'written' | 'overtaken' | 'up-to-date'
+
 /** Reads accepted documents from the platform. */
 export interface IAcceptedDocuments {
-  /** Accepted changes after `after` in order of sequence, at most `limit`. */
+  /**
+   * Accepted changes after `after` in order of sequence, at most `limit`.
+   * Where the change log was trimmed, only the newest change of each service is left.
+   */
   changesAfter (after: ChangeSequence, limit: number): Promise<readonly IAcceptedChange[]>
   /** The newest version of every service together with the sequence that it reflects. */
   readAll (): Promise<IAcceptedSet>
@@ -30,6 +43,8 @@
 export interface IAcceptedSet {
   readonly sequence: ChangeSequence
   readonly changes: readonly IAcceptedChange[]
+  /** Texts that came with the set; the others are had by `readText`. */
+  readonly texts?: ReadonlyMap<ContentHash, string>
 }
 
 /** Parses and checks the text of a document by itself, without the others. */
@@ -53,6 +68,7 @@
 }
 
 export const IAcceptanceService = createServiceKey<IAcceptanceService>('documents.acceptance')
+export const ICheckpointService = createServiceKey<ICheckpointService>('documents.checkpoint')
 export const IAcceptedDocuments = createServiceKey<IAcceptedDocuments>('documents.accepted')
 export const IDocumentParser = createServiceKey<IDocumentParser>('documents.parser')
 export const ISnapshotBuilder = createServiceKey<ISnapshotBuilder>('documents.snapshot-builder')
