--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -5,7 +5,9 @@
 import { CONVERGENCE } from './Convergence.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
+import { HERD_BENCH } from './HerdBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
+import { PARTITION_BENCH } from './PartitionBench.js'
 import type { IBench } from './Types.js'
 
 export const BENCHES: readonly IBench[] = Object.freeze([
@@ -15,5 +17,7 @@
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
-  OVERLOAD_BENCH
+  HERD_BENCH,
+  OVERLOAD_BENCH,
+  PARTITION_BENCH
 ])
--- /dev/null
+++ b/bench/HerdBench.ts
@@ -0,0 +1,107 @@
+/** A whole failure domain dies and returns while documents change. */
+import { IMembershipService } from '../src/membership/Services.js'
+import { Fleet } from '../testing/fleet/Fleet.js'
+import { BOUNDS } from './Bounds.js'
+import { SETTLE_LIMIT_MS } from './fleet/Sizes.js'
+import type { Milliseconds, ServiceName } from '../src/common/Types.js'
+import type { FleetNode } from '../testing/fleet/FleetNode.js'
+import type { IBench, IBenchOptions, IFigure } from './Types.js'
+
+const NODES = 48
+const QUICK_NODES = 12
+const SERVICES = 12
+const CHANGE_PAUSE_MS = 200 as Milliseconds
+const DOWNTIME_MS = 5_000 as Milliseconds
+const QUICK_DOWNTIME_MS = 1_000 as Milliseconds
+const LIMIT_MS = 60_000
+const HERD_DOMAIN = 1
+
+/** Submits changes until it is told to stop. */
+class Changes {
+  public readonly versions = new Map<string, number>()
+  private _isStopped = false
+  private _task: Promise<void> | undefined
+
+  constructor (private readonly _fleet: Fleet) {}
+
+  public start (): void {
+    this._task = this._run()
+  }
+
+  public async stop (): Promise<void> {
+    this._isStopped = true
+    await this._task
+  }
+
+  private async _run (): Promise<void> {
+    const { nodes, clock, random } = this._fleet
+    while (!this._isStopped) {
+      const service = `service-${random.integer(SERVICES)}`
+      const version = await this._fleet.submit(nodes[random.integer(nodes.length)] as FleetNode, service, this.versions.get(service) ?? 0)
+      if (version !== undefined) this.versions.set(service, version)
+      await clock.sleep(CHANGE_PAUSE_MS)
+    }
+  }
+}
+
+export const HERD_BENCH: IBench = {
+  name: 'herd',
+  summary: 'A whole failure domain dies at once and returns at once while documents change',
+  run: async (options, report) => {
+    const fleet = new Fleet({ seed: options.seed })
+    try {
+      await run(fleet, options, report)
+    } finally {
+      await fleet.stop()
+    }
+  }
+}
+
+async function run (fleet: Fleet, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
+  await fleet.add(options.quick ? QUICK_NODES : NODES, (position) => `service-${position % SERVICES}` as ServiceName)
+  if (await fleet.until(() => fleet.isSettled, SETTLE_LIMIT_MS) === undefined) throw new Error('the fleet did not settle')
+  const changes = new Changes(fleet)
+  changes.start()
+  const herd = fleet.nodes.filter((node) => node.options.failureDomain === `domain-${HERD_DOMAIN}`)
+  await Promise.all(herd.map((node) => fleet.kill(node)))
+  const others = [...fleet.nodes]
+  const marked = await fleet.until(() => others.every((node) => countOffered(node, herd) === 0), LIMIT_MS)
+  await fleet.clock.sleep(options.quick ? QUICK_DOWNTIME_MS : DOWNTIME_MS)
+  fleet.storeFaults.forEach((faults) => faults.resetCounts())
+  const startedAt = performance.now()
+  await Promise.all(herd.map((node) => fleet.restart(node)))
+  const caughtUp = await fleet.until(() => fleet.nodes.every((node) => node.isCaughtUp), LIMIT_MS)
+  await changes.stop()
+  const newest = await fleet.until(() => holdsNewest(fleet, changes), LIMIT_MS)
+  const settled = await fleet.until(() => fleet.isSettled, LIMIT_MS)
+  const total = settled === undefined ? LIMIT_MS : performance.now() - startedAt
+  report({ name: 'dead-domain-no-first-choice-after', value: marked ?? LIMIT_MS, unit: 'ms', bound: BOUNDS.drainStopMs, direction: 'at-most' })
+  report({ name: 'returned-nodes-caught-up-after', value: caughtUp ?? LIMIT_MS, unit: 'ms' })
+  report({ name: 'last-change-everywhere-after', value: newest ?? LIMIT_MS, unit: 'ms', bound: BOUNDS.convergenceMs, direction: 'at-most' })
+  report({ name: 'members-agree-after-return', value: total, unit: 'ms' })
+  reportStore(fleet, report)
+  report({ name: 'changes-accepted', value: [...changes.versions.values()].reduce((sum, version) => sum + version, 0), unit: 'changes' })
+  report({ name: 'breaches', value: fleet.breaches, unit: 'breaches', bound: BOUNDS.none, direction: 'at-most' })
+}
+
+/** Peaks of the ways of all failure domains are added up, which is at least the peak of their sum. */
+function reportStore (fleet: Fleet, report: (figure: IFigure) => void): void {
+  const reads = fleet.storeFaults.reduce((sum, faults) => sum + faults.counts.peakReads, 0)
+  const writes = fleet.storeFaults.reduce((sum, faults) => sum + faults.counts.peakWrites, 0)
+  report({ name: 'peak-store-reads', value: reads, unit: 'reads/s', bound: BOUNDS.storeReadsPerSecond, direction: 'at-most' })
+  report({ name: 'peak-store-writes', value: writes, unit: 'writes/s', bound: BOUNDS.storeWritesPerSecond, direction: 'at-most' })
+}
+
+/** Endpoints of the dead nodes that another node still takes for a first choice. */
+function countOffered (node: FleetNode, dead: readonly FleetNode[]): number {
+  const addresses = new Set(dead.map((each) => each.address))
+  const services = new Set(dead.map((each) => each.options.service as ServiceName))
+  const offered = [...services].flatMap((service) => node.get(IMembershipService).endpoints(service))
+  return offered.filter((endpoint) => endpoint.isReachable && addresses.has(endpoint.gateAddress)).length
+}
+
+function holdsNewest (fleet: Fleet, changes: Changes): boolean {
+  return [...changes.versions].every(([service, version]) => {
+    return fleet.nodes.every((node) => node.versionInForce(service as ServiceName) >= version)
+  })
+}
--- a/src/membership/DomainStatements.ts
+++ b/src/membership/DomainStatements.ts
@@ -33,6 +33,8 @@
 export class DomainStatements extends Disposable implements IService {
   private readonly _settings: IMembershipSettings
   private _lastSentAt = 0 as Timestamp
+  /** Since when this node is a gateway; undefined if it is none. */
+  private _gatewaySince: Timestamp | undefined
   private _lastSilent = ''
 
   constructor (private readonly _options: IDomainStatementsOptions) {
@@ -53,7 +55,9 @@
   private _state (now: Timestamp): void {
     const { membership, roles, broadcast } = this._options
     membership.reachability.keepStatements(roles.holders('gateway', membership.self.failureDomain))
-    if (!roles.isHeldBySelf('gateway')) return
+    this._gatewaySince = roles.isHeldBySelf('gateway') ? this._gatewaySince ?? now : undefined
+    // A new gateway has yet to open its links, and would take every failure domain for silent.
+    if (this._gatewaySince === undefined || now - this._gatewaySince < this._settings.domainTimeout) return
     const silent = membership.reachability.silentDomains(now)
     const names = silent.map((domain) => domain.failureDomain).join()
     const isDue = now - this._lastSentAt >= this._settings.statementInterval
--- a/src/membership/Options.ts
+++ b/src/membership/Options.ts
@@ -26,7 +26,7 @@
   suspicionTimeout: 1_000 as Milliseconds,
   suspicionSpread: 500 as Milliseconds,
   retention: 600_000 as Milliseconds,
-  domainTimeout: 3_000 as Milliseconds,
+  domainTimeout: 2_000 as Milliseconds,
   statementInterval: 5_000 as Milliseconds,
   maximumMembers: 20_000,
   sweepInterval: 250 as Milliseconds,
