--- a/bench/latency/StaticMesh.ts
+++ b/bench/latency/StaticMesh.ts
@@ -75,14 +75,14 @@
     }
   }
 
-  public presentIn (): ReadonlyMap<NodeId, INodeRecord> {
-    return this.members
-  }
-
   public endpoints (service: ServiceName): readonly IRoutableEndpoint[] {
     return service === SERVICE ? this._endpoints : []
   }
 
+  public presentIn (): ReadonlyMap<NodeId, INodeRecord> {
+    return this.members
+  }
+
   public domains (): readonly [] {
     return []
   }
--- a/testing/fleet/Fleet.ts
+++ b/testing/fleet/Fleet.ts
@@ -20,10 +20,10 @@
   readonly controlPlane: Omit<IControlPlaneOptions, 'self'>
   /** Nodes that are started at the same time. */
   readonly startedTogether: number
-  /** A platform that others use too; an own one by default. */
-  readonly platform?: FaultyPlatform
   /** Kinds of messages that no node sends, for comparisons. */
   readonly suppressed: ReadonlySet<string>
+  /** A platform that others use too; an own one by default. */
+  readonly platform?: FaultyPlatform
 }
 
 /** Defaults of `Fleet`. */
