--- a/src/distribution/CatchUpService.ts
+++ b/src/distribution/CatchUpService.ts
@@ -60,6 +60,7 @@
   private readonly _signal: Signal
   private _resolve: (source: CatchUpSource) => void = () => {}
   private _source: CatchUpSource | undefined
+  private _loggedReason: string | undefined
   private _isStopped = false
   private _task: Promise<void> | undefined
 
@@ -89,7 +90,6 @@
     for (let failures = 0; !this._isStopped; failures++) {
       const source = await this._catchUpWithStore() ?? this._confirmedByPeers(startedAt)
       if (source !== undefined) return this._complete(source)
-      if (failures === 0) this._options.log.log(CATCH_UP_WAITING, { step: 'catch-up.wait', peers: this._options.announce.peerCount })
       const { random, pollInterval, backoffLimit } = this._options
       await this._signal.wait(backoff(random, failures, pollInterval, backoffLimit))
     }
@@ -113,11 +113,18 @@
       await this._readRest(set)
       return this._lacking(set).length === 0 ? { kind: 'store' } : undefined
     } catch (error) {
-      this._options.log.log(CATCH_UP_WAITING, { step: 'catch-up.store', peer: 'store', reason: reasonOf(error) })
+      this._noteStoreFailure(reasonOf(error))
       return undefined
     }
   }
 
+  /** Logs a reason once until it changes. */
+  private _noteStoreFailure (reason: string): void {
+    if (reason === this._loggedReason) return
+    this._loggedReason = reason
+    this._options.log.log(CATCH_UP_WAITING, { step: 'catch-up.store', peer: 'store', reason })
+  }
+
   /** Leaves the bodies to the peers for as long as they bring some, so that a herd does not load the store. */
   private async _awaitPeers (set: IAcceptedSet): Promise<void> {
     const { clock, announce, pollInterval, bodyPatience } = this._options
--- a/src/distribution/SourceReader.ts
+++ b/src/distribution/SourceReader.ts
@@ -70,6 +70,8 @@
   /** Newest change without a body, one a service. */
   private readonly _missing = new Map<ServiceName, IMissingBody>()
   private _cursor: ChangeSequence | undefined
+  /** True if the last read of the change log was cut off by its limit. */
+  private _hasMore = false
   private _failures = 0
   private _isStopped = false
   private _task: Promise<void> | undefined
@@ -101,7 +103,8 @@
   private async _run (): Promise<void> {
     while (!this._isStopped) {
       const rank = this._rank()
-      if (rank !== undefined) await this._pollSafely(rank)
+      if (rank === undefined) this._forgetLog()
+      else await this._pollSafely(rank)
       await this._signal.wait(this._pause())
     }
   }
@@ -114,9 +117,17 @@
     return rank < 0 ? undefined : rank
   }
 
+  /** A node that gets the role again later reads everything anew, which is cheaper than a long log. */
+  private _forgetLog (): void {
+    this._cursor = undefined
+    this._hasMore = false
+    this._missing.clear()
+  }
+
   private _pause (): Milliseconds {
     const { random, interval, backoffLimit } = this._options
     if (this._failures > 0) return backoff(random, this._failures, interval, backoffLimit)
+    if (this._hasMore) return 0 as Milliseconds
     return jitter(random, interval, 0.5)
   }
 
@@ -148,6 +159,7 @@
     }
     const changes = await withTimeout(clock, accepted.changesAfter(this._cursor, batch), timeout, 'source.changes-after')
     this._cursor = changes.at(-1)?.sequence ?? this._cursor
+    this._hasMore = changes.length === batch
     return changes
   }
 
@@ -187,5 +199,6 @@
     if (this._failures === 0) this._options.log.log(SOURCE_UNAVAILABLE, { step: 'source.poll', peer: 'store', reason: reasonOf(error) })
     this._failures++
     this._cursor = undefined
+    this._hasMore = false
   }
 }
