--- a/src/distribution/AnnounceService.ts
+++ b/src/distribution/AnnounceService.ts
@@ -5,11 +5,12 @@
 import type { IMembershipService, IOverlayService, IPeerLink, IRoleService } from '../membership/Services.js'
 import { BodyServer } from './BodyServer.js'
 import { DistributionMetrics } from './DistributionMetrics.js'
-import { DEFAULT_SESSION_TIMING, DocumentSession, type ISessionTiming } from './DocumentSession.js'
+import { DocumentSession } from './DocumentSession.js'
 import type { HeldDocuments } from './HeldDocuments.js'
 import { DEFAULT_PULL_OPTIONS, PullCoordinator } from './PullCoordinator.js'
 import { DEFAULT_PULL_DELAY_OPTIONS, PullDelay } from './PullDelay.js'
 import type { IAnnounceService, ISnapshotService } from './Services.js'
+import { DEFAULT_SESSION_TIMING, type ISessionTiming } from './SessionTiming.js'
 
 /** Options of `AnnounceService`; those with defaults may be left out. */
 export interface IAnnounceServiceOptions {
--- a/src/distribution/DocumentSession.ts
+++ b/src/distribution/DocumentSession.ts
@@ -12,7 +12,9 @@
 import type { DistributionMetrics } from './DistributionMetrics.js'
 import { PEER_MESSAGE_MALFORMED, BODY_REFUSED } from './Events.js'
 import type { HeldDocuments } from './HeldDocuments.js'
+import { DigestComparison } from './DigestComparison.js'
 import { MessageQueue } from './MessageQueue.js'
+import type { ISessionTiming } from './SessionTiming.js'
 import type { PullCoordinator } from './PullCoordinator.js'
 import type { IPullSource } from './PullTask.js'
 import type { ISnapshotService } from './Services.js'
@@ -21,29 +23,6 @@
 import { decodeDigest, encodeDigest } from './VersionDigest.js'
 import { decodeVersionEntry, encodeVersionEntry } from './VersionEntryCodec.js'
 
-/** Timing of a session. */
-export interface ISessionTiming {
-  /** Shortest time between two announcements; what is learned meanwhile goes into the second one. */
-  readonly batchDelay: Milliseconds
-  /** Time between two digests; the actual time is drawn from half of it to one and a half. */
-  readonly digestInterval: Milliseconds
-  /** Time that a difference of digests must last before the whole vector is sent. */
-  readonly differenceDelay: Milliseconds
-  /** Shortest time between two vectors to one peer; doubled while a difference lasts. */
-  readonly vectorInterval: Milliseconds
-  /** Upper bound of the doubling. */
-  readonly vectorIntervalLimit: Milliseconds
-}
-
-/** Defaults of the timing. */
-export const DEFAULT_SESSION_TIMING: ISessionTiming = Object.freeze({
-  batchDelay: 20 as Milliseconds,
-  digestInterval: 2_000 as Milliseconds,
-  differenceDelay: 400 as Milliseconds,
-  vectorInterval: 1_000 as Milliseconds,
-  vectorIntervalLimit: 60_000 as Milliseconds
-})
-
 /** Messages of one link that may wait to be handled. */
 const QUEUE_LIMIT = 4_096
 
@@ -75,19 +54,20 @@
   private _isFlushDue = false
   private _nextFlushAt = 0 as Timestamp
   private _isOpen = true
-  private _peerDigest: bigint | undefined
-  private _isPeerCaughtUp = false
-  private _isConfirmed = false
-  private _differsSince: Timestamp | undefined
-  private _nextVectorAt = 0 as Timestamp
-  private _vectorInterval: Milliseconds
   private readonly _digestSignal: Signal
+  private readonly _comparison: DigestComparison
 
   constructor (options: IDocumentSessionOptions) {
     super()
     this._options = options
-    this._vectorInterval = options.timing.vectorInterval
     this._digestSignal = new Signal(options.clock)
+    this._comparison = this.register(new DigestComparison({
+      held: options.held,
+      clock: options.clock,
+      timing: options.timing,
+      sendDigest: () => this.sendDigest(),
+      sendVector: () => this._sendVector()
+    }))
     this.register(options.link.onMessage((message) => { this._inbox.push(message) }))
     this.register(toDisposable(() => this._close()))
   }
@@ -102,7 +82,7 @@
 
   /** True once this node held everything that the caught-up peer held. */
   public get isConfirmed (): boolean {
-    return this._isConfirmed
+    return this._comparison.isConfirmed
   }
 
   public send (message: PeerMessage): boolean {
@@ -179,7 +159,7 @@
       if (entry === undefined) this._options.log.log(PEER_MESSAGE_MALFORMED, { step: 'session.entry', peer: this.name })
       else this._receiveEntry(entry, now)
     }
-    this._confirm()
+    this._comparison.confirm()
   }
 
   private _receiveEntry (entry: IVersionEntry, now: Timestamp): void {
@@ -210,43 +190,17 @@
       metrics.noteBodyRefused()
       log.log(BODY_REFUSED, { step: 'session.body', peer: this.name, service: body.entry?.service, reason: 'not used' })
     }
-    this._confirm()
+    this._comparison.confirm()
   }
 
   private _receiveDigest (digest: ReceivedDigest, now: Timestamp): void {
     const value = decodeDigest(digest.documents)
-    if (value === undefined) return
-    this._peerDigest = value
-    this._isPeerCaughtUp = digest.isCaughtUp
-    this._confirm()
-    if (value !== this._options.held.digest) return this._noteDifference(now)
-    this._differsSince = undefined
-    this._vectorInterval = this._options.timing.vectorInterval
-  }
-
-  /** Waits whether the difference settles by itself, as it does while a change is on its way. */
-  private _noteDifference (now: Timestamp): void {
-    if (this._differsSince !== undefined) return
-    this._differsSince = now
-    const digest = this._options.held.digest
-    this._options.clock.after(this._options.timing.differenceDelay, () => this._resolveDifference(digest))
-  }
-
-  private _resolveDifference (digestThen: bigint): void {
-    this._differsSince = undefined
-    const { held, clock, metrics, timing } = this._options
-    if (!this._isOpen || this._peerDigest === held.digest) return
-    if (held.digest !== digestThen) return this.sendDigest()
-    const now = clock.now()
-    if (now < this._nextVectorAt) return
-    this._nextVectorAt = addDuration(now, this._vectorInterval)
-    this._vectorInterval = Math.min(this._vectorInterval * 2, timing.vectorIntervalLimit) as Milliseconds
-    metrics.noteVectorSent()
-    this.send({ versionVector: { entries: Array.from(held.all, encodeVersionEntry) } })
+    if (value !== undefined) this._comparison.receive(value, digest.isCaughtUp, now)
   }
 
-  private _confirm (): void {
-    if (this._isPeerCaughtUp && this._peerDigest === this._options.held.digest) this._isConfirmed = true
+  private _sendVector (): void {
+    this._options.metrics.noteVectorSent()
+    this.send({ versionVector: { entries: Array.from(this._options.held.all, encodeVersionEntry) } })
   }
 
   private _knownVersion (service: ServiceName): number {
