--- a/bench/fleet/Sizes.ts
+++ b/bench/fleet/Sizes.ts
@@ -6,6 +6,9 @@
 /** Nodes of the fleets of a quick run. */
 export const QUICK_FLEET_SIZES: readonly number[] = Object.freeze([12, 24])
 
+/** Nodes of the one fleet of a quick run that measures bytes. */
+export const QUICK_BYTE_SIZES: readonly number[] = Object.freeze([24])
+
 /** The size to design for. */
 export const DESIGN = Object.freeze({
   nodes: 6_500,
--- a/src/distribution/HeldDocuments.ts
+++ b/src/distribution/HeldDocuments.ts
@@ -70,7 +70,7 @@
     return versions.filter((version) => this._addOne(version))
   }
 
-  /** Tells the listeners of `onAdded`. Called after the versions were offered to the snapshot. */
+  /** Tells the listeners of `onAdded`. */
   public announce (added: readonly IVersionedText[]): void {
     this._onAdded.fire(added)
   }
--- a/src/distribution/SnapshotService.ts
+++ b/src/distribution/SnapshotService.ts
@@ -60,8 +60,9 @@
   public offer (versions: readonly IVersionedText[], now: Timestamp): void {
     const added = this._options.held.add(versions)
     if (added.length === 0) return
-    this._apply(now)
+    // Peers need not wait until this node has built its snapshot.
     this._options.held.announce(added)
+    this._apply(now)
   }
 
   private _apply (now: Timestamp): void {
--- a/testing/fleet/Fleet.ts
+++ b/testing/fleet/Fleet.ts
@@ -9,6 +9,7 @@
 import { FleetNode } from './FleetNode.js'
 import { DEFAULT_FLEET_LATENCIES, domainName, FleetShape, regionOf, type IFleetLatencies } from './FleetShape.js'
 import { RegionTraffic } from './RegionTraffic.js'
+import { SharedParser } from './SharedParser.js'
 
 /** Options of a fleet. */
 export interface IFleetOptions {
@@ -52,6 +53,7 @@
   private readonly _options: IFleetOptions
   /** The way of each failure domain to the platform. */
   private readonly _ways: ReadonlyArray<ReturnType<FaultyPlatform['connect']>>
+  private readonly _parser = new SharedParser()
   private _submissions = 0
 
   constructor (options: Partial<IFleetOptions> = {}) {
@@ -90,6 +92,7 @@
       shape: this.shape,
       traffic: this.traffic,
       platform: this._ways[domain],
+      parser: this._parser,
       controlPlane,
       service,
       suppressed: this._options.suppressed
--- a/testing/fleet/FleetNode.ts
+++ b/testing/fleet/FleetNode.ts
@@ -13,8 +13,7 @@
 import { IHeldDocuments } from '../../src/distribution/HeldDocuments.js'
 import { ICatchUpService, IReportService, ISnapshotService, ISourceService } from '../../src/distribution/Services.js'
 import { AcceptanceService } from '../../src/documents/AcceptanceService.js'
-import { DocumentParser } from '../../src/documents/DocumentParser.js'
-import { IAcceptedDocuments, ISnapshotBuilder } from '../../src/documents/Services.js'
+import { IAcceptedDocuments, type IDocumentParser, ISnapshotBuilder } from '../../src/documents/Services.js'
 import { SnapshotBuilder } from '../../src/documents/SnapshotBuilder.js'
 import type { SubmissionOutcome } from '../../src/documents/Types.js'
 import { GrpcPeerTransport } from '../../src/membership/GrpcPeerTransport.js'
@@ -37,6 +36,7 @@
   readonly shape: FleetShape
   readonly traffic: RegionTraffic
   readonly platform: Pick<FaultyPlatform, 'table' | 'objects'>
+  readonly parser: IDocumentParser
   readonly controlPlane: Omit<IControlPlaneOptions, 'self'>
   /** Service of which the node has one endpoint; none if undefined. */
   readonly service: ServiceName | undefined
@@ -77,7 +77,7 @@
     this._grpc = new GrpcPeerTransport({ address: '127.0.0.1:0' as NetworkAddress, clock, log, metrics })
     const shaped = new ShapedTransport({ inner: this._grpc, failureDomain, shape, clock, dialTimeout: DIAL_TIMEOUT_MS })
     this._transport = new FleetTransport({ inner: shaped, clock, region, traffic, suppressed })
-    this.acceptance = new AcceptanceService({ ...platform, parser: new DocumentParser(), clock, random: this._random, log })
+    this.acceptance = new AcceptanceService({ ...platform, parser: options.parser, clock, random: this._random, log })
   }
 
   public get address (): NetworkAddress {
@@ -167,7 +167,7 @@
     this._provide(IPeerTransport, this._transport)
     this._provide(IObjectStore, objects)
     this._provide(IAcceptedDocuments, new CountingDocuments({ table, objects }, this.options.region, this.options.traffic))
-    this._provide(ISnapshotBuilder, new SnapshotBuilder({ parser: new DocumentParser(), invariants: this.invariants }))
+    this._provide(ISnapshotBuilder, new SnapshotBuilder({ parser: this.options.parser, invariants: this.invariants }))
   }
 
   private _provide<TService extends object> (key: IServiceKey<TService>, service: TService): void {
