Leave the first gateway more time to bring a body into its region

Cause: bench -- control-bytes at 96 nodes in one process on a busy machine (load 11 of 10 cores) measured up to 8 crossings of a pair of regions by one body, bound 2, mean 3.0; at 12 to 48 nodes at most 2, mean 0.69 to 0.76. The other gateways gave up waiting after 250 ms a rank, which the stalls of that process exceeded. Change: 500 ms a rank.

--- a/src/distribution/PullDelay.ts
+++ b/src/distribution/PullDelay.ts
@@ -13,7 +13,7 @@
 }
 
 /** Defaults of `PullDelay`. */
-export const DEFAULT_PULL_DELAY_OPTIONS = Object.freeze({ step: 250 as Milliseconds, maximumRank: 4 })
+export const DEFAULT_PULL_DELAY_OPTIONS = Object.freeze({ step: 500 as Milliseconds, maximumRank: 4 })
 
 /**
  * Ranks the gateways of a region: those of its first failure domain first. Only the first one pulls
