Read what arrived during a stall before pulling across regions

Cause: after a pause of the process its timers run before the messages that it has not read, so every waiting gateway pulled at once across regions. Change: a pull whose delay ran out late waits for another 250 ms.

Run: the new test failed without the change and passes with it; npm test.

--- a/src/distribution/AnnounceService.test.ts
+++ b/src/distribution/AnnounceService.test.ts
@@ -15,9 +15,18 @@
 
 const SEED = 20_261_204
 
-/** Four nodes in a line and a chord, with their clock and network. */
+/** Timers run late by `stall`, as after a pause of the process. */
+class StallingClock extends ManualClock {
+  public stall = 0
+
+  public override now (): Timestamp {
+    return super.now() + this.stall as Timestamp
+  }
+}
+
+/** Nodes with their clock and network. */
 class Group {
-  public readonly clock = new ManualClock()
+  public readonly clock = new StallingClock()
   public readonly network = new FakeNetwork()
   public readonly members = new FakeMembers()
   public readonly nodes: DistributionNode[]
@@ -153,6 +162,28 @@
     expect(sumOf(received, 'from_region="west",to_region="east"')).to.equal(4)
   })
 
+  it('reads what arrived during a pause before it pulls across regions', async () => {
+    const group = new Group(3, ['a/east', 'b/west', 'b/west'])
+    const [far, first, second] = group.nodes
+    group.members.holders.set('gateway', [first, second].map((node) => node.options.record.id))
+    for (const [left, right] of [[0, 1], [0, 2], [1, 2]]) group.connect(left, right)
+    await group.run(100)
+    far.offer(pairVersion('base', 1))
+    const farLink = second.overlay.links[0].other
+    await group.clock.advance(1)
+    group.network.deliver(group.network.pending.findIndex((message) => message.to === second.overlay.links[0]))
+    await settlePromises()
+    group.clock.stall = 60_000
+    await group.clock.advance(600)
+    const pulled = group.network.pending.filter((message) => message.to === farLink).length
+    await group.run(2_000)
+    const received = await second.metrics.registry.getSingleMetricAsString('savoryknot_bodies_received_total')
+    group.stop()
+    expect(pulled, 'digests only').to.be.at.most(1)
+    expect(group.inForce).to.deep.equal(Array(3).fill('base=1'))
+    expect(sumOf([received], 'from_region="east"')).to.equal(0)
+  })
+
   it('keeps what it has against hostile bodies, and takes the true one from another peer', async () => {
     const group = new Group(3)
     const [victim, hostile, honest] = group.nodes
--- a/src/distribution/PullTask.ts
+++ b/src/distribution/PullTask.ts
@@ -36,7 +36,8 @@
 interface IOffer {
   readonly source: IPullSource
   version: number
-  readonly readyAt: Timestamp
+  /** Not to be asked before. */
+  readyAt: Timestamp
   attempts: number
   /** True after a delta from this peer could not be used. */
   needsWhole: boolean
@@ -51,6 +52,12 @@
   isAnswered: boolean
 }
 
+/** A timer that is later than this tells that the process did not run for some time. */
+const STALL_MS = 50
+
+/** Time to read what arrived during a stall. */
+const STALL_GRACE_MS = 250 as Milliseconds
+
 /** Ends when no peer offers anything newer than what is held, or none of them delivers. */
 export class PullTask {
   private readonly _offers = new Map<IPullSource, IOffer>()
@@ -89,7 +96,7 @@
       const now = this._options.clock.now()
       const offer = this._nextOffer()
       if (offer === undefined) break
-      if (offer.readyAt > now) await this._signal.wait(durationBetween(now, offer.readyAt))
+      if (offer.readyAt > now) await this._awaitReady(offer, now)
       else await this._ask(offer)
     }
     this._isDone = true
@@ -111,6 +118,14 @@
     return true
   }
 
+  /** After a stall of this process the answer to what it waits for may be among the messages that it has not read yet. */
+  private async _awaitReady (offer: IOffer, now: Timestamp): Promise<void> {
+    const { readyAt } = offer
+    await this._signal.wait(durationBetween(now, readyAt))
+    const wokenAt = this._options.clock.now()
+    if (durationBetween(readyAt, wokenAt) > STALL_MS) offer.readyAt = addDuration(wokenAt, STALL_GRACE_MS)
+  }
+
   private async _ask (offer: IOffer): Promise<void> {
     offer.attempts++
     const base = offer.needsWhole ? undefined : this._options.held.newest(this._service)
