Bound the crashes of the crash-request bench, and end a killed stand-in for good

Cause: a stand-in that crashed shortly before it was killed came back and kept the process of the bench alive; the goodput of the overload bench counted answers that came after the offer had ended. Change: kill cancels the restart; goodput counts only answers in the measured window, after a ramp, with fresh upstreams for each load; crashes are bounded by one for each endpoint of the service.

--- a/bench/gate/CrashRequestBench.ts
+++ b/bench/gate/CrashRequestBench.ts
@@ -6,6 +6,7 @@
 import { BOUNDS } from '../Bounds.js'
 import type { IBench, IBenchOptions, IFigure } from '../Types.js'
 
+/** Endpoints of the service; each may crash once at most, however often the request is sent. */
 const GATES = 6
 const CALL_RATE = 150
 const SERVICE_TIME_MS = 40
@@ -87,7 +88,8 @@
   const good = isBound ? { bound: BOUNDS.otherCallsSuccessPercent, direction: 'at-least' as const } : {}
   const none = isBound ? { bound: BOUNDS.none, direction: 'at-most' as const } : {}
   report({ name: `${prefix}sendings of the request`, value: result.sent, unit: 'requests' })
-  report({ name: `${prefix}upstream crashes`, value: result.crashes, unit: 'crashes' })
+  const crashes = isBound ? { bound: GATES, direction: 'at-most' as const } : {}
+  report({ name: `${prefix}upstream crashes`, value: result.crashes, unit: 'crashes', ...crashes })
   report({ name: `${prefix}other calls answered`, value: result.goodPercent, unit: '%', ...good })
   report({ name: `${prefix}invariant breaches`, value: result.breaches, unit: 'breaches', ...none })
 }
--- a/bench/gate/OverloadBench.ts
+++ b/bench/gate/OverloadBench.ts
@@ -1,7 +1,7 @@
 /** Goodput and shedding from half to four times the capacity of the slots. */
 import { Pool } from 'undici'
 import { RandomService } from '../../src/common/RandomService.js'
-import { GateFleet, pause, quantile, startAtRate } from '../../testing/gate/GateFleet.js'
+import { GateFleet, quantile, startAtRate } from '../../testing/gate/GateFleet.js'
 import { UpstreamStandIn } from '../../testing/upstream/UpstreamStandIn.js'
 import { BOUNDS } from '../Bounds.js'
 import type { IBench, IBenchOptions, IFigure } from '../Types.js'
@@ -9,7 +9,8 @@
 
 const DEADLINE_MS = 800
 const LOADS = [0.5, 1, 2, 4]
-const WARM_UP_MS = 1_000
+/** Load before the part that is measured. */
+const RAMP_MS = 700
 const DURATION_MS = 5_000
 const QUICK_DURATION_MS = 1_500
 /** Shares of the offered requests. */
@@ -17,34 +18,46 @@
 const NORMAL_SHARE = 0.3
 const BASELINE_ATTEMPTS = 3
 
+/** What is measured, and how it is reported. */
+interface IWay {
+  readonly deployment: IDeployment
+  readonly options: IBenchOptions
+  readonly prefix: string
+  readonly isBound: boolean
+  readonly report: (figure: IFigure) => void
+}
+
 type Sender = (kind: string) => Promise<boolean>
 
-/** Requests by class: offered, answered within the deadline, and their times. */
+/** Requests by class: offered, answered within the deadline, and the times of the critical ones. */
 class Tally {
   public readonly offered = { critical: 0, normal: 0, background: 0 }
   public readonly good = { critical: 0, normal: 0, background: 0 }
   public readonly criticalTimes: number[] = []
-
-  public get allGood (): number {
-    return this.good.critical + this.good.normal + this.good.background
-  }
+  /** Good answers that came while the measured requests were offered. */
+  public goodInTime = 0
 }
 
 type Kind = keyof Tally['offered']
 
-/** Offers requests at a rate and counts those that are answered in time. */
+/** Offers requests at a rate; counts those that are offered, and those that are answered, after the ramp. */
 async function offer (rate: number, durationMs: number, random: RandomService, send: Sender): Promise<Tally> {
   const tally = new Tally()
   const pending: Array<Promise<void>> = []
-  await startAtRate(rate, durationMs, random, () => {
+  const begin = performance.now() + RAMP_MS
+  const end = begin + durationMs
+  await startAtRate(rate, RAMP_MS + durationMs, random, () => {
     const draw = random.fraction()
     const kind: Kind = draw < CRITICAL_SHARE ? 'critical' : draw < CRITICAL_SHARE + NORMAL_SHARE ? 'normal' : 'background'
-    tally.offered[kind]++
     const startedAt = performance.now()
+    const isMeasured = startedAt >= begin
+    if (isMeasured) tally.offered[kind]++
     pending.push(send(kind).then((isAnswered) => {
-      const elapsed = performance.now() - startedAt
-      if (isAnswered && elapsed <= DEADLINE_MS) tally.good[kind]++
-      if (isAnswered && kind === 'critical') tally.criticalTimes.push(elapsed)
+      const now = performance.now()
+      const isGood = isAnswered && now - startedAt <= DEADLINE_MS
+      if (isGood && now >= begin && now <= end) tally.goodInTime++
+      if (isGood && isMeasured) tally.good[kind]++
+      if (isAnswered && isMeasured && kind === 'critical') tally.criticalTimes.push(now - startedAt)
     }))
   })
   await Promise.all(pending)
@@ -89,27 +102,21 @@
   for (const upstream of upstreams) upstream.kill()
 }
 
-/** Runs every load against one way and reports its figures. */
-async function measureLoads (
-  deployment: IDeployment, options: IBenchOptions, prefix: string, isBound: boolean, send: Sender, report: (figure: IFigure) => void
-): Promise<void> {
-  const random = new RandomService(options.seed)
+/** Offers one load by one way and reports its figures. */
+async function measureLoad (load: number, way: IWay, send: Sender): Promise<void> {
+  const { deployment, options, prefix, isBound, report } = way
   const capacity = capacityOf(deployment)
   const durationMs = options.quick ? QUICK_DURATION_MS : DURATION_MS
-  await offer(capacity / 2, WARM_UP_MS, random, send)
-  for (const load of LOADS) {
-    const tally = await offer(capacity * load, durationMs, random, send)
-    const offered = tally.offered.critical + tally.offered.normal + tally.offered.background
-    const possible = Math.min(offered, capacity * durationMs / 1_000)
-    const name = `${prefix}${deployment.name} x${load}`
-    const goodputBound = isBound ? { bound: BOUNDS.goodputPercent, direction: 'at-least' as const } : {}
-    report({ name: `${name} goodput`, value: percent(tally.allGood, possible), unit: '% of capacity or offer', ...goodputBound })
-    const timeBound = isBound ? { bound: DEADLINE_MS, direction: 'at-most' as const } : {}
-    report({ name: `${name} critical p99`, value: Math.round(quantile(tally.criticalTimes, 0.99)), unit: 'ms', ...timeBound })
-    for (const kind of ['critical', 'normal', 'background'] as const) {
-      report({ name: `${name} ${kind} answered`, value: percent(tally.good[kind], tally.offered[kind]), unit: '%' })
-    }
-    await pause(500)
+  const tally = await offer(capacity * load, durationMs, new RandomService(options.seed), send)
+  const offered = tally.offered.critical + tally.offered.normal + tally.offered.background
+  const possible = Math.min(offered, capacity * durationMs / 1_000)
+  const name = `${prefix}${deployment.name} x${load}`
+  const goodput = isBound ? { bound: BOUNDS.goodputPercent, direction: 'at-least' as const } : {}
+  const time = isBound ? { bound: DEADLINE_MS, direction: 'at-most' as const } : {}
+  report({ name: `${name} goodput`, value: percent(tally.goodInTime, possible), unit: '% of capacity or offer', ...goodput })
+  report({ name: `${name} critical p99`, value: Math.round(quantile(tally.criticalTimes, 0.99)), unit: 'ms', ...time })
+  for (const kind of ['critical', 'normal', 'background'] as const) {
+    report({ name: `${name} ${kind} answered`, value: percent(tally.good[kind], tally.offered[kind]), unit: '%' })
   }
 }
 
@@ -123,11 +130,15 @@
   summary: 'Goodput and critical requests from half to four times the capacity; baseline: random balancing without limits, naive retries',
   run: async (options, report) => {
     for (const deployment of DEPLOYMENTS) {
-      const breaches = await withGates(deployment, options.seed, (send) => measureLoads(deployment, options, '', true, send, report))
+      let breaches = 0
+      for (const load of LOADS) {
+        const way: IWay = { deployment, options, prefix: '', isBound: true, report }
+        breaches += await withGates(deployment, options.seed, (send) => measureLoad(load, way, send))
+        if (!options.baseline) continue
+        const baseline: IWay = { ...way, prefix: 'baseline ', isBound: false }
+        await withRandomBalancing(deployment, new RandomService(options.seed), (send) => measureLoad(load, baseline, send))
+      }
       report({ name: `${deployment.name} invariant breaches`, value: breaches, unit: 'breaches', bound: BOUNDS.none, direction: 'at-most' })
-      if (!options.baseline) continue
-      const random = new RandomService(options.seed)
-      await withRandomBalancing(deployment, random, (send) => measureLoads(deployment, options, 'baseline ', false, send, report))
     }
   }
 }
--- a/testing/upstream/UpstreamStandIn.ts
+++ b/testing/upstream/UpstreamStandIn.ts
@@ -66,6 +66,7 @@
   private readonly _waiting: Array<() => void> = []
   private _server: Server | undefined
   private _port: number
+  private _restart: NodeJS.Timeout | undefined
   private _used = 0
   private _acceptFreeAt = 0
   private _coldUntil = 0
@@ -98,6 +99,7 @@
 
   /** Stops at once, as a killed process does. */
   public kill (): void {
+    clearTimeout(this._restart)
     this._server?.close()
     this._server = undefined
     for (const socket of this._sockets) socket.destroy()
@@ -109,7 +111,7 @@
   public crash (): void {
     this.crashes++
     this.kill()
-    setTimeout(() => { this.start().catch(() => {}) }, this._options.restartMs)
+    this._restart = setTimeout(() => { this.start().catch(() => {}) }, this._options.restartMs)
   }
 
   private _accept (socket: Socket): void {
