--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -1,5 +1,6 @@
 /** All benchmarks, one line each. */
 import { ADDED_LATENCY } from './AddedLatency.js'
+import { AT_MOST_ONCE_BENCH } from './gate/AtMostOnceBench.js'
 import { CONTROL_BYTES } from './ControlBytes.js'
 import { CONVERGENCE } from './Convergence.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
@@ -9,6 +10,7 @@
 
 export const BENCHES: readonly IBench[] = Object.freeze([
   ADDED_LATENCY,
+  AT_MOST_ONCE_BENCH,
   CONTROL_BYTES,
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
--- /dev/null
+++ b/src/gate/CallRunner.ts
@@ -0,0 +1,153 @@
+/** Runs one call at one endpoint: inspection, admission, exchange, outcome. */
+import type { Readable } from 'node:stream'
+import type { IClockService, IInvariantService, ILogService } from '../common/Services.js'
+import type { RequestFingerprint, Timestamp } from '../common/Types.js'
+import type { ISnapshotService } from '../distribution/Services.js'
+import type { ClaimService } from './ClaimService.js'
+import type { CrashGuard } from './CrashGuard.js'
+import { ANSWER_REFUSED } from './Events.js'
+import type { GateMetrics } from './GateMetrics.js'
+import { fingerprintOf, readBodyStart, FINGERPRINT_BODY_BYTES } from './KeptBody.js'
+import { findBodyLimits } from './RouteLimits.js'
+import type { StartedRequests } from './StartedRequests.js'
+import type { CallOutcome, IAnswerSink, ICall, NotRunReason } from './Types.js'
+import type { UpstreamConnection } from './UpstreamConnections.js'
+import type { UpstreamEndpoint } from './UpstreamEndpoint.js'
+import { UpstreamExchange, type ExchangeEnd } from './UpstreamExchange.js'
+
+/** What the runner needs of the gate. */
+export interface ICallRunnerOptions {
+  readonly clock: IClockService
+  readonly log: ILogService
+  readonly invariants: IInvariantService
+  readonly snapshots: ISnapshotService
+  readonly metrics: GateMetrics
+  readonly claims: ClaimService
+  readonly guard: CrashGuard
+  readonly started: StartedRequests
+}
+
+/** Connections that were closed while idle and are passed over before a call is refused. */
+const STALE_CONNECTIONS_LIMIT = 3
+
+/** A body to be streamed, its whole content, or none. */
+export type Body = Readable | Buffer | undefined
+
+/** How a call may run, as far as crashes are concerned. */
+interface IInspection {
+  readonly body: Body
+  readonly refusal?: NotRunReason
+  /** Set if the call is suspect and must run alone. */
+  readonly suspect?: RequestFingerprint
+}
+
+/** Takes calls that have passed the first checks of the gate. */
+export class CallRunner {
+  constructor (private readonly _options: ICallRunnerOptions) {}
+
+  /** Admits a call and runs it in its slot. */
+  public async run (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, body: Body): Promise<CallOutcome> {
+    const { clock } = this._options
+    let inspection: IInspection = { body }
+    for (;;) {
+      const isKnown = inspection.suspect !== undefined
+      if (!isKnown && this._options.guard.concerns(call.service, call.route)) inspection = await this._inspect(call, inspection.body)
+      if (inspection.refusal !== undefined) return notRun(inspection.refusal)
+      const isIsolated = inspection.suspect !== undefined
+      const admission = endpoint.admit(call, isIsolated, clock.now())
+      const refusal = admission instanceof Promise ? await this._waitFor(admission) : admission
+      if (refusal !== undefined) return notRun(refusal)
+      // A crash elsewhere may have made the call suspect while it waited.
+      const isOutdated = !isIsolated && admission instanceof Promise && this._options.guard.concerns(call.service, call.route)
+      if (isOutdated) inspection = await this._inspect(call, inspection.body)
+      if (!isOutdated || (inspection.suspect === undefined && inspection.refusal === undefined)) {
+        return await this._runInSlot(endpoint, call, sink, inspection)
+      }
+      endpoint.release(clock.now())
+    }
+  }
+
+  private async _waitFor (admission: Promise<NotRunReason | undefined>): Promise<NotRunReason | undefined> {
+    const stop = this._options.metrics.queueWait.startTimer()
+    const refusal = await admission
+    stop()
+    return refusal
+  }
+
+  /** Computes the fingerprint of a call and how it may run. */
+  private async _inspect (call: ICall, body: Body): Promise<IInspection> {
+    let seen = body
+    let chunks: readonly Uint8Array[] = []
+    if (Buffer.isBuffer(body)) chunks = [body]
+    else if (body !== undefined) {
+      const start = await readBodyStart(body, FINGERPRINT_BODY_BYTES).catch(() => undefined)
+      if (start === undefined) return { body, refusal: 'cancelled' }
+      chunks = [start.content]
+      seen = start.isWhole ? start.content : body
+    }
+    const fingerprint = fingerprintOf(call, chunks)
+    const standing = this._options.guard.standingOf(fingerprint, this._options.clock.now())
+    if (standing === 'quarantined') return { body: seen, refusal: 'quarantined' }
+    return { body: seen, suspect: standing === 'suspect' ? fingerprint : undefined }
+  }
+
+  private async _runInSlot (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, inspection: IInspection): Promise<CallOutcome> {
+    const { clock } = this._options
+    try {
+      for (let attempt = 1; ; attempt++) {
+        const connection = endpoint.connections.tryAcquire() ?? await this._open(endpoint)
+        if (connection === undefined) return notRun('unreachable')
+        const exchange = this._exchange(endpoint, call, sink, inspection.body)
+        const end = await endpoint.run(exchange, connection, inspection.suspect !== undefined)
+        if (end.kind === 'not-started' && end.isStale && attempt < STALE_CONNECTIONS_LIMIT) continue
+        if (end.kind === 'whole' && inspection.suspect !== undefined) this._options.guard.onFinishedAlone(call, inspection.suspect, clock.now())
+        return this._conclude(end, exchange)
+      }
+    } finally {
+      endpoint.release(clock.now())
+    }
+  }
+
+  private _open (endpoint: UpstreamEndpoint): Promise<UpstreamConnection | undefined> {
+    return endpoint.connections.acquire().catch(() => undefined)
+  }
+
+  private _exchange (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, body: Body): UpstreamExchange {
+    const { clock, snapshots } = this._options
+    const limits = findBodyLimits(snapshots.current, call.service, call.route)
+    const onStarting = (): NotRunReason | undefined => this._onStarting(endpoint, call, clock.now())
+    const { requestBytes, responseBytes } = limits
+    return new UpstreamExchange({ call, sink, body, clock, onStarting, requestBytes, responseBytes })
+  }
+
+  /** The last moment before the first byte: from here on the request counts as started. */
+  private _onStarting (endpoint: UpstreamEndpoint, call: ICall, now: Timestamp): NotRunReason | undefined {
+    if (now >= call.deadlineAt) return 'deadline'
+    if (call.isCancelled) return 'cancelled'
+    const refusal = endpoint.refusal(now)
+    if (refusal !== undefined && refusal !== 'draining') return refusal
+    const { invariants } = this._options
+    if (!invariants.check(endpoint.state !== 'left', 'no-work-after-drain', 'gate.start')) return 'draining'
+    const isPermitted = call.repeat !== 'at-most-once' || this._options.claims.takePermission(call)
+    if (!invariants.check(isPermitted, 'at-most-once', 'gate.start')) return 'store-unavailable'
+    return this._options.started.start(call.requestId, now) ? undefined : 'cancelled'
+  }
+
+  private _conclude (end: ExchangeEnd, exchange: UpstreamExchange): CallOutcome {
+    if (end.kind === 'whole') return { kind: 'answered', status: end.status }
+    const { invariants, log } = this._options
+    const step = 'gate.exchange'
+    if (end.kind === 'not-started') {
+      const isProved = invariants.check(!exchange.isStarted, 'not-run-never-started', step)
+      return isProved ? notRun(end.reason, step) : { kind: 'unknown', reason: 'started', step }
+    }
+    const { service, route } = exchange.call
+    if (end.reason !== 'cancelled') log.log(ANSWER_REFUSED, { step, reason: end.reason, service, route })
+    return { kind: 'unknown', reason: end.reason, step }
+  }
+}
+
+/** The outcome of a request of which not a byte was sent. */
+export function notRun (reason: NotRunReason, step = 'gate.admit'): CallOutcome {
+  return { kind: 'not-run', reason, step }
+}
--- a/src/gate/ClaimService.ts
+++ b/src/gate/ClaimService.ts
@@ -93,7 +93,11 @@
     this._settings = { ...DEFAULT_CLAIM_SETTINGS, ...options.settings }
     const { table, clock, log, objects, metrics } = options
     const { batch, timeout, capacity, inlineBytes } = this._settings
-    this._commits = new GroupCommit({ table, clock, batch, timeout, onTransaction: () => { metrics.claimTransactions.inc() } })
+    const onTransaction = (rows: number): void => {
+      metrics.claimTransactions.inc()
+      metrics.claimRows.inc(rows)
+    }
+    this._commits = new GroupCommit({ table, clock, batch, timeout, onTransaction })
     this._finisher = new ClaimFinisher({ clock, log, table, objects, commits: this._commits, capacity: capacity * 2, inlineBytes })
   }
 
--- a/src/gate/GateMetrics.ts
+++ b/src/gate/GateMetrics.ts
@@ -10,6 +10,7 @@
   public readonly crashes: Counter
   public readonly claims: Counter
   public readonly claimTransactions: Counter
+  public readonly claimRows: Counter
   public readonly quarantined: Counter
   public readonly queueWait: Histogram
 
@@ -19,6 +20,7 @@
     this.crashes = new Counter({ name: 'savoryknot_gate_upstream_crashes_total', help: 'Crashes of upstreams. Unit: crashes.', labelNames: ['service'], registers })
     this.claims = new Counter({ name: 'savoryknot_gate_claims_total', help: 'Claims of at-most-once requests by result. Unit: claims.', labelNames: ['result'], registers })
     this.claimTransactions = new Counter({ name: 'savoryknot_gate_claim_transactions_total', help: 'Transactions that wrote claims. Unit: transactions.', registers })
+    this.claimRows = new Counter({ name: 'savoryknot_gate_claim_rows_total', help: 'Rows of claims in those transactions. Unit: rows.', registers })
     this.quarantined = new Counter({ name: 'savoryknot_gate_quarantined_total', help: 'Fingerprints put into quarantine by this node. Unit: fingerprints.', registers })
     this.queueWait = new Histogram({
       name: 'savoryknot_gate_queue_wait_seconds', help: 'Wait for a slot of requests that did not get one at once. Unit: seconds.', buckets: WAIT_BUCKETS_SECONDS, registers
--- a/src/gate/GateService.ts
+++ b/src/gate/GateService.ts
@@ -1,24 +1,21 @@
 /** The only way to the upstreams on this VM. */
-import type { Readable } from 'node:stream'
 import { Disposable } from '../common/Disposable.js'
 import type { IClockService, IInvariantService, ILogService, IMetricsService, IService } from '../common/Services.js'
-import type { Milliseconds, RequestFingerprint, RequestId, ServiceName, Timestamp } from '../common/Types.js'
+import type { Milliseconds, RequestId, ServiceName, Timestamp } from '../common/Types.js'
 import type { ISnapshotService } from '../distribution/Services.js'
 import type { ISnapshot } from '../documents/Types.js'
 import type { IBroadcastService, IMembershipService } from '../membership/Services.js'
 import type { IObjectStore, ITableService } from '../platform/Services.js'
+import { CallRunner, notRun } from './CallRunner.js'
 import { ClaimService, type IClaimSettings } from './ClaimService.js'
 import { CrashGuard, type ICrashGuardSettings } from './CrashGuard.js'
-import { ANSWER_REFUSED, DRAIN_COMPLETED, DRAIN_GRACE_EXCEEDED, DRAIN_STARTED } from './Events.js'
+import { DRAIN_COMPLETED, DRAIN_GRACE_EXCEEDED, DRAIN_STARTED } from './Events.js'
 import { GateMetrics } from './GateMetrics.js'
-import { fingerprintOf, readBodyStart, FINGERPRINT_BODY_BYTES } from './KeptBody.js'
 import { findBodyLimits, findPool } from './RouteLimits.js'
 import type { IGateService, IOccupancy, IUpstreamSettings } from './Services.js'
 import { StartedRequests, type IStartedRequestsOptions } from './StartedRequests.js'
 import type { CallOutcome, IAnswerSink, ICall, NotRunReason, SettleAnswer } from './Types.js'
-import type { UpstreamConnection } from './UpstreamConnections.js'
 import { UpstreamEndpoint } from './UpstreamEndpoint.js'
-import { UpstreamExchange, type ExchangeEnd } from './UpstreamExchange.js'
 
 /** Settings of the gate. */
 export interface IGateSettings {
@@ -59,19 +56,6 @@
   readonly settings?: Partial<IGateSettings>
 }
 
-/** Connections that were closed while idle and are passed over before a call is refused. */
-const STALE_CONNECTIONS_LIMIT = 3
-
-type Body = Readable | Buffer | undefined
-
-/** How a call may run, as far as crashes are concerned. */
-interface IInspection {
-  readonly body: Body
-  readonly refusal?: NotRunReason
-  /** Set if the call is suspect and must run alone. */
-  readonly suspect?: RequestFingerprint
-}
-
 /** Admits calls to the upstreams on this VM and runs them. */
 export class GateService extends Disposable implements IGateService, IService {
   public readonly claims: ClaimService
@@ -80,6 +64,7 @@
   private readonly _metrics: GateMetrics
   private readonly _guard: CrashGuard
   private readonly _started: StartedRequests
+  private readonly _runner: CallRunner
   private readonly _endpoints = new Map<ServiceName, readonly UpstreamEndpoint[]>()
 
   constructor (options: IGateServiceOptions) {
@@ -93,6 +78,16 @@
     this.claims = this.register(new ClaimService({
       clock, log, metrics: this._metrics, table, objects, node: membership.self.id, settings: this._settings.claims
     }))
+    this._runner = new CallRunner({
+      clock,
+      log,
+      invariants: options.invariants,
+      snapshots: options.snapshots,
+      metrics: this._metrics,
+      claims: this.claims,
+      guard: this._guard,
+      started: this._started
+    })
     for (const upstream of options.upstreams) this._addEndpoint(upstream)
     this._registerGauges()
   }
@@ -167,8 +162,8 @@
     if (endpoint === undefined) return notRun('no-endpoint')
     const refusal = this._refusal(call, endpoint, now)
     if (refusal !== undefined) return notRun(refusal)
-    if (call.repeat !== 'at-most-once') return this._run(endpoint, call, sink, call.bodyContent ?? call.body)
-    return this.claims.execute(call, sink, (content, recorder) => this._run(endpoint, call, recorder, content))
+    if (call.repeat !== 'at-most-once') return this._runner.run(endpoint, call, sink, call.bodyContent ?? call.body)
+    return this.claims.execute(call, sink, (content, recorder) => this._runner.run(endpoint, call, recorder, content))
   }
 
   /** Why a call is refused without further ado. */
@@ -180,107 +175,6 @@
     return endpoint.refusal(now)
   }
 
-  /** Admits a call and runs it in its slot. */
-  private async _run (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, body: Body): Promise<CallOutcome> {
-    const { clock } = this._options
-    let inspection: IInspection = { body }
-    for (;;) {
-      const isKnown = inspection.suspect !== undefined
-      if (!isKnown && this._guard.concerns(call.service, call.route)) inspection = await this._inspect(call, inspection.body)
-      if (inspection.refusal !== undefined) return notRun(inspection.refusal)
-      const isIsolated = inspection.suspect !== undefined
-      const admission = endpoint.admit(call, isIsolated, clock.now())
-      const refusal = admission instanceof Promise ? await this._waitFor(admission) : admission
-      if (refusal !== undefined) return notRun(refusal)
-      // A crash elsewhere may have made the call suspect while it waited.
-      const isOutdated = !isIsolated && admission instanceof Promise && this._guard.concerns(call.service, call.route)
-      if (isOutdated) inspection = await this._inspect(call, inspection.body)
-      if (!isOutdated || (inspection.suspect === undefined && inspection.refusal === undefined)) {
-        return await this._runInSlot(endpoint, call, sink, inspection)
-      }
-      endpoint.release(clock.now())
-    }
-  }
-
-  private async _waitFor (admission: Promise<NotRunReason | undefined>): Promise<NotRunReason | undefined> {
-    const stop = this._metrics.queueWait.startTimer()
-    const refusal = await admission
-    stop()
-    return refusal
-  }
-
-  /** Computes the fingerprint of a call and how it may run. */
-  private async _inspect (call: ICall, body: Body): Promise<IInspection> {
-    let seen = body
-    let chunks: readonly Uint8Array[] = []
-    if (Buffer.isBuffer(body)) chunks = [body]
-    else if (body !== undefined) {
-      const start = await readBodyStart(body, FINGERPRINT_BODY_BYTES).catch(() => undefined)
-      if (start === undefined) return { body, refusal: 'cancelled' }
-      chunks = [start.content]
-      seen = start.isWhole ? start.content : body
-    }
-    const fingerprint = fingerprintOf(call, chunks)
-    const standing = this._guard.standingOf(fingerprint, this._options.clock.now())
-    if (standing === 'quarantined') return { body: seen, refusal: 'quarantined' }
-    return { body: seen, suspect: standing === 'suspect' ? fingerprint : undefined }
-  }
-
-  private async _runInSlot (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, inspection: IInspection): Promise<CallOutcome> {
-    const { clock } = this._options
-    try {
-      for (let attempt = 1; ; attempt++) {
-        const connection = endpoint.connections.tryAcquire() ?? await this._open(endpoint)
-        if (connection === undefined) return notRun('unreachable')
-        const exchange = this._exchange(endpoint, call, sink, inspection.body)
-        const end = await endpoint.run(exchange, connection, inspection.suspect !== undefined)
-        if (end.kind === 'not-started' && end.isStale && attempt < STALE_CONNECTIONS_LIMIT) continue
-        if (end.kind === 'whole' && inspection.suspect !== undefined) this._guard.onFinishedAlone(call, inspection.suspect, clock.now())
-        return this._conclude(end, exchange)
-      }
-    } finally {
-      endpoint.release(clock.now())
-    }
-  }
-
-  private _open (endpoint: UpstreamEndpoint): Promise<UpstreamConnection | undefined> {
-    return endpoint.connections.acquire().catch(() => undefined)
-  }
-
-  private _exchange (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, body: Body): UpstreamExchange {
-    const { clock, snapshots } = this._options
-    const limits = findBodyLimits(snapshots.current, call.service, call.route)
-    const onStarting = (): NotRunReason | undefined => this._onStarting(endpoint, call, clock.now())
-    const { requestBytes, responseBytes } = limits
-    return new UpstreamExchange({ call, sink, body, clock, onStarting, requestBytes, responseBytes })
-  }
-
-  /** The last moment before the first byte: from here on the request counts as started. */
-  private _onStarting (endpoint: UpstreamEndpoint, call: ICall, now: Timestamp): NotRunReason | undefined {
-    if (now >= call.deadlineAt) return 'deadline'
-    if (call.isCancelled) return 'cancelled'
-    const refusal = endpoint.refusal(now)
-    if (refusal !== undefined && refusal !== 'draining') return refusal
-    const { invariants } = this._options
-    if (!invariants.check(endpoint.state !== 'left', 'no-work-after-drain', 'gate.start')) return 'draining'
-    const isPermitted = call.repeat !== 'at-most-once' || this.claims.takePermission(call)
-    if (!invariants.check(isPermitted, 'at-most-once', 'gate.start')) return 'store-unavailable'
-    return this._started.start(call.requestId, now) ? undefined : 'cancelled'
-  }
-
-  private _conclude (end: ExchangeEnd, exchange: UpstreamExchange): CallOutcome {
-    if (end.kind === 'whole') return { kind: 'answered', status: end.status }
-    const { invariants, log } = this._options
-    const step = 'gate.exchange'
-    if (end.kind === 'not-started') {
-      const isProved = invariants.check(!exchange.isStarted, 'not-run-never-started', step)
-      return isProved ? notRun(end.reason, step) : { kind: 'unknown', reason: 'started', step }
-    }
-    const { service, route } = exchange.call
-    if (end.reason !== 'cancelled') log.log(ANSWER_REFUSED, { step, reason: end.reason, service, route })
-    return { kind: 'unknown', reason: end.reason, step }
-  }
-
   /** The endpoint that serves and has most room. */
   private _choose (service: ServiceName): UpstreamEndpoint | undefined {
     const endpoints = this._endpoints.get(service)
@@ -336,7 +230,3 @@
     this._metrics.gauge('savoryknot_gate_queued', 'Requests that wait for a slot. Unit: requests.', 'service', read(({ queued }) => queued))
   }
 }
-
-function notRun (reason: NotRunReason, step = 'gate.admit'): CallOutcome {
-  return { kind: 'not-run', reason, step }
-}
--- a/src/gate/GroupCommit.ts
+++ b/src/gate/GroupCommit.ts
@@ -19,8 +19,8 @@
   readonly batch: number
   /** A transaction that takes longer has an unknown outcome. */
   readonly timeout: Milliseconds
-  /** Called for every transaction sent. */
-  readonly onTransaction: () => void
+  /** Called for every transaction sent, with the number of its rows. */
+  readonly onTransaction: (rows: number) => void
 }
 
 interface IPendingOperation extends IRowOperation {
@@ -97,7 +97,7 @@
 
   private _transact (operations: readonly IPendingOperation[]): Promise<TransactionOutcome> {
     const { table, clock, timeout, onTransaction } = this._options
-    onTransaction()
+    onTransaction(operations.length)
     return new Promise((resolve, reject) => {
       const timer = clock.after(timeout, () => { reject(new OutcomeUnknownError('no answer in time', { step: 'gate.claim.commit', peer: 'table service' })) })
       table.transact({
--- a/testing/gate/ClaimWorld.ts
+++ b/testing/gate/ClaimWorld.ts
@@ -1,6 +1,6 @@
 /** Several claim services over one table whose operations take effect in an order, and with faults, that the test chooses. */
 import { MetricsService } from '../../src/common/MetricsService.js'
-import type { DocumentVersion, IdempotencyKey, NodeId, RequestId, ResourceName, RouteName, ServiceName, Timestamp } from '../../src/common/Types.js'
+import type { NodeId } from '../../src/common/Types.js'
 import { ClaimService } from '../../src/gate/ClaimService.js'
 import { GateMetrics } from '../../src/gate/GateMetrics.js'
 import type { CallOutcome, IAnswerSink, ICall } from '../../src/gate/Types.js'
@@ -10,6 +10,7 @@
 import type { ITableService } from '../../src/platform/Services.js'
 import { ManualClock, settlePromises } from '../ManualClock.js'
 import { RecordingLog } from '../RecordingLog.js'
+import { createPayment } from './Payment.js'
 
 /** What becomes of one operation on the table. */
 export type DeliveryFault = 'none' | 'down' | 'lost' | 'dropped' | 'late'
@@ -92,7 +93,9 @@
     const request: IWorldRequest = { key, body: `body-${bodyNumber}`, outcome: undefined, runs: 0, text: '' }
     this.requests.push(request)
     const sink = createSink((text) => { request.text += text })
-    const call = createCall(key, request.body, this.requests.length, this.clock.now() + DEADLINE_MS)
+    const call = createPayment({
+      key, body: request.body, requestId: `request-${this.requests.length}`, deadlineAt: this.clock.now() + DEADLINE_MS
+    })
     const service = this._gates[gate] as ClaimService
     service.execute(call, sink, (_content, recorder) => this._run(gate, request, call, service, recorder)).then((outcome) => {
       if (!this._dead.has(gate)) request.outcome = outcome
@@ -174,28 +177,3 @@
     abort: () => {}
   }
 }
-
-function createCall (key: string, body: string, number: number, deadlineAt: number): ICall {
-  const content = Buffer.from(body)
-  return {
-    requestId: `request-${number}` as RequestId,
-    service: 'fees' as ServiceName,
-    route: 'pay' as RouteName,
-    version: 1 as DocumentVersion,
-    targetService: 'fees' as ServiceName,
-    targetResource: 'endpoints' as ResourceName,
-    method: 'POST',
-    path: '/fees',
-    headers: {},
-    body: undefined,
-    bodyContent: content,
-    bodyBytes: content.byteLength,
-    deadlineAt: deadlineAt as Timestamp,
-    class: 'critical',
-    repeat: 'at-most-once',
-    idempotencyKey: key as IdempotencyKey,
-    depth: 0,
-    onCancelled: () => ({ dispose: () => {} }),
-    isCancelled: false
-  }
-}
