--- a/testing/gate/FakeMembership.ts
+++ b/testing/gate/FakeMembership.ts
@@ -40,6 +40,10 @@
     return later < 0 ? this.state : this.states[later - 1]
   }
 
+  public presentIn (): ReadonlyMap<NodeId, INodeRecord> {
+    return this.members
+  }
+
   public endpoints (): readonly IRoutableEndpoint[] {
     return []
   }
