Refuse a call whose claim was decided only after the drain

Cause: a call that waits for its claim, or for its body, holds no slot, so the drain could complete before it asked for one; the invariant no-work-after-drain then caught the start and counted a breach. Change: a slot is no longer granted once the notice of the drain is over. Run: the new test failed with one breach before, GateFlow.test.ts 11 passing after.

--- a/src/gate/GateFlow.test.ts
+++ b/src/gate/GateFlow.test.ts
@@ -2,10 +2,12 @@
 import { expect } from 'chai'
 import { FakeBroadcast } from '../../testing/gate/FakeMembership.js'
 import { createFakeDocument } from '../../testing/gate/FakeSnapshots.js'
+import { FaultyTable } from '../../testing/gate/FaultyTable.js'
 import { GateRig, summarise, type IRigAnswer } from '../../testing/gate/GateRig.js'
 import { ManualClock } from '../../testing/ManualClock.js'
 import type { Milliseconds, RequestId, Timestamp } from '../common/Types.js'
 import type { RequestClass } from '../documents/Types.js'
+import { EmbeddedTableService } from '../platform/EmbeddedTableService.js'
 import { AdmissionQueue } from './AdmissionQueue.js'
 import { ServiceTimeEstimate } from './ServiceTimeEstimate.js'
 import { SlotCounter } from './SlotCounter.js'
@@ -139,6 +141,18 @@
     expect(rig.upstream.cancelled).to.equal(0)
   })
 
+  it('starts nothing whose claim is decided only after the drain', async () => {
+    const table = new FaultyTable(new EmbeddedTableService())
+    const rig = await start(new GateRig({ table, settings: { drainNotice: 20 as Milliseconds } }))
+    table.latencyMs = 120
+    const late = rig.send({ route: 'pay', key: 'late', body: 'x' })
+    await rig.until(() => rig.gate.claims.pending === 1)
+    await rig.gate.drain(Date.now() as Timestamp)
+    expect(rig.membership.state).to.equal('left')
+    expect(summarise(await late)).to.equal('503 not-run draining')
+    expect(rig.upstream.started).to.equal(0)
+  })
+
   it('believes whole answers before a health endpoint that says ill, and an upstream that says it drains', async () => {
     const rig = await start(new GateRig({ document: { pool: { healthInterval: 10 as Milliseconds } } }))
     rig.upstream.health = 'always-ill'
--- a/src/gate/UpstreamEndpoint.ts
+++ b/src/gate/UpstreamEndpoint.ts
@@ -105,6 +105,8 @@
 
   /** Asks for a slot; a granted slot must be released. */
   public admit (call: ICall, isIsolated: boolean, now: Timestamp): Admission | Promise<Admission> {
+    // The claim or the body of this call may have been waited for until after the drain.
+    if (this._refusesAt !== undefined && now >= this._refusesAt) return 'draining'
     const expected = this._estimates.get(call.route)?.value(now) ?? 0
     const startBy = call.deadlineAt - expected * NEEDED_SHARE as Timestamp
     return this._queue.admit({ requestId: call.requestId, class: call.class, startBy, isIsolated }, now)
