--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -8,6 +8,7 @@
 import { HERD_BENCH } from './HerdBench.js'
 import { PARTITION_BENCH } from './PartitionBench.js'
 import { SOAK } from './Soak.js'
+import { AT_MOST_ONCE_BENCH } from './gate/AtMostOnceBench.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
@@ -24,6 +25,7 @@
   HERD_BENCH,
   PARTITION_BENCH,
   SOAK,
+  AT_MOST_ONCE_BENCH,
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
   OVERLOAD_BENCH,
