Find a slow endpoint that is the only one of its failure domain

Latency was compared only with peers of the same tier, and today's deployments have one endpoint of a service in each failure domain, so such an endpoint was never found.

--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -5,6 +5,8 @@
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
+import { GRAY } from './Gray.js'
+import { RETRIES } from './Retries.js'
 import type { IBench } from './Types.js'
 
 export const BENCHES: readonly IBench[] = Object.freeze([
@@ -13,5 +15,7 @@
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
-  OVERLOAD_BENCH
+  GRAY,
+  OVERLOAD_BENCH,
+  RETRIES
 ])
--- /dev/null
+++ b/bench/simulation/SimulatedService.ts
@@ -0,0 +1,75 @@
+/** One service with an endpoint in each failure domain and a router in each, in simulated time. */
+import { Emitter } from '../../src/common/Emitter.js'
+import { InvariantService } from '../../src/common/InvariantService.js'
+import { MetricsService } from '../../src/common/MetricsService.js'
+import type { IClockService, IRandomService } from '../../src/common/Services.js'
+import type { EndpointId, FailureDomain, ILocation, Region, ServiceName } from '../../src/common/Types.js'
+import type { IPoolResource, IRetryResource } from '../../src/documents/Types.js'
+import type { IRoutableEndpoint } from '../../src/membership/Types.js'
+import { RouterService } from '../../src/routing/RouterService.js'
+import { RecordingLog } from '../../testing/RecordingLog.js'
+import { createActive, createEndpoint, createRoute, createSnapshot, POOL, RETRY } from '../../testing/RoutingFixtures.js'
+import { SimulatedGates } from './SimulatedGates.js'
+import { SimulatedUpstream, type ISimulatedUpstreamOptions } from './SimulatedUpstream.js'
+
+/** Failure domains with their regions, as in the sizes of today. */
+export const DOMAINS: ReadonlyArray<readonly [string, string]> = [
+  ['ub-1', 'ulaanbaatar'], ['ub-2', 'ulaanbaatar'], ['dk-1', 'darkhan'], ['dk-2', 'darkhan'], ['mg-1', 'mandalgovi'], ['mg-2', 'mandalgovi']
+]
+
+/** What a simulated service needs. */
+export interface ISimulatedServiceOptions {
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly pool?: Partial<IPoolResource>
+  readonly retry?: Partial<IRetryResource>
+  readonly endpointsPerDomain: number
+  /** Behaviour of the upstream number `at` of the service. */
+  readonly upstream: (at: number) => Omit<ISimulatedUpstreamOptions, 'clock' | 'random'>
+}
+
+/** Routers and upstreams of one service. */
+export class SimulatedService {
+  public readonly upstreams: readonly SimulatedUpstream[]
+  /** One router a failure domain, in the order of `DOMAINS`. */
+  public readonly routers: readonly RouterService[]
+  public readonly log = new RecordingLog()
+
+  constructor (options: ISimulatedServiceOptions) {
+    const endpoints = DOMAINS.flatMap((place) => Array.from({ length: options.endpointsPerDomain }, () => place))
+      .map((place, at) => createEndpoint(String(at), place))
+    const { clock, random } = options
+    this.upstreams = endpoints.map((_, at) => new SimulatedUpstream({ ...options.upstream(at), clock, random }))
+    const byId = new Map<EndpointId, SimulatedUpstream>()
+    for (const [at, upstream] of this.upstreams.entries()) byId.set((endpoints[at] as IRoutableEndpoint).id, upstream)
+    this.routers = DOMAINS.map(([failureDomain, region]) => {
+      const location = { failureDomain: failureDomain as FailureDomain, region: region as Region }
+      return this._createRouter(options, location, endpoints, byId)
+    })
+  }
+
+  /** Requests begun at all upstreams. */
+  public get executions (): number {
+    return this.upstreams.reduce((sum, upstream) => sum + upstream.executions, 0)
+  }
+
+  private _createRouter (
+    options: ISimulatedServiceOptions, location: ILocation, endpoints: readonly IRoutableEndpoint[],
+    upstreams: ReadonlyMap<EndpointId, SimulatedUpstream>
+  ): RouterService {
+    const metrics = new MetricsService()
+    const { clock, random } = options
+    const resources = [{ ...POOL, ...options.pool }, { ...RETRY, ...options.retry }]
+    return new RouterService({
+      clock,
+      random,
+      log: this.log,
+      metrics,
+      invariants: new InvariantService({ log: this.log, metrics }),
+      snapshots: { current: createSnapshot(createActive([createRoute()], resources)) },
+      membership: { endpoints: () => endpoints, onEndpointsChanged: new Emitter<ReadonlySet<ServiceName>>().event },
+      remoteGates: new SimulatedGates(clock, location, upstreams),
+      location
+    })
+  }
+}
--- a/src/routing/CallRun.ts
+++ b/src/routing/CallRun.ts
@@ -105,6 +105,8 @@
     this._pool.update(membership.endpoints(this._call.targetService), now)
     const preferred = this._pool.preferred(resource, this._excluded, now)
     if (preferred.length === 0) return undefined
+    const other = this._attempts === 0 ? this._pool.comparison(preferred, now) : undefined
+    if (other !== undefined) return other
     if (localGate !== undefined) {
       const local = preferred.find((candidate) => candidate.endpoint.node === self)
       if (local !== undefined && this._canStartHere(localGate, local, now)) return local
--- a/src/routing/EndpointPool.ts
+++ b/src/routing/EndpointPool.ts
@@ -18,12 +18,16 @@
   readonly detector: OutlierDetector
 }
 
+/** How many calls go by between two that serve comparison. */
+export const DEFAULT_COMPARISON_OPTIONS = Object.freeze({ comparisonInterval: 500, urgentComparisonInterval: 10 })
+
 /** Keeps the statistics of endpoints across changes of the member view. */
 export class EndpointPool {
   private readonly _tiers = new LocalityTiers()
   private readonly _balancers = new WeakMap<IPoolResource, IBalancer>()
   private _source: readonly IRoutableEndpoint[] | undefined
   private _all: readonly EndpointStatistics[] = []
+  private _sinceComparison = 0
 
   constructor (private readonly _options: IEndpointPoolOptions) {}
 
@@ -48,6 +52,21 @@
     return this._tiers.select(this._options.detector.eligible(open, now), resource.spillAt, now)
   }
 
+  /**
+   * Now and then another endpoint of the region, if the preferred one has no peer to be compared with: often while it is
+   * slower than usual, else rarely. Never one of another region, as that traffic is paid for.
+   */
+  public comparison (preferred: readonly EndpointStatistics[], now: Timestamp): EndpointStatistics | undefined {
+    const [only] = preferred
+    if (only === undefined || preferred.length > 1 || this._all.length === 1) return undefined
+    this._sinceComparison++
+    const { comparisonInterval, urgentComparisonInterval } = DEFAULT_COMPARISON_OPTIONS
+    if (this._sinceComparison < (only.isSlowerThanUsual() ? urgentComparisonInterval : comparisonInterval)) return undefined
+    this._sinceComparison = 0
+    const others = this._open([only], now).filter((candidate) => candidate.tier <= 1 && !candidate.isEjected(now))
+    return others.length === 0 ? undefined : others[this._options.random.integer(others.length)]
+  }
+
   /** Chooses one of the preferred endpoints by the pool's policy. */
   public choose (resource: IPoolResource, preferred: readonly EndpointStatistics[], now: Timestamp): EndpointStatistics {
     return this._balancer(resource).choose(preferred, now)
--- a/src/routing/EndpointStatistics.ts
+++ b/src/routing/EndpointStatistics.ts
@@ -9,6 +9,8 @@
   readonly occupancyHalfLifeMs: number
   /** Weight of the newest latency in the moving average. */
   readonly latencyWeight: number
+  /** Weight of the newest latency in the average that tells what is usual. */
+  readonly usualLatencyWeight: number
   /** Time for which an endpoint gets no call after it refused one because it drains or is not ready. */
   readonly refusalPauseMs: number
 }
@@ -17,12 +19,18 @@
 export const DEFAULT_ENDPOINT_STATISTICS_OPTIONS: IEndpointStatisticsOptions = Object.freeze({
   occupancyHalfLifeMs: 500,
   latencyWeight: 0.1,
+  usualLatencyWeight: 0.005,
   refusalPauseMs: 1_000
 })
 
 /** Smallest share of its slots that an endpoint is given at the start of its ramp. */
 const SLOW_START_FLOOR = 0.1
 
+/** Answers, factor and excess from which a latency is unusual. */
+const UNUSUAL_SAMPLES = 5
+const UNUSUAL_FACTOR = 2
+const UNUSUAL_FLOOR_MS = 2
+
 /** Load, latency and failures of one endpoint as seen from here. Own observation outweighs what is reported. */
 export class EndpointStatistics {
   /** Calls sent from here and not answered yet. */
@@ -31,12 +39,15 @@
   public consecutiveFailures = 0
   /** Moving average of the time to an answer, in milliseconds. */
   public latencyMs = 0
+  /** Slowly moving average of the same, across ejections. */
+  public usualLatencyMs = 0
   /** Answers since the last ejection or return. */
   public samples = 0
   /** Time until which the endpoint gets no calls because it is an outlier; 0 if it is not ejected. */
   public ejectedUntil = 0
   /** Ejections in a row; grows the next one. */
   public ejections = 0
+  private _answers = 0
   private _pausedUntil = 0
   private _reportedUsed = 0
   private _reportedAt = 0
@@ -74,7 +85,16 @@
   /** Adds one latency to the moving average. */
   public addLatency (latencyMs: number): void {
     this.samples++
-    this.latencyMs = this.samples === 1 ? latencyMs : this.latencyMs + this._options.latencyWeight * (latencyMs - this.latencyMs)
+    const { latencyWeight, usualLatencyWeight } = this._options
+    this.latencyMs = this.samples === 1 ? latencyMs : this.latencyMs + latencyWeight * (latencyMs - this.latencyMs)
+    // A plain average until there are enough answers for the moving one.
+    const weight = Math.max(usualLatencyWeight, 1 / ++this._answers)
+    this.usualLatencyMs += weight * (latencyMs - this.usualLatencyMs)
+  }
+
+  /** True if the endpoint takes much longer than it used to; its peers tell whether that is its own fault. */
+  public isSlowerThanUsual (): boolean {
+    return this.samples >= UNUSUAL_SAMPLES && this.latencyMs > this.usualLatencyMs * UNUSUAL_FACTOR + UNUSUAL_FLOOR_MS
   }
 
   /** Calls that the endpoint is thought to run: never fewer than this process sent it. A report loses weight as it ages. */
--- a/src/routing/OutlierDetector.ts
+++ b/src/routing/OutlierDetector.ts
@@ -11,8 +11,10 @@
   readonly slownessFactor: number
   /** Smallest excess over the median that counts as slow, in milliseconds. */
   readonly slownessFloorMs: number
-  /** Answers that are needed before latencies are compared. */
+  /** Answers that are needed before an endpoint can be called slow. */
   readonly sampleMinimum: number
+  /** Answers that are needed of a peer to compare with, and of an endpoint that was ejected before. */
+  readonly referenceMinimum: number
   /** Length of the first ejection; doubles with each one in a row. */
   readonly ejectionBaseMs: number
   readonly ejectionLimitMs: number
@@ -26,6 +28,7 @@
   slownessFactor: 3,
   slownessFloorMs: 5,
   sampleMinimum: 20,
+  referenceMinimum: 5,
   ejectionBaseMs: 2_000,
   ejectionLimitMs: 60_000,
   panicPercent: 50
@@ -45,9 +48,10 @@
   ): boolean {
     subject.consecutiveFailures = 0
     subject.addLatency(latencyMs)
-    if (subject.samples < this._options.sampleMinimum) return false
+    const { sampleMinimum, referenceMinimum } = this._options
+    if (subject.samples < (subject.ejections > 0 ? referenceMinimum : sampleMinimum)) return false
     if (!this._isSlow(subject, all)) {
-      subject.ejections = 0
+      if (subject.samples >= sampleMinimum) subject.ejections = 0
       return false
     }
     return this._eject(subject, all, ceilingPercent, now)
@@ -67,10 +71,11 @@
     return left.length * 100 < candidates.length * this._options.panicPercent ? candidates : left
   }
 
+  /** Compares with peers that are as near or farther: the network can only make these slower. */
   private _isSlow (subject: EndpointStatistics, all: readonly EndpointStatistics[]): boolean {
     const peers: number[] = []
     for (const peer of all) {
-      if (peer !== subject && peer.tier === subject.tier && peer.samples >= this._options.sampleMinimum) peers.push(peer.latencyMs)
+      if (peer !== subject && peer.tier >= subject.tier && peer.samples >= this._options.referenceMinimum) peers.push(peer.latencyMs)
     }
     if (peers.length === 0) return false
     const typical = median(peers)
