--- a/src/routing/CallRun.ts
+++ b/src/routing/CallRun.ts
@@ -66,7 +66,8 @@
       const refusal = await this._body.prepare(this._call, this._options.clock)
       if (refusal !== undefined) return { kind: 'not-run', reason: refusal, step: 'router.body' }
     }
-    if (this._resolved.retry !== undefined) this._budget.deposit(this._resolved.retry.budget)
+    // Calls behind the first hop are not retried, so they earn nothing.
+    if (this._resolved.retry !== undefined && this._call.depth === 0) this._budget.deposit(this._resolved.retry.budget)
     let now = start
     for (;;) {
       const outcome = await this._attempt(now)
--- a/src/routing/RouterService.test.ts
+++ b/src/routing/RouterService.test.ts
@@ -113,6 +113,10 @@
     const bench = new Bench(Array.from({ length: 200 }, () => LOST))
     for (let number = 0; number < 50; number++) await bench.send()
     const retries = bench.gates.calls.length - 50
+    const deeper = new Bench(Array.from({ length: 200 }, () => LOST))
+    for (let number = 0; number < 50; number++) await deeper.send(new FakeRequest('GET', '/status/1', { 'savoryknot-depth': '1' }))
+    for (let number = 0; number < 10; number++) await deeper.send()
+    expect(deeper.gates.calls.length - 60).to.be.at.most(1 + 10 * RETRY.budget / 100)
     expect(retries).to.be.at.most(1 + 50 * RETRY.budget / 100)
     expect(bench.log.events.filter((event) => event.name === 'retry-budget-spent')).to.have.length(1)
   })
