--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -1,21 +1,31 @@
 /** All benchmarks, one line each. */
 import { ADDED_LATENCY } from './AddedLatency.js'
+import { AT_REST } from './AtRest.js'
 import { CONTROL_BYTES } from './ControlBytes.js'
+import { CONTROL_COST_BENCH } from './ControlCostBench.js'
 import { CONVERGENCE } from './Convergence.js'
+import { DISTRIBUTION_COST } from './DistributionCost.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
 import { GRAY } from './Gray.js'
 import { RETRIES } from './Retries.js'
+import { SOAK } from './Soak.js'
+import { SYSTEM_BENCH } from './system/SystemBench.js'
 import type { IBench } from './Types.js'
 
 export const BENCHES: readonly IBench[] = Object.freeze([
   ADDED_LATENCY,
+  AT_REST,
   CONTROL_BYTES,
+  CONTROL_COST_BENCH,
   CONVERGENCE,
   CRASH_REQUEST_BENCH,
+  DISTRIBUTION_COST,
   DRAIN_BENCH,
   GRAY,
   OVERLOAD_BENCH,
-  RETRIES
+  RETRIES,
+  SOAK,
+  SYSTEM_BENCH
 ])
--- a/testing/fleet/Fleet.ts
+++ b/testing/fleet/Fleet.ts
@@ -22,6 +22,8 @@
   readonly startedTogether: number
   /** Kinds of messages that no node sends, for comparisons. */
   readonly suppressed: ReadonlySet<string>
+  /** A platform that others use too; an own one by default. */
+  readonly platform?: FaultyPlatform
 }
 
 /** Defaults of `Fleet`. */
@@ -56,7 +58,7 @@
     this._options = { ...DEFAULT_FLEET_OPTIONS, ...options }
     this.random = new RandomService(this._options.seed)
     this.shape = new FleetShape(this._options.latencies)
-    this.platform = new FaultyPlatform({ clock: this.clock, random: this.random })
+    this.platform = this._options.platform ?? new FaultyPlatform({ clock: this.clock, random: this.random })
     this._ways = Array.from({ length: this._options.domains }, () => this.platform.connect())
     this.healStore()
   }
@@ -80,7 +82,7 @@
   }
 
   /** Starts one node in a failure domain. */
-  public async addTo (domain: number, service?: ServiceName): Promise<FleetNode> {
+  public async addTo (domain: number, service?: ServiceName, controlPlane = this._options.controlPlane): Promise<FleetNode> {
     const node = new FleetNode({
       failureDomain: domainName(domain),
       region: regionOf(domain),
@@ -88,7 +90,7 @@
       shape: this.shape,
       traffic: this.traffic,
       platform: this._ways[domain],
-      controlPlane: this._options.controlPlane,
+      controlPlane,
       service,
       suppressed: this._options.suppressed
     })
