Go to another gate when one holds another version without the route

Such a gate's refusal was passed on to the caller as 404 although the node's own document has the route; it now counts as a gate that cannot take the call yet.

--- a/src/routing/AnswerHeaders.ts
+++ b/src/routing/AnswerHeaders.ts
@@ -25,9 +25,13 @@
   return parts === null ? undefined : { used: Number(parts[1]), slots: Number(parts[2]) }
 }
 
-/** The reason of a refusal; what this program does not know counts as an endpoint that can't take calls. */
+/**
+ * The reason of a gate's refusal. One that this program does not know counts as an endpoint that can't take calls, and
+ * so does a gate without the route: it holds another version of the document, and another gate may hold the right one.
+ */
 export function parseNotRunReason (value: string | string[] | undefined): NotRunReason {
-  return typeof value === 'string' && NOT_RUN_REASONS.has(value) ? value as NotRunReason : 'not-ready'
+  if (typeof value !== 'string' || value === 'no-route' || !NOT_RUN_REASONS.has(value)) return 'not-ready'
+  return value as NotRunReason
 }
 
 /** A copy without the headers between nodes. Deleting them instead would turn the object into a slow one. */
--- a/src/routing/RemoteGate.test.ts
+++ b/src/routing/RemoteGate.test.ts
@@ -99,6 +99,7 @@
       'head without end': (socket) => socket.write(`HTTP/1.1 200 OK\r\nx: ${'y'.repeat(70_000)}`),
       'refused as not run': (socket, id) => socket.write(`${answerHead(id, 'savoryknot-reason: overloaded\r\ncontent-length: 0', 'not-run', '503 X')}`),
       'refused for a reason of later software': (socket, id) => socket.write(`${answerHead(id, 'savoryknot-reason: hail\r\ncontent-length: 0', 'not-run', '503 X')}`),
+      'refused by a gate with another version': (socket, id) => socket.write(`${answerHead(id, 'savoryknot-reason: no-route\r\ncontent-length: 0', 'not-run', '404 X')}`),
       'refused as unknown': (socket, id) => socket.write(`${answerHead(id, 'savoryknot-reason: crashed\r\ncontent-length: 0', 'unknown', '502 X')}`),
       whole: (socket, id) => socket.write(`${answerHead(id, 'content-length: 5')}whole`)
     }
