--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -5,8 +5,10 @@
 import { CONTROL_COST_BENCH } from './ControlCostBench.js'
 import { CONVERGENCE } from './Convergence.js'
 import { DISTRIBUTION_COST } from './DistributionCost.js'
+import { GRAY } from './Gray.js'
 import { HERD_BENCH } from './HerdBench.js'
 import { PARTITION_BENCH } from './PartitionBench.js'
+import { RETRIES } from './Retries.js'
 import { SOAK } from './Soak.js'
 import { AT_MOST_ONCE_BENCH } from './gate/AtMostOnceBench.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
@@ -22,8 +24,10 @@
   CONTROL_COST_BENCH,
   CONVERGENCE,
   DISTRIBUTION_COST,
+  GRAY,
   HERD_BENCH,
   PARTITION_BENCH,
+  RETRIES,
   SOAK,
   AT_MOST_ONCE_BENCH,
   CRASH_REQUEST_BENCH,
--- a/bench/latency/CallerProcess.ts
+++ b/bench/latency/CallerProcess.ts
@@ -19,11 +19,12 @@
 
 const layout = JSON.parse(process.argv[2] ?? '{}') as ILayout
 const pools: Readonly<Record<string, Pool>> = {
-  direct: createPool(layout.upstream), 'one-hop': createPool(layout.nearFront), 'two-hops': createPool(layout.farFront)
+  direct: createPool(layout.upstream), 'plain-hop': createPool(layout.plainFront), 'one-hop': createPool(layout.nearFront), 'two-hops': createPool(layout.farFront)
 }
 const router = createRouter()
 
 function createPool (address: string): Pool {
+  if (address === '') return createPool(layout.upstream)
   return new Pool(`http://${address}`, { connections: CONNECTIONS, pipelining: 1, keepAliveTimeout: 60_000 })
 }
 
