Hold every metric to a help text and a unit

Cause: nothing checked that metrics tell their unit. Change: a test reads the metrics port of a node; the metrics of the runtime have their usual names again.

--- a/src/daemon/Daemon.test.ts
+++ b/src/daemon/Daemon.test.ts
@@ -13,6 +13,9 @@
 import type { IKeyFileNames } from './keys/KeyFiles.js'
 import { splitAddress } from './Listening.js'
 
+const HELP_PATTERN = /^# HELP (savoryknot_\S+) (.+)$/gm
+/** The last word of a name that tells the unit; a total counts what the name says. */
+const UNIT_PATTERN = /_(?:bytes|seconds|milliseconds|percent|total|ratio)(?:_total)?$/
 const DOCUMENT = readFileSync('examples/tsagaan/status.ini', 'utf8')
 
 /** Status of one request at the gate port, or `refused` if the connection was. */
@@ -65,6 +68,13 @@
     expect((await call(first.callerUrl, 'status', 'GET', '/status/2')).status).to.equal(200)
   })
 
+  it('gives every metric a help text and a unit', async () => {
+    const text = await (await fetch(`http://${first.settings.node['metrics-address']}/metrics`)).text()
+    const metrics = [...text.matchAll(HELP_PATTERN)].map((match) => ({ name: match[1] ?? '', help: match[2] ?? '' }))
+    expect(metrics.length).to.be.greaterThan(20)
+    expect(metrics.filter(({ name, help }) => !UNIT_PATTERN.test(name) && !help.includes('Unit:'))).to.deep.equal([])
+  })
+
   it('refuses at the gate port whoever is not a node', async () => {
     const foreign = await (await TrialKeys.create(Date.now() as Timestamp)).issue('n3', { kind: 'node' })
     const started = second.upstreams[0]?.started
--- a/src/daemon/MetricsServer.ts
+++ b/src/daemon/MetricsServer.ts
@@ -20,7 +20,7 @@
   private readonly _server: Server
 
   constructor (private readonly _options: IMetricsServerOptions) {
-    collectDefaultMetrics({ register: _options.metrics.registry, prefix: 'savoryknot_' })
+    collectDefaultMetrics({ register: _options.metrics.registry })
     this._server = createServer((request, response) => {
       this._answer(request, response).catch((error: Error) => response.destroy(error))
     })
