Read the sections of documents and settings by one class

Cause: reading a section by its schema and listing its faults stood twice, in the parser of documents and in the reader of settings.

--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -1,14 +1,18 @@
 /** All benchmarks, one line each. */
+import { Acceptance } from './Acceptance.js'
 import { ADDED_LATENCY } from './AddedLatency.js'
 import { AT_REST } from './AtRest.js'
 import { CONTROL_BYTES } from './ControlBytes.js'
 import { CONTROL_COST_BENCH } from './ControlCostBench.js'
 import { CONVERGENCE } from './Convergence.js'
 import { DISTRIBUTION_COST } from './DistributionCost.js'
+import { DocumentFuzz } from './DocumentFuzz.js'
+import { FreshReader } from './FreshReader.js'
 import { GRAY } from './Gray.js'
 import { HERD_BENCH } from './HerdBench.js'
 import { PARTITION_BENCH } from './PartitionBench.js'
 import { RETRIES } from './Retries.js'
+import { SnapshotBuild } from './SnapshotBuild.js'
 import { SOAK } from './Soak.js'
 import { AT_MOST_ONCE_BENCH } from './gate/AtMostOnceBench.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
@@ -18,16 +22,20 @@
 import type { IBench } from './Types.js'
 
 export const BENCHES: readonly IBench[] = Object.freeze([
+  new Acceptance(),
   ADDED_LATENCY,
   AT_REST,
   CONTROL_BYTES,
   CONTROL_COST_BENCH,
   CONVERGENCE,
   DISTRIBUTION_COST,
+  new DocumentFuzz(),
+  new FreshReader(),
   GRAY,
   HERD_BENCH,
   PARTITION_BENCH,
   RETRIES,
+  new SnapshotBuild(),
   SOAK,
   AT_MOST_ONCE_BENCH,
   CRASH_REQUEST_BENCH,
--- a/src/daemon/settings/SettingsReader.ts
+++ b/src/daemon/settings/SettingsReader.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs'
 import type { z } from 'zod'
 import { isName } from '../../common/Ids.js'
-import { readIni, type IniValues } from '../../common/IniText.js'
+import { IniSectionReader } from '../../common/IniSectionReader.js'
 import type { EndpointId, NetworkAddress } from '../../common/Types.js'
 import type { IUpstreamSettings } from '../../gate/Services.js'
 import type { IKeyFileNames } from '../keys/KeyFiles.js'
@@ -11,7 +11,7 @@
 import {
   LIMITS_SECTION, LOG_SECTION, NODE_SECTION, PEERS_SECTION, PLATFORM_SECTION, TLS_SECTION, UPSTREAM_SECTION
 } from './SettingsSchema.js'
-import type { ISettings, ISettingsFault } from './Types.js'
+import type { ISettings } from './Types.js'
 
 const UPSTREAM_PREFIX = 'upstream.'
 const KNOWN_SECTIONS = ['node', 'platform', 'peers', 'tls', 'log', 'limits']
@@ -41,65 +41,62 @@
 
 /** Reading of one text. */
 class SettingsReading {
-  private readonly _faults: ISettingsFault[] = []
-  private readonly _sections: ReadonlyMap<string, IniValues>
+  private readonly _reader: IniSectionReader
 
   constructor (private readonly _file: string, text: string) {
-    const read = readIni(text)
-    this._sections = read.sections
-    this._faults.push(...read.faults)
+    this._reader = new IniSectionReader(text)
   }
 
   public result (): ISettings {
     this._refuseUnknownSections()
-    const node = this._readRequired('node', NODE_SECTION)
-    const platform = this._readRequired('platform', PLATFORM_SECTION)
-    const tls = this._readRequired('tls', TLS_SECTION)
-    const log = this._readOptional('log', LOG_SECTION)
-    const limits = this._readOptional('limits', LIMITS_SECTION)
-    const peers = this._sections.has('peers') ? this._readRequired('peers', PEERS_SECTION) : undefined
+    const node = this._reader.required('node', NODE_SECTION)
+    const platform = this._reader.required('platform', PLATFORM_SECTION)
+    const tls = this._reader.required('tls', TLS_SECTION)
+    const log = this._reader.optional('log', LOG_SECTION)
+    const limits = this._reader.optional('limits', LIMITS_SECTION)
+    const peers = this._reader.names.includes('peers') ? this._reader.required('peers', PEERS_SECTION) : undefined
     const upstreams = this._readUpstreams()
     if (platform !== undefined) this._checkPlatform(platform)
     const keys = tls === undefined ? undefined : this._readKeys(tls)
     if (node !== undefined && tls?.mode === 'off') this._checkLoopback(node)
-    if (node === undefined || platform === undefined || log === undefined || limits === undefined || this._faults.length > 0) {
-      throw new SettingsError(this._file, this._faults)
+    if (node === undefined || platform === undefined || log === undefined || limits === undefined || this._reader.faults.length > 0) {
+      throw new SettingsError(this._file, this._reader.faults)
     }
     return Object.freeze({ node, platform, log, limits, upstreams, keys, peers: peers?.addresses ?? [] })
   }
 
   private _refuseUnknownSections (): void {
-    for (const section of this._sections.keys()) {
+    for (const section of this._reader.names) {
       if (KNOWN_SECTIONS.includes(section) || section.startsWith(UPSTREAM_PREFIX)) continue
-      this._addFault(section, '', `unknown section; expected ${KNOWN_SECTIONS.map((name) => `[${name}]`).join(', ')} or [upstream.NAME]`)
+      this._reader.addFault(section, '', `unknown section; expected ${KNOWN_SECTIONS.map((name) => `[${name}]`).join(', ')} or [upstream.NAME]`)
     }
   }
 
   private _readUpstreams (): readonly IUpstreamSettings[] {
     const upstreams: IUpstreamSettings[] = []
-    for (const section of this._sections.keys()) {
+    for (const section of this._reader.names) {
       if (!section.startsWith(UPSTREAM_PREFIX)) continue
       const endpoint = section.slice(UPSTREAM_PREFIX.length)
-      if (!isName(endpoint)) this._addFault(section, '', 'expected a name of lower-case letters, digits and inner hyphens after the dot')
-      const values = this._readRequired(section, UPSTREAM_SECTION)
+      if (!isName(endpoint)) this._reader.addFault(section, '', 'expected a name of lower-case letters, digits and inner hyphens after the dot')
+      const values = this._reader.required(section, UPSTREAM_SECTION)
       if (values !== undefined) upstreams.push({ ...values, endpoint: endpoint as EndpointId })
     }
     return upstreams
   }
 
   private _checkPlatform (platform: z.infer<typeof PLATFORM_SECTION>): void {
-    if (platform.kind === 'http' && platform.url === undefined) this._addFault('platform', 'url', 'missing; expected a URL, since kind is http')
-    if (platform.kind === 'embedded' && platform.url !== undefined) this._addFault('platform', 'url', 'unused, since kind is embedded')
+    if (platform.kind === 'http' && platform.url === undefined) this._reader.addFault('platform', 'url', 'missing; expected a URL, since kind is http')
+    if (platform.kind === 'embedded' && platform.url !== undefined) this._reader.addFault('platform', 'url', 'unused, since kind is embedded')
   }
 
   private _readKeys (tls: z.infer<typeof TLS_SECTION>): IKeyFileNames | undefined {
     const { certificate, key, authority } = tls
     const files = Object.entries({ certificate, key, authority })
     if (tls.mode === 'off') {
-      for (const [name, file] of files) if (file !== undefined) this._addFault('tls', name, 'unused, since mode is off')
+      for (const [name, file] of files) if (file !== undefined) this._reader.addFault('tls', name, 'unused, since mode is off')
       return undefined
     }
-    for (const [name, file] of files) if (file === undefined) this._addFault('tls', name, 'missing; expected a file name, since mode is on')
+    for (const [name, file] of files) if (file === undefined) this._reader.addFault('tls', name, 'missing; expected a file name, since mode is on')
     if (certificate === undefined || key === undefined || authority === undefined) return undefined
     return { certificate, key, authority }
   }
@@ -108,39 +105,7 @@
     for (const key of ['gate-address', 'peer-address', 'operator-address'] as const) {
       const address: NetworkAddress = node[key]
       if (LOOPBACK_PATTERN.test(splitAddress(address).host)) continue
-      this._addFault('node', key, `found ${address}; expected a loopback address, since tls mode is off`)
+      this._reader.addFault('node', key, `found ${address}; expected a loopback address, since tls mode is off`)
     }
   }
-
-  private _readOptional<TValues> (section: string, schema: z.ZodType<TValues>): TValues | undefined {
-    return this._check(section, schema, this._sections.get(section) ?? {})
-  }
-
-  private _readRequired<TValues> (section: string, schema: z.ZodType<TValues>): TValues | undefined {
-    const values = this._sections.get(section)
-    if (values === undefined) {
-      this._addFault(section, '', 'section is missing')
-      return undefined
-    }
-    return this._check(section, schema, values)
-  }
-
-  private _check<TValues> (section: string, schema: z.ZodType<TValues>, values: IniValues): TValues | undefined {
-    const result = schema.safeParse(values)
-    if (result.success) return result.data
-    for (const issue of result.error.issues) this._addIssue(section, issue)
-    return undefined
-  }
-
-  private _addIssue (section: string, issue: z.core.$ZodIssue): void {
-    if (issue.code === 'unrecognized_keys') {
-      for (const key of issue.keys) this._addFault(section, key, 'unknown key')
-    } else {
-      this._addFault(section, issue.path.join('.'), issue.message)
-    }
-  }
-
-  private _addFault (section: string, key: string, message: string): void {
-    this._faults.push({ section, key, message })
-  }
 }
--- a/src/documentation/Pages.test.ts
+++ b/src/documentation/Pages.test.ts
@@ -3,6 +3,7 @@
 import { readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { IEventDefinition } from '../common/Services.js'
+import { BENCHES } from '../../bench/Benches.js'
 import { ALL_EVENTS } from './EventCatalogue.js'
 import { PAGES } from './Pages.js'
 
@@ -33,6 +34,15 @@
     })
   }
 
+  it('names only tests and benchmarks that exist in docs/PROOFS.md', () => {
+    const page = readFileSync('docs/PROOFS.md', 'utf8')
+    const files = readdirSync('src', { recursive: true, encoding: 'utf8' }).map((file) => file.split('/').at(-1))
+    const tests = [...page.matchAll(/`(\w+\.test\.ts)`/g)].map((match) => match[1])
+    const names = [...page.matchAll(/`([a-z]+(?:-[a-z]+)*)`/g)].map((match) => match[1] ?? '')
+    expect(tests.filter((file) => !files.includes(file))).to.deep.equal([])
+    expect(names.filter((name) => !BENCHES.some((bench) => bench.name === name))).to.deep.equal([])
+  })
+
   it('has no event that nothing logs', async () => {
     const code = filesOf(false).map((file) => readFileSync(join('src', file), 'utf8')).join('\n')
     const names = [...(await definedEvents()).keys()]
--- a/src/documents/DocumentParser.ts
+++ b/src/documents/DocumentParser.ts
@@ -1,6 +1,5 @@
 /** Parses the text of a document and checks everything that can be checked without the other documents. */
-import type { z } from 'zod'
-import type { ResourceName, RouteName } from '../common/Types.js'
+import type { ResourceName, RouteName, ServiceName } from '../common/Types.js'
 import type { IDocumentParser } from './Services.js'
 import type {
   IDocumentFault, ILimitResource, IPoolResource, IRetryResource, IRoute, IServiceDocument, ParseResult, Resource
@@ -11,7 +10,7 @@
 } from './DocumentSchema.js'
 import { checkOwnReferences } from './OwnReferences.js'
 import { excerpt } from '../common/IniLines.js'
-import { readIni, type IniValues } from '../common/IniText.js'
+import { IniSectionReader } from '../common/IniSectionReader.js'
 
 /** Most faults listed for one document. */
 const MAXIMUM_FAULTS = 200
@@ -39,40 +38,37 @@
 
 /** Reading of one text. */
 class DocumentReading {
-  private readonly _faults: IDocumentFault[] = []
-  private readonly _sections: ReadonlyMap<string, IniValues>
+  private readonly _reader: IniSectionReader
 
   constructor (text: string) {
-    const read = readIni(text)
-    this._sections = read.sections
-    this._faults.push(...read.faults)
+    this._reader = new IniSectionReader(text)
   }
 
   public result (): ParseResult {
     const newer = this._checkFormat()
     if (newer !== undefined) return { isValid: false, faults: [newer] }
     const document = this._readDocument()
-    if (document === undefined || this._faults.length > 0) return { isValid: false, faults: boundFaults(this._faults) }
+    if (document === undefined || this._reader.faults.length > 0) return { isValid: false, faults: boundFaults(this._reader.faults) }
     return { isValid: true, document }
   }
 
   /** A newer format gives one fault alone, since its other sections may not be known here. */
   private _checkFormat (): IDocumentFault | undefined {
-    const format = this._sections.get('service')?.format ?? ''
+    const format = this._reader.textOf('service', 'format') ?? ''
     if (!FORMAT_PATTERN.test(format) || Number(format) <= KNOWN_FORMAT) return undefined
     const message = `document has format ${Number(format)}; this program reads formats up to ${KNOWN_FORMAT}`
     return { section: 'service', key: 'format', message }
   }
 
   private _readDocument (): IServiceDocument | undefined {
-    const service = this._readSection('service', SERVICE_SECTION)
-    const objective = this._readSection('objective', OBJECTIVE_SECTION)
-    const stop = this._readSection('stop', STOP_SECTION)
+    const service = this._reader.required('service', SERVICE_SECTION)
+    const objective = this._reader.required('objective', OBJECTIVE_SECTION)
+    const stop = this._reader.required('stop', STOP_SECTION)
     const resources: Resource[] = []
     const routes: IRoute[] = []
-    for (const section of this._sections.keys()) this._readNamed(section, resources, routes)
+    for (const section of this._reader.names) this._readNamed(section, resources, routes)
     this._checkNames(resources)
-    if (service !== undefined) this._faults.push(...checkOwnReferences(service.name, routes, new Set(this._sections.keys())))
+    if (service !== undefined) this._checkReferences(service.name, routes)
     if (service === undefined || objective === undefined || stop === undefined) return undefined
     return Object.freeze({
       format: service.format,
@@ -100,7 +96,7 @@
   }
 
   private _readPool (section: string, name: ResourceName): IPoolResource | undefined {
-    const values = this._readSection(section, POOL_SECTION)
+    const values = this._reader.required(section, POOL_SECTION)
     if (values === undefined) return undefined
     return {
       kind: 'pool',
@@ -120,42 +116,27 @@
   }
 
   private _readRetry (section: string, name: ResourceName): IRetryResource | undefined {
-    const values = this._readSection(section, RETRY_SECTION)
+    const values = this._reader.required(section, RETRY_SECTION)
     if (values === undefined) return undefined
     const { exported, attempts, budget, backoff } = values
     return { kind: 'retry', name, isExported: exported, attempts, budget, backoff, backoffLimit: values['backoff-limit'] }
   }
 
   private _readLimit (section: string, name: ResourceName): ILimitResource | undefined {
-    const values = this._readSection(section, LIMIT_SECTION)
+    const values = this._reader.required(section, LIMIT_SECTION)
     if (values === undefined) return undefined
     const { exported, rate } = values
     return { kind: 'limit', name, isExported: exported, requestBytes: values['request-bytes'], responseBytes: values['response-bytes'], rate }
   }
 
   private _readRoute (section: string, name: RouteName): IRoute | undefined {
-    const values = this._readSection(section, ROUTE_SECTION)
+    const values = this._reader.required(section, ROUTE_SECTION)
     return values === undefined ? undefined : { name, ...values }
   }
 
-  private _readSection<TValues> (section: string, schema: z.ZodType<TValues>): TValues | undefined {
-    const values = this._sections.get(section)
-    if (values === undefined) {
-      this._addFault(section, '', 'section is missing')
-      return undefined
-    }
-    const result = schema.safeParse(values)
-    if (result.success) return result.data
-    for (const issue of result.error.issues) this._addIssue(section, issue)
-    return undefined
-  }
-
-  private _addIssue (section: string, issue: z.core.$ZodIssue): void {
-    if (issue.code === 'unrecognized_keys') {
-      for (const key of issue.keys) this._addFault(section, key, 'unknown key')
-    } else {
-      this._addFault(section, issue.path.join('.'), issue.message)
-    }
+  private _checkReferences (service: ServiceName, routes: readonly IRoute[]): void {
+    const faults = checkOwnReferences(service, routes, new Set(this._reader.names))
+    for (const { section, key, message } of faults) this._reader.addFault(section, key, message)
   }
 
   /** References name no kind, so a name stands for one resource only. */
@@ -164,17 +145,13 @@
     for (const { kind, name } of resources) {
       const other = kinds.get(name)
       if (other === undefined) kinds.set(name, kind)
-      else this._addFault(`${kind}.${name}`, '', `name is already used by [${other}.${name}]; expected a name that no other resource here has`)
+      else this._reader.addFault(`${kind}.${name}`, '', `name is already used by [${other}.${name}]; expected a name that no other resource here has`)
     }
   }
 
   private _addUnknownSection (section: string, kind: string): void {
     const expected = '[service], [objective], [stop], [pool.NAME], [retry.NAME], [limit.NAME] or [route.NAME]'
-    this._addFault(section, '', `unknown section of kind ${excerpt(kind)}; expected ${expected}`)
-  }
-
-  private _addFault (section: string, key: string, message: string): void {
-    this._faults.push({ section, key, message })
+    this._reader.addFault(section, '', `unknown section of kind ${excerpt(kind)}; expected ${expected}`)
   }
 }
 
