--- a/src/gate/CallRunner.ts
+++ b/src/gate/CallRunner.ts
@@ -7,7 +7,7 @@
 import type { CrashGuard } from './CrashGuard.js'
 import { ANSWER_REFUSED } from './Events.js'
 import type { GateMetrics } from './GateMetrics.js'
-import { fingerprintOf, readBodyStart, FINGERPRINT_BODY_BYTES } from './KeptBody.js'
+import { fingerprintOf, readBodyInTime, FINGERPRINT_BODY_BYTES } from './KeptBody.js'
 import { findBodyLimits } from './RouteLimits.js'
 import type { StartedRequests } from './StartedRequests.js'
 import type { CallOutcome, IAnswerSink, ICall, NotRunReason } from './Types.js'
@@ -48,25 +48,29 @@
   /** Admits a call and runs it in its slot. */
   public async run (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, body: Body): Promise<CallOutcome> {
     const { clock } = this._options
-    let inspection: IInspection = { body }
+    let inspection: IInspection = this._needsInspection(call) ? await this._inspect(call, body) : { body }
     for (;;) {
-      const isKnown = inspection.suspect !== undefined
-      if (!isKnown && this._options.guard.concerns(call.service, call.route)) inspection = await this._inspect(call, inspection.body)
       if (inspection.refusal !== undefined) return notRun(inspection.refusal)
-      const isIsolated = inspection.suspect !== undefined
-      const admission = endpoint.admit(call, isIsolated, clock.now())
+      const admission = endpoint.admit(call, inspection.suspect !== undefined, clock.now())
       const refusal = admission instanceof Promise ? await this._waitFor(admission) : admission
       if (refusal !== undefined) return notRun(refusal)
-      // A crash elsewhere may have made the call suspect while it waited.
-      const isOutdated = !isIsolated && admission instanceof Promise && this._options.guard.concerns(call.service, call.route)
-      if (isOutdated) inspection = await this._inspect(call, inspection.body)
-      if (!isOutdated || (inspection.suspect === undefined && inspection.refusal === undefined)) {
-        return await this._runInSlot(endpoint, call, sink, inspection)
-      }
+      const latest = admission instanceof Promise ? await this._inspectAgain(call, inspection) : inspection
+      if (latest.refusal === undefined && latest.suspect === inspection.suspect) return await this._runInSlot(endpoint, call, sink, latest)
       endpoint.release(clock.now())
+      inspection = latest
     }
   }
 
+  private _needsInspection (call: ICall): boolean {
+    return this._options.guard.concerns(call.service, call.route)
+  }
+
+  /** A crash elsewhere may have made the call suspect while it waited. */
+  private async _inspectAgain (call: ICall, inspection: IInspection): Promise<IInspection> {
+    if (inspection.suspect !== undefined || !this._needsInspection(call)) return inspection
+    return await this._inspect(call, inspection.body)
+  }
+
   private async _waitFor (admission: Promise<NotRunReason | undefined>): Promise<NotRunReason | undefined> {
     const stop = this._options.metrics.queueWait.startTimer()
     const refusal = await admission
@@ -80,7 +84,7 @@
     let chunks: readonly Uint8Array[] = []
     if (Buffer.isBuffer(body)) chunks = [body]
     else if (body !== undefined) {
-      const start = await readBodyStart(body, FINGERPRINT_BODY_BYTES).catch(() => undefined)
+      const start = await readBodyInTime(body, FINGERPRINT_BODY_BYTES, call.deadlineAt, this._options.clock)
       if (start === undefined) return { body, refusal: 'cancelled' }
       chunks = [start.content]
       seen = start.isWhole ? start.content : body
--- a/src/gate/GateFlow.test.ts
+++ b/src/gate/GateFlow.test.ts
@@ -153,6 +153,12 @@
     expect(rig.upstream.started).to.equal(0)
   })
 
+  it('answers not-run to calls that come after it was stopped at once', async () => {
+    const rig = await start(new GateRig())
+    rig.gate.dispose()
+    expect(summarise(await rig.send({ deadlineMs: 300 }))).to.equal('503 not-run unreachable')
+  })
+
   it('believes whole answers before a health endpoint that says ill, and an upstream that says it drains', async () => {
     const rig = await start(new GateRig({ document: { pool: { healthInterval: 10 as Milliseconds } } }))
     rig.upstream.health = 'always-ill'
--- a/src/gate/KeptBody.ts
+++ b/src/gate/KeptBody.ts
@@ -1,7 +1,8 @@
 /** Keeps the beginning of a request body for its fingerprint, and reads small bodies whole. */
 import { createHash } from 'node:crypto'
 import type { Readable } from 'node:stream'
-import type { RequestFingerprint } from '../common/Types.js'
+import type { IClockService } from '../common/Services.js'
+import type { Milliseconds, RequestFingerprint, Timestamp } from '../common/Types.js'
 import type { ICall } from './Types.js'
 
 /** Bytes of a body that count for the fingerprint. */
@@ -64,3 +65,17 @@
     body.once('close', onClose)
   })
 }
+
+/** As `readBodyStart`; undefined if the stream fails or gives no more before the deadline. */
+export function readBodyInTime (
+  body: Readable, limit: number, deadlineAt: Timestamp, clock: IClockService
+): Promise<IBodyStart | undefined> {
+  return new Promise((resolve) => {
+    const timer = clock.after(deadlineAt - clock.now() as Milliseconds, () => { resolve(undefined) })
+    const finish = (start: IBodyStart | undefined): void => {
+      timer.dispose()
+      resolve(start)
+    }
+    readBodyStart(body, limit).then(finish, () => { finish(undefined) })
+  })
+}
--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -114,6 +114,7 @@
   public acquire (): Promise<UpstreamConnection> {
     const idle = this.tryAcquire()
     if (idle !== undefined) return Promise.resolve(idle)
+    if (this.isDisposed) return Promise.reject(new UpstreamUnreachableError('gate stopped', { step: 'gate.connect', peer: this._options.address }))
     return new Promise((resolve, reject) => {
       this._waiters.push({ resolve, reject })
       this._openMore()
