Run no keyed request by an older document, and find a recovered upstream sooner

Cause: while a version spreads, a gate could run a request with a key without a claim, although the sender's newer version makes its route at-most-once; an upstream that came back was probed only after its whole interval. Change: such a request is refused as not run (not-ready) by a gate that is behind; an upstream that is not well is probed each 250 ms.

--- a/src/gate/GateBreaks.test.ts
+++ b/src/gate/GateBreaks.test.ts
@@ -118,6 +118,14 @@
     expect(rig.upstream.started).to.equal(0)
   })
 
+  it('runs no request with a key without a claim while it has an older version than the sender', async () => {
+    const newer = { [HEADER.version]: '2' }
+    expect(summarise(await rig.send({ route: 'file', key: 'k', body: 'x', headers: newer }))).to.equal('503 not-run not-ready')
+    expect(rig.upstream.started).to.equal(0)
+    expect(summarise(await rig.send({ route: 'file', body: 'x', headers: newer }))).to.equal('200 answered')
+    expect(summarise(await rig.send({ route: 'pay', key: 'k', body: 'x', headers: newer }))).to.equal('200 answered')
+  })
+
   it('cuts a chunked body that grows over the limit', async () => {
     const { host, port } = splitAddress(rig.server.address)
     const outgoing = sendRequest({ host, port, method: 'POST', path: '/a', headers: rig.fields({ route: 'file' }), agent: false })
--- a/src/gate/HealthProbe.ts
+++ b/src/gate/HealthProbe.ts
@@ -16,6 +16,8 @@
 
 /** A probe that takes longer has failed. */
 const PROBE_TIMEOUT_MS = 1_000
+/** Time until the next probe while the upstream is not well, if that is sooner than its interval. */
+const RECOVERY_INTERVAL_MS = 250
 const MAXIMUM_BODY_BYTES = 4_096
 /** Body by which an upstream says that it drains. */
 const DRAINING_PATTERN = /\bdraining\b/i
@@ -24,6 +26,7 @@
 export class HealthProbe extends Disposable {
   private readonly _options: IHealthProbeOptions
   private _timer: IDisposable | undefined
+  private _recoveryTimer: IDisposable | undefined
   private _path = '/'
   private _interval = 0 as Milliseconds
   private _isProbing = false
@@ -49,13 +52,22 @@
     this._isProbing = true
     this._probe().then((result) => {
       this._isProbing = false
-      if (!this.isDisposed) this._options.onResult(result, this._options.clock.now())
+      if (this.isDisposed) return
+      if (result !== 'healthy') this._probeSoon()
+      this._options.onResult(result, this._options.clock.now())
     }, () => { this._isProbing = false })
   }
 
   public override dispose (): void {
     super.dispose()
     this._timer?.dispose()
+    this._recoveryTimer?.dispose()
+  }
+
+  private _probeSoon (): void {
+    if (this._interval <= RECOVERY_INTERVAL_MS) return
+    this._recoveryTimer?.dispose()
+    this._recoveryTimer = this._options.clock.after(RECOVERY_INTERVAL_MS as Milliseconds, () => { this.probeNow() })
   }
 
   private async _probe (): Promise<ProbeResult> {
--- a/src/gate/InboundCall.ts
+++ b/src/gate/InboundCall.ts
@@ -36,6 +36,9 @@
   const route = findRoute(snapshot, service as ServiceName, name as RouteName)
   if (route === undefined) return { isValid: false, reason: 'no-route' }
   const key = headers[HEADER.idempotencyKey]
+  const isBehind = version > (snapshot.documents.get(service as ServiceName)?.version ?? 0)
+  // A newer version may have made the route at-most-once; a request with a key is not run without a claim until this node has it.
+  if (isBehind && key !== undefined && route.repeat !== 'at-most-once') return { isValid: false, reason: 'not-ready' }
   const call: ICall = {
     requestId,
     service: service as ServiceName,
