--- a/src/routing/CallRun.ts
+++ b/src/routing/CallRun.ts
@@ -66,7 +66,8 @@
       const refusal = await this._body.prepare(this._call, this._options.clock)
       if (refusal !== undefined) return { kind: 'not-run', reason: refusal, step: 'router.body' }
     }
-    if (this._resolved.retry !== undefined) this._budget.deposit(this._resolved.retry.budget)
+    // Calls behind the first hop are not retried, so they earn nothing.
+    if (this._resolved.retry !== undefined && this._call.depth === 0) this._budget.deposit(this._resolved.retry.budget)
     let now = start
     for (;;) {
       const outcome = await this._attempt(now)
@@ -105,6 +106,8 @@
     this._pool.update(membership.endpoints(this._call.targetService), now)
     const preferred = this._pool.preferred(resource, this._excluded, now)
     if (preferred.length === 0) return undefined
+    const other = this._attempts === 0 ? this._pool.comparison(preferred, now) : undefined
+    if (other !== undefined) return other
     if (localGate !== undefined) {
       const local = preferred.find((candidate) => candidate.endpoint.node === self)
       if (local !== undefined && this._canStartHere(localGate, local, now)) return local
