Start the nodes of a fleet in groups that settle

Cause: 96 nodes started at once in one process, which a busy machine gave less than a core, never settled: late heartbeats raised suspicions, whose messages made further heartbeats late (3,800 suspicions in 5 s at 1.3 cores asked for).

--- a/testing/fleet/Fleet.ts
+++ b/testing/fleet/Fleet.ts
@@ -38,6 +38,9 @@
 /** Pools of each text, with a route to each. */
 const TEXT_POOLS = Array.from({ length: 13 }, (_, position) => `pool-${position}`)
 
+/** Longest wait for a group of nodes to settle before the next group starts. */
+const GROUP_SETTLE_LIMIT_MS = 20_000
+
 const POLL_MS = 5 as Milliseconds
 
 /** The nodes, their network and their platform. */
@@ -74,12 +77,16 @@
     return this._ways.map((way) => way.faults)
   }
 
-  /** Starts `count` nodes, spread evenly over the failure domains. */
+  /**
+   * Starts `count` nodes, spread evenly over the failure domains. Each group settles before the next one starts:
+   * all nodes share one processor, and 96 joins at once starve the heartbeats of everyone.
+   */
   public async add (count: number, service?: (position: number) => ServiceName): Promise<void> {
     for (let first = 0; first < count; first += this._options.startedTogether) {
       const size = Math.min(this._options.startedTogether, count - first)
       const positions = Array.from({ length: size }, (_, offset) => first + offset)
       await Promise.all(positions.map((position) => this.addTo(position % this.domains, service?.(position))))
+      await this.until(() => this.isSettled, GROUP_SETTLE_LIMIT_MS)
     }
   }
 
