Keep the message of an event in the log

Cause: a node of the system run ended with exit code 1 and event 8004 without a reason: winston keeps the event's name under message and overwrote the field of that name.

--- a/src/common/LogService.ts
+++ b/src/common/LogService.ts
@@ -2,6 +2,9 @@
 import { createLogger, format, transports, type Logger } from 'winston'
 import type { EventLevel, IEventDefinition, IEventFields, ILogService } from './Services.js'
 
+/** Where events go. */
+export type LogTransport = InstanceType<typeof transports.Console> | InstanceType<typeof transports.Stream>
+
 /** How events are written. */
 export interface ILogServiceOptions {
   /** Least severe level written. */
@@ -19,21 +22,28 @@
 export class LogService implements ILogService {
   private readonly _logger: Logger
 
-  constructor (options: Partial<ILogServiceOptions> = {}) {
+  /** `transport` is for tests; by default events go to standard error. */
+  constructor (options: Partial<ILogServiceOptions> = {}, transport: LogTransport = consoleTransport()) {
     const complete = { ...DEFAULT_LOG_OPTIONS, ...options }
     this._logger = createLogger({
       level: complete.level,
       defaultMeta: complete.fields,
       format: complete.format === 'json' ? format.combine(format.timestamp(), format.json()) : textFormat(),
-      transports: [new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })]
+      transports: [transport]
     })
   }
 
   public log (event: IEventDefinition, fields: IEventFields = {}): void {
-    this._logger.log({ ...fields, level: event.level, message: event.name, event: event.number })
+    // winston keeps the name of the event under `message`, so that a field of that name goes under `detail`.
+    const { message: detail, ...others } = fields
+    this._logger.log({ ...others, detail, level: event.level, message: event.name, event: event.number })
   }
 }
 
+function consoleTransport (): LogTransport {
+  return new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })
+}
+
 /** One line a person can read: time, level, number, name, fields. */
 function textFormat (): ReturnType<typeof format.combine> {
   return format.combine(format.timestamp(), format.printf((entry) => {
