Never write a row that no reader could read

Change: the time is rounded down, readers take any number, and every row is checked against its schema before it is written. Run: the new test failed before.

--- a/bench/DocumentFuzz.ts
+++ b/bench/DocumentFuzz.ts
@@ -72,7 +72,7 @@
   private _tryRow (): void {
     this._counts.rows++
     const change = { service: 'status', version: 1, hash: '0'.repeat(64), isTombstone: false, sequence: 1, author: 'a', acceptedAt: 1 }
-    const row = encodeRow({ change, owner: 'permits', exports: [{ kind: 'pool', resource: 'endpoints' }], references: [] })
+    const row = encodeRow({ change, owner: 'permits', exports: [{ kind: 'pool', resource: 'endpoints' }], references: [] }, DOCUMENT_ROW_SCHEMA)
     try {
       decodeRow({ key: 'status' as RowKey, revision: '1' as RowRevision, value: this._damage.damage(row) }, DOCUMENT_ROW_SCHEMA)
     } catch (error) {
--- a/src/documents/AcceptanceAttempt.ts
+++ b/src/documents/AcceptanceAttempt.ts
@@ -7,7 +7,7 @@
 import { ReferenceChanges } from './ReferenceChanges.js'
 import { describeDocument } from './store/DocumentRows.js'
 import {
-  DOCUMENT_ROW_SCHEMA, HEAD_SCHEMA, SUBMISSION_ROW_SCHEMA, decodeRow, encodeRow, type IDocumentRow
+  CHANGE_SCHEMA, DOCUMENT_ROW_SCHEMA, HEAD_SCHEMA, LOG_ROW_SCHEMA, SUBMISSION_ROW_SCHEMA, decodeRow, encodeRow, type IDocumentRow
 } from './store/Rows.js'
 import { HEAD_ROW, SUBMISSIONS_TABLE, changeRow, documentRow, submissionRow, versionRow } from './store/Tables.js'
 import type { IAcceptedChange, SubmissionOutcome } from './Types.js'
@@ -112,11 +112,11 @@
     const { id } = this._checked.submission
     const row = describeDocument(change, this._checked.document, this._present)
     return [
-      { ...documentRow(service), value: encodeRow(row) },
-      { ...HEAD_ROW, value: encodeRow({ sequence }) },
-      { ...changeRow(sequence), value: encodeRow({ ...change, submission: id }) },
-      { ...versionRow(service, version), value: encodeRow(change) },
-      { ...submissionRow(id), value: encodeRow({ change }) }
+      { ...documentRow(service), value: encodeRow(row, DOCUMENT_ROW_SCHEMA) },
+      { ...HEAD_ROW, value: encodeRow({ sequence }, HEAD_SCHEMA) },
+      { ...changeRow(sequence), value: encodeRow({ ...change, submission: id }, LOG_ROW_SCHEMA) },
+      { ...versionRow(service, version), value: encodeRow(change, CHANGE_SCHEMA) },
+      { ...submissionRow(id), value: encodeRow({ change }, SUBMISSION_ROW_SCHEMA) }
     ]
   }
 
@@ -130,7 +130,7 @@
       isTombstone: document === undefined,
       sequence: lastSequence + 1 as ChangeSequence,
       author: submission.author,
-      acceptedAt: this._now
+      acceptedAt: Math.floor(this._now) as Timestamp
     }
   }
 
--- a/src/documents/AcceptanceService.test.ts
+++ b/src/documents/AcceptanceService.test.ts
@@ -4,7 +4,8 @@
 import { writeDocument } from '../../testing/documents/DocumentText.js'
 import { runToEnd } from '../../testing/RunToEnd.js'
 import { OutcomeUnknownError, PlatformUnavailableError } from '../platform/PlatformErrors.js'
-import type { ChangeSequence, ServiceName } from '../common/Types.js'
+import type { ChangeSequence, ServiceName, Timestamp } from '../common/Types.js'
+import { MalformedRowError } from './store/Rows.js'
 import { documentRow } from './store/Tables.js'
 
 const SEED = 20_261_204
@@ -168,6 +169,16 @@
     expect((await fixture.accepted.readAll()).sequence).to.equal(100)
   })
 
+  it('writes only what every reader reads, whatever the clock gives', async () => {
+    const submission = fixture.complete({ service: 'status', text: STATUS, expected: 0 })
+    const outcome = await runToEnd(fixture.clock, writer.acceptance.submit(submission, 1_700_000_000_000.25 as Timestamp))
+    expect(outcome.kind === 'accepted' && outcome.change.acceptedAt).to.equal(1_700_000_000_000)
+    const impossible = fixture.complete({ service: 'fees', text: FEES, expected: 0 })
+    const error = await runToEnd(fixture.clock, writer.acceptance.submit(impossible, NaN as Timestamp).catch((reason: unknown) => reason))
+    expect(error).to.be.instanceOf(MalformedRowError)
+    expect((await fixture.accepted.readAll()).changes).to.have.length(1)
+  })
+
   it('goes on beside newer software whose rows have further fields and kinds of resources', async () => {
     await submit({ service: 'status', text: STATUS, expected: 0 })
     const reference = documentRow('status' as ServiceName)
--- a/src/documents/ReferenceChanges.ts
+++ b/src/documents/ReferenceChanges.ts
@@ -57,7 +57,7 @@
     const others = readDependents(row).filter(({ service }) => service !== this._service)
     const resources = references.map(({ kind, resource }) => ({ kind, resource }))
     const dependents = resources.length === 0 ? others : [...others, { service: this._service, resources }]
-    return dependents.length === 0 ? undefined : encodeRow(dependents)
+    return dependents.length === 0 ? undefined : encodeRow(dependents, DEPENDENTS_SCHEMA)
   }
 
   private async _checkAdded (target: ServiceName, added: readonly IReferenceEntry[]): Promise<void> {
--- a/src/documents/store/Rows.ts
+++ b/src/documents/store/Rows.ts
@@ -64,7 +64,7 @@
   isTombstone: z.boolean(),
   sequence: number.transform((value) => value as ChangeSequence),
   author: z.string(),
-  acceptedAt: number.transform((value) => value as Timestamp)
+  acceptedAt: z.number().transform((value) => value as Timestamp)
 })
 
 /** A row of the change log. */
@@ -95,9 +95,11 @@
   }
 }
 
-/** Writes a row's value. */
-export function encodeRow (value: object): string {
-  return JSON.stringify(value)
+/** Writes a row's value; throws `MalformedRowError` rather than write what no reader could read. */
+export function encodeRow (value: object, schema: z.ZodType): string {
+  const result = schema.safeParse(value)
+  if (result.success) return JSON.stringify(value)
+  throw new MalformedRowError('value is not fit for its row', { step: 'documents.encode', peer: 'table service', cause: result.error })
 }
 
 export function isSameResource (left: IResourceEntry, right: IResourceEntry): boolean {
