--- a/bench/Acceptance.ts
+++ b/bench/Acceptance.ts
@@ -65,7 +65,7 @@
 }
 
 /** Bursts of different sizes. */
-export class Acceptance implements IBench {
+class Acceptance implements IBench {
   public readonly name = 'acceptance'
   public readonly summary = 'Reads and writes of submissions at the same time, from one node and from as many; baseline: no backoff'
 
@@ -77,3 +77,5 @@
     }
   }
 }
+
+export const ACCEPTANCE: IBench = new Acceptance()
--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -15,6 +15,10 @@
 import { DRAIN_BENCH } from './gate/DrainBench.js'
 import { OVERLOAD_BENCH } from './gate/OverloadBench.js'
 import { SYSTEM_BENCH } from './system/SystemBench.js'
+import { ACCEPTANCE } from './Acceptance.js'
+import { DOCUMENT_FUZZ } from './DocumentFuzz.js'
+import { FRESH_READER } from './FreshReader.js'
+import { SNAPSHOT_BUILD } from './SnapshotBuild.js'
 import type { IBench } from './Types.js'
 
 export const BENCHES: readonly IBench[] = Object.freeze([
@@ -33,5 +37,9 @@
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
   OVERLOAD_BENCH,
-  SYSTEM_BENCH
+  SYSTEM_BENCH,
+  ACCEPTANCE,
+  DOCUMENT_FUZZ,
+  FRESH_READER,
+  SNAPSHOT_BUILD
 ])
--- a/bench/DocumentFuzz.ts
+++ b/bench/DocumentFuzz.ts
@@ -99,7 +99,7 @@
 }
 
 /** As many texts as `--minutes` asks for. */
-export class DocumentFuzz implements IBench {
+class DocumentFuzz implements IBench {
   public readonly name = 'document-fuzz'
   public readonly summary = 'Damaged documents, rows and checkpoints: each is read or refused, and nothing is thrown or takes long'
 
@@ -115,3 +115,5 @@
     report({ name: 'slowest-text', value: counts.slowest, unit: 'ms' })
   }
 }
+
+export const DOCUMENT_FUZZ: IBench = new DocumentFuzz()
--- a/bench/FreshReader.ts
+++ b/bench/FreshReader.ts
@@ -100,7 +100,7 @@
 }
 
 /** Measures each length of history on a platform of its own. */
-export class FreshReader implements IBench {
+class FreshReader implements IBench {
   public readonly name = 'fresh-reader'
   public readonly summary = 'Reads and bytes of a starting reader after 10, 1,000 and 100,000 changes; baseline: the whole change log'
 
@@ -137,3 +137,5 @@
   report({ name: `${name}-services`, value: cost.services, unit: 'services' })
   report({ name: `${name}-time`, value: cost.milliseconds, unit: 'ms' })
 }
+
+export const FRESH_READER: IBench = new FreshReader()
--- a/bench/SnapshotBuild.ts
+++ b/bench/SnapshotBuild.ts
@@ -29,7 +29,7 @@
 }
 
 /** One changed document at a time. */
-export class SnapshotBuild implements IBench {
+class SnapshotBuild implements IBench {
   public readonly name = 'snapshot-build'
   public readonly summary = 'Processor time to parse, check and apply one changed document among 45 to 360 services'
 
@@ -60,3 +60,5 @@
   }
   return (performance.now() - startedAt) / changes
 }
+
+export const SNAPSHOT_BUILD: IBench = new SnapshotBuild()
