Retry victims of a crash only once the other gates know of the suspicion

Cause: the router tried an idempotent request that had crashed its upstream again within 25 ms, so it crashed four or five upstreams before the others had heard of it. Change: the gate holds the outcome of a cut exchange for the 25 ms in which a crash is told from a lost connection, and says upstream-crashed; the router adds 250 ms to the backoff after that reason (RetryRules, CallRun).

--- a/src/gate/CrashWatch.ts
+++ b/src/gate/CrashWatch.ts
@@ -19,24 +19,30 @@
   private readonly _options: ICrashWatchOptions<TVictim>
   private _openAtFirstCut: readonly UpstreamConnection[] = []
   private _victims: TVictim[] = []
+  private _decision: Promise<boolean> | undefined
 
   constructor (options: ICrashWatchOptions<TVictim>) {
     this._options = options
   }
 
-  /** Takes note of an exchange that the upstream cut. */
-  public onCut (victim: TVictim): void {
+  /** Takes note of an exchange that the upstream cut; resolves with true if the upstream crashed, after `onCrashed`. */
+  public onCut (victim: TVictim): Promise<boolean> {
     this._victims.push(victim)
-    if (this._victims.length > 1) return
-    this._openAtFirstCut = [...this._options.connections.open]
-    this._options.clock.after(CRASH_WINDOW_MS, () => { this._decide() })
+    if (this._decision === undefined) {
+      this._openAtFirstCut = [...this._options.connections.open]
+      this._decision = this._options.clock.sleep(CRASH_WINDOW_MS).then(() => this._decide())
+    }
+    return this._decision
   }
 
-  private _decide (): void {
+  private _decide (): boolean {
     const victims = this._victims
     const survivors = this._openAtFirstCut.filter((connection) => connection.isOpen)
     this._victims = []
     this._openAtFirstCut = []
-    if (survivors.length === 0) this._options.onCrashed(victims)
+    this._decision = undefined
+    const isCrash = survivors.length === 0
+    if (isCrash) this._options.onCrashed(victims)
+    return isCrash
   }
 }
--- a/src/gate/Types.ts
+++ b/src/gate/Types.ts
@@ -82,6 +82,9 @@
   /** The request may have run; its answer, or the rest of it, is lost. */
   | { readonly kind: 'unknown', readonly reason: string, readonly step: string, readonly peer?: string }
 
+/** Reason of an unknown outcome whose upstream crashed: the request may be the cause, and is suspect at every gate soon. */
+export const UPSTREAM_CRASHED_REASON = 'upstream-crashed'
+
 /** Why a request was not run. */
 export type NotRunReason =
   | 'overloaded' | 'draining' | 'deadline' | 'cancelled' | 'no-endpoint' | 'no-route' | 'unreachable' | 'quarantined'
--- a/src/gate/UpstreamEndpoint.ts
+++ b/src/gate/UpstreamEndpoint.ts
@@ -14,7 +14,7 @@
 import { ServiceTimeEstimate } from './ServiceTimeEstimate.js'
 import type { IUpstreamSettings } from './Services.js'
 import { SlotCounter } from './SlotCounter.js'
-import type { ICall, NotRunReason } from './Types.js'
+import { UPSTREAM_CRASHED_REASON, type ICall, type NotRunReason } from './Types.js'
 import { UpstreamConnections, type UpstreamConnection } from './UpstreamConnections.js'
 import type { ExchangeEnd, UpstreamExchange } from './UpstreamExchange.js'
 
@@ -131,7 +131,8 @@
     this.connections.release(connection, end.kind === 'whole' || (end.kind === 'not-started' && !end.isStale))
     if (end.kind === 'whole') this._onWhole(exchange.call.route, startedAt, clock.now())
     if (end.kind === 'cut' && end.isByUpstream && end.reason === 'connection-lost') {
-      this._crashes.onCut({ call: exchange.call, keptChunks: exchange.keptChunks, isIsolated })
+      const isCrash = await this._crashes.onCut({ call: exchange.call, keptChunks: exchange.keptChunks, isIsolated })
+      if (isCrash) return { ...end, reason: UPSTREAM_CRASHED_REASON }
     }
     return end
   }
--- a/src/routing/CallRun.ts
+++ b/src/routing/CallRun.ts
@@ -10,7 +10,7 @@
 import type { EndpointStatistics } from './EndpointStatistics.js'
 import type { OutcomeObserver } from './OutcomeObserver.js'
 import type { RetryBudget } from './RetryBudget.js'
-import { drawBackoff, hasTimeFor, mayReselect, mayRetry, SERVICE_UNAVAILABLE } from './RetryRules.js'
+import { backoffAfter, hasTimeFor, mayReselect, mayRetry, SERVICE_UNAVAILABLE } from './RetryRules.js'
 import type { IResolvedRoute, RoutedCall } from './RoutedCall.js'
 import type { IRemoteGates } from './Types.js'
 
@@ -139,7 +139,7 @@
     }
     const { retry } = this._resolved
     if (!mayRetry(this._call, outcome, this._attempts - this._reselections, retry) || retry === undefined) return undefined
-    const backoff = drawBackoff(retry, this._attempts, this._options.random)
+    const backoff = backoffAfter(outcome, retry, this._attempts, this._options.random)
     if (!hasTimeFor(this._call, backoff, now)) return undefined
     // The token for an answer that was held back has been taken already.
     if (outcome.kind !== 'answered' && !this._takeToken(now)) return undefined
--- a/src/routing/RetryRules.ts
+++ b/src/routing/RetryRules.ts
@@ -2,7 +2,7 @@
 import type { IRandomService } from '../common/Services.js'
 import type { Milliseconds, Timestamp } from '../common/Types.js'
 import type { IRetryResource } from '../documents/Types.js'
-import type { CallOutcome, ICall, NotRunReason } from '../gate/Types.js'
+import { UPSTREAM_CRASHED_REASON, type CallOutcome, type ICall, type NotRunReason } from '../gate/Types.js'
 
 /** Other endpoints tried for one call when the chosen one could not take it; costs no budget because nothing was run. */
 export const RESELECTION_LIMIT = 2
@@ -10,6 +10,9 @@
 /** Least time that must remain after a backoff for another attempt. */
 const ATTEMPT_MINIMUM_MS = 2
 
+/** Least backoff after a crash of the upstream, in which the other gates learn that the request is suspect. */
+const CRASH_BACKOFF_MS = 250
+
 /** The endpoint cannot take calls; another one may. */
 const RESELECTABLE: ReadonlySet<NotRunReason> = new Set<NotRunReason>(['unreachable', 'draining', 'not-ready', 'no-endpoint'])
 
@@ -42,6 +45,13 @@
   return Math.floor(random.fraction() * bound) as Milliseconds
 }
 
+/** The backoff after `outcome`: longer after a crash, so that the next gate runs the request alone. */
+export function backoffAfter (outcome: CallOutcome, rule: IRetryResource, attempts: number, random: IRandomService): Milliseconds {
+  const backoff = drawBackoff(rule, attempts, random)
+  const isCrash = outcome.kind === 'unknown' && outcome.reason === UPSTREAM_CRASHED_REASON
+  return isCrash ? backoff + CRASH_BACKOFF_MS as Milliseconds : backoff
+}
+
 /** True if an attempt that starts after `backoff` still has time before the deadline. */
 export function hasTimeFor (call: RetrySubject, backoff: Milliseconds, now: Timestamp): boolean {
   return now + backoff + ATTEMPT_MINIMUM_MS < call.deadlineAt
