--- a/bench/latency/Protocol.ts
+++ b/bench/latency/Protocol.ts
@@ -1,12 +1,14 @@
 /** Messages between the benchmark and its processes. */
 
 /** Way of a call to the upstream. */
-export type CallPath = 'direct' | 'one-hop' | 'two-hops' | 'embedded'
+export type CallPath = 'direct' | 'plain-hop' | 'one-hop' | 'two-hops' | 'embedded'
 
 /** How the processes of one run find each other. */
 export interface ILayout {
   readonly upstream: string
   readonly gate: string
+  /** Empty without the baseline. */
+  readonly plainFront: string
   readonly nearFront: string
   readonly farFront: string
 }
