Drain once in a planned stop

Cause: a planned stop logged the drain twice and its end before the services had stopped. Change: a second drain waits for the first; event 8003 comes last. Run: the tests of gate and daemon pass.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -60,6 +60,7 @@
     this._isReady = false
     if (wasReady) await this._leave()
     await this._kernel.stop()
+    if (wasReady) this._kernel.get(ILogService).log(DAEMON_STOPPED)
   }
 
   private async _leave (): Promise<void> {
@@ -68,6 +69,5 @@
     log.log(DAEMON_STOPPING)
     await this._kernel.get(IGateService).drain(clock.now())
     await this._kernel.get(IMembershipService).leave(clock.now())
-    log.log(DAEMON_STOPPED)
   }
 }
--- a/src/gate/GateService.ts
+++ b/src/gate/GateService.ts
@@ -65,6 +65,7 @@
   private readonly _guard: CrashGuard
   private readonly _started: StartedRequests
   private readonly _runner: CallRunner
+  private _draining: Promise<void> | undefined
   private readonly _endpoints = new Map<ServiceName, readonly UpstreamEndpoint[]>()
 
   constructor (options: IGateServiceOptions) {
@@ -137,7 +138,13 @@
     return answer
   }
 
-  public async drain (now: Timestamp): Promise<void> {
+  /** A second call waits for the first. */
+  public drain (now: Timestamp): Promise<void> {
+    this._draining ??= this._drain(now)
+    return this._draining
+  }
+
+  private async _drain (now: Timestamp): Promise<void> {
     const { log, clock } = this._options
     log.log(DRAIN_STARTED, { step: 'gate.drain', inFlight: this._all().reduce((sum, endpoint) => sum + endpoint.slots.used, 0) })
     const draining = this._all().map((endpoint) => {
