Check again how many requests run at once

Cause: when the test of the admission limit was rewritten to fixed steps, its check on the most requests that ran at the same time was dropped. Change: the check is back. Run: three times npx mocha -f 'never runs more than the slots', passes.

--- a/src/gate/GateFlow.test.ts
+++ b/src/gate/GateFlow.test.ts
@@ -111,6 +111,7 @@
     expect(rig.upstream.started).to.equal(3)
     await Promise.all([...running, ...waiting])
     expect(rig.upstream.started).to.be.at.most(7)
+    expect(rig.upstream.peak).to.be.at.most(3)
   })
 
   it('follows a new document: slots, connections and limits', async () => {
