--- a/bench/HerdBench.ts
+++ b/bench/HerdBench.ts
@@ -72,12 +72,12 @@
   await Promise.all(herd.map((node) => fleet.restart(node)))
   const caughtUp = await fleet.until(() => fleet.nodes.every((node) => node.isCaughtUp), LIMIT_MS)
   await changes.stop()
-  const newest = await fleet.until(() => holdsNewest(fleet, changes), LIMIT_MS)
+  const newest = await fleet.until(() => holdsNewest(fleet, changes), LIMIT_MS) === undefined ? LIMIT_MS : performance.now() - startedAt
   const settled = await fleet.until(() => fleet.isSettled, LIMIT_MS)
   const total = settled === undefined ? LIMIT_MS : performance.now() - startedAt
   report({ name: 'dead-domain-no-first-choice-after', value: marked ?? LIMIT_MS, unit: 'ms', bound: BOUNDS.drainStopMs, direction: 'at-most' })
   report({ name: 'returned-nodes-caught-up-after', value: caughtUp ?? LIMIT_MS, unit: 'ms' })
-  report({ name: 'last-change-everywhere-after', value: newest ?? LIMIT_MS, unit: 'ms', bound: BOUNDS.convergenceMs, direction: 'at-most' })
+  report({ name: 'newest-everywhere-after-return', value: newest, unit: 'ms', bound: BOUNDS.convergenceMs, direction: 'at-most' })
   report({ name: 'members-agree-after-return', value: total, unit: 'ms' })
   reportStore(fleet, report)
   report({ name: 'changes-accepted', value: [...changes.versions.values()].reduce((sum, version) => sum + version, 0), unit: 'changes' })
--- a/testing/demonstration/NodeProcess.ts
+++ b/testing/demonstration/NodeProcess.ts
@@ -8,8 +8,8 @@
 const READY_TIMEOUT_MS = 30_000
 const POLL_INTERVAL_MS = 50
 const HOST = '127.0.0.1'
-/** Keeps the young generation small, as docs/OPERATIONS.md advises. */
-const NODE_ARGUMENTS = ['--max-semi-space-size=2']
+/** Keep the young generation small and collect the old one early, as docs/OPERATIONS.md advises. */
+const NODE_ARGUMENTS = ['--max-semi-space-size=2', '--heap-growing-percent=10']
 
 /** What runs at one node. */
 export interface INodePlan {
