Refuse with one table of statuses and check certificates by one function

Cause: the gate and the caller's port had a table of statuses each, which differed (422 and 409 for a key with another request), and the check of a node's certificate stood three times. Change: Refusals moves to gate/ and serves both; checkNodeCertificate serves all. Run: the tests of gate, caller's port and keys pass.

--- a/src/gate/GateServer.ts
+++ b/src/gate/GateServer.ts
@@ -3,7 +3,7 @@
 import { createServer as createSecureServer, type Server as SecureServer } from 'node:https'
 import type { AddressInfo } from 'node:net'
 import type { TLSSocket } from 'node:tls'
-import { readIdentity } from '../common/CertificateIdentity.js'
+import { checkNodeCertificate } from '../common/CertificateIdentity.js'
 import { Disposable } from '../common/Disposable.js'
 import type { IClockService, ILogService, IService } from '../common/Services.js'
 import type { IEvent, NetworkAddress, ServiceName } from '../common/Types.js'
@@ -14,7 +14,8 @@
 import { HttpInbound } from './HttpInbound.js'
 import { readCall, readRequestId } from './InboundCall.js'
 import type { IGateService } from './Services.js'
-import { HEADER, type CallOutcome, type NotRunReason } from './Types.js'
+import { refusalAnswer } from './Refusals.js'
+import { HEADER, type CallOutcome } from './Types.js'
 import { splitAddress } from './UpstreamConnections.js'
 
 /** What the server needs. */
@@ -53,13 +54,6 @@
 const MAXIMUM_HEAD_BYTES = 24_576
 const MAXIMUM_CONNECTIONS = 8_192
 
-/** Status of an answer that the gate itself writes. */
-const STATUS_BY_REASON: Readonly<Partial<Record<NotRunReason, number>>> = Object.freeze({
-  malformed: 400, 'key-missing': 400, 'key-conflict': 422, 'no-route': 404, 'too-large': 413, 'rate-limited': 429
-})
-const STATUS_NOT_RUN = 503
-const STATUS_UNKNOWN = 502
-
 /** Receives calls from other nodes and hands them to the gate. */
 export class GateServer extends Disposable implements IService {
   private readonly _options: IGateServerOptions
@@ -155,7 +149,7 @@
 
   private _refuse (response: ServerResponse, outcome: CallOutcome, fields: readonly string[]): void {
     if (outcome.kind === 'answered' || response.destroyed) return
-    const status = outcome.kind === 'unknown' ? STATUS_UNKNOWN : STATUS_BY_REASON[outcome.reason] ?? STATUS_NOT_RUN
+    const { status } = refusalAnswer(outcome)
     const head = [...fields, HEADER.reason, outcome.reason, 'content-length', '0']
     if (!fields.includes(HEADER.outcome)) head.push(HEADER.outcome, outcome.kind)
     response.writeHead(status, head)
@@ -169,5 +163,5 @@
 
 /** Closes a connection whose certificate, though of the right authority, is not a node's. */
 function admitNodesOnly (socket: TLSSocket): void {
-  if (readIdentity(socket.getPeerCertificate().subjectaltname)?.kind !== 'node') socket.destroy()
+  if (checkNodeCertificate(socket.getPeerCertificate()) !== undefined) socket.destroy()
 }
--- a/src/routing/Refusals.ts
+++ b/src/gate/Refusals.ts
@@ -1,5 +1,5 @@
 /** HTTP answers for calls that got none from an upstream. */
-import type { CallOutcome, NotRunReason } from '../gate/Types.js'
+import type { CallOutcome, NotRunReason } from './Types.js'
 
 /** One refusal as it goes to the caller. */
 export interface IRefusalAnswer {
--- a/src/routing/CallerFront.ts
+++ b/src/routing/CallerFront.ts
@@ -12,7 +12,7 @@
 import { CallerConnection } from './CallerConnection.js'
 import { CALLER_REFUSED } from './Events.js'
 import { InboundRequest } from './InboundRequest.js'
-import { refusalAnswer } from './Refusals.js'
+import { refusalAnswer } from '../gate/Refusals.js'
 import { ServiceNaming } from './ServiceNaming.js'
 import type { IRouterService } from './Services.js'
 
--- a/src/routing/RemoteGates.ts
+++ b/src/routing/RemoteGates.ts
@@ -1,7 +1,7 @@
 /** Connections to the gates of other nodes. */
 import type { PeerCertificate } from 'node:tls'
 import { buildConnector, Pool } from 'undici'
-import { readIdentity } from '../common/CertificateIdentity.js'
+import { checkNodeCertificate } from '../common/CertificateIdentity.js'
 import type { IClockService, IInvariantService, ILogService } from '../common/Services.js'
 import type { IDisposable, NetworkAddress, NodeId } from '../common/Types.js'
 import type { ICallTarget } from '../gate/Types.js'
@@ -109,7 +109,7 @@
       key,
       ca: authority,
       rejectUnauthorized: true,
-      checkServerIdentity: (_host: string, presented: PeerCertificate) => checkNodeIdentity(presented)
+      checkServerIdentity: (_host: string, presented: PeerCertificate) => checkNodeCertificate(presented)
     })
   }
 
@@ -129,12 +129,6 @@
   }
 }
 
-/** Undefined if the certificate is a node's; the authority has been checked before. Nodes have no host names. */
-function checkNodeIdentity (certificate: PeerCertificate): Error | undefined {
-  if (readIdentity(certificate.subjectaltname)?.kind === 'node') return undefined
-  return new Error('the other side has no node certificate')
-}
-
 /** Closes a pool after its exchanges; a pool that was closed before is left as it is. */
 async function closePool (pool: Pool): Promise<void> {
   await pool.close().catch(() => undefined)
