--- a/src/gate/UpstreamEndpoint.ts
+++ b/src/gate/UpstreamEndpoint.ts
@@ -14,7 +14,7 @@
 import { ServiceTimeEstimate } from './ServiceTimeEstimate.js'
 import type { IUpstreamSettings } from './Services.js'
 import { SlotCounter } from './SlotCounter.js'
-import type { ICall, NotRunReason } from './Types.js'
+import { UPSTREAM_CRASHED_REASON, type ICall, type NotRunReason } from './Types.js'
 import { UpstreamConnections, type UpstreamConnection } from './UpstreamConnections.js'
 import type { ExchangeEnd, UpstreamExchange } from './UpstreamExchange.js'
 
@@ -105,6 +105,8 @@
 
   /** Asks for a slot; a granted slot must be released. */
   public admit (call: ICall, isIsolated: boolean, now: Timestamp): Admission | Promise<Admission> {
+    // The claim or the body of this call may have been waited for until after the drain.
+    if (this._refusesAt !== undefined && now >= this._refusesAt) return 'draining'
     const expected = this._estimates.get(call.route)?.value(now) ?? 0
     const startBy = call.deadlineAt - expected * NEEDED_SHARE as Timestamp
     return this._queue.admit({ requestId: call.requestId, class: call.class, startBy, isIsolated }, now)
@@ -129,7 +131,8 @@
     this.connections.release(connection, end.kind === 'whole' || (end.kind === 'not-started' && !end.isStale))
     if (end.kind === 'whole') this._onWhole(exchange.call.route, startedAt, clock.now())
     if (end.kind === 'cut' && end.isByUpstream && end.reason === 'connection-lost') {
-      this._crashes.onCut({ call: exchange.call, keptChunks: exchange.keptChunks, isIsolated })
+      const isCrash = await this._crashes.onCut({ call: exchange.call, keptChunks: exchange.keptChunks, isIsolated })
+      if (isCrash) return { ...end, reason: UPSTREAM_CRASHED_REASON }
     }
     return end
   }
