--- a/src/documentation/Pages.test.ts
+++ b/src/documentation/Pages.test.ts
@@ -34,6 +34,11 @@
     })
   }
 
+  it('links every operator page from docs/OPERATIONS.md', () => {
+    const index = readFileSync('docs/OPERATIONS.md', 'utf8')
+    expect(readdirSync('docs/operations').filter((file) => !index.includes(`(operations/${file})`))).to.deep.equal([])
+  })
+
   it('names only tests and benchmarks that exist in docs/PROOFS.md', () => {
     const page = readFileSync('docs/PROOFS.md', 'utf8')
     const files = readdirSync('src', { recursive: true, encoding: 'utf8' }).map((file) => file.split('/').at(-1))
