Name the fakes of the routing benchmarks as fakes

Cause: small fakes at the interface of the gate, run on a manual clock, were called a simulation, which they are not and which the users do not want. Change: FakeUpstream, FakeGates and FakeService stand in testing/routing.

--- a/bench/Gray.ts
+++ b/bench/Gray.ts
@@ -4,7 +4,7 @@
 import { RandomService } from '../src/common/RandomService.js'
 import type { Milliseconds } from '../src/common/Types.js'
 import type { RouterService } from '../src/routing/RouterService.js'
-import { DOMAINS, SimulatedService, type ISimulatedServiceOptions } from './simulation/SimulatedService.js'
+import { DOMAINS, FakeService, type IFakeServiceOptions } from '../testing/routing/FakeService.js'
 import type { IBench, IBenchOptions, IFigure } from './Types.js'
 
 const SECOND_MS = 1_000
@@ -24,7 +24,7 @@
 /** How calls are balanced. */
 interface IPolicy {
   readonly name: string
-  readonly options: Pick<ISimulatedServiceOptions, 'pool'>
+  readonly options: Pick<IFakeServiceOptions, 'pool'>
 }
 
 const PRESENT: IPolicy = { name: 'as designed', options: {} }
@@ -37,7 +37,7 @@
   failures: number
 }
 
-/** Simulated time, so that the figures do not depend on the machine. */
+/** On a manual clock, so that the figures do not depend on the machine. */
 export const GRAY: IBench = {
   name: 'gray',
   summary: 'p99 with one endpoint ten times slow while its health says fine, and with one domain whose load reports lag',
@@ -55,7 +55,7 @@
 async function measureSlow (policy: IPolicy, perDomain: number, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
   const clock = new ManualClock()
   const random = new RandomService(options.seed)
-  const service = new SimulatedService({
+  const service = new FakeService({
     ...policy.options,
     clock,
     random,
@@ -77,9 +77,9 @@
 async function measureLag (policy: IPolicy, lag: number, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
   const clock = new ManualClock()
   const random = new RandomService(options.seed)
-  const upstream = (at: number): ReturnType<ISimulatedServiceOptions['upstream']> =>
+  const upstream = (at: number): ReturnType<IFakeServiceOptions['upstream']> =>
     ({ slots: SLOTS, queue: QUEUE, serviceMs: SERVICE_MS, reportLagMs: at === 1 ? lag : 0 })
-  const service = new SimulatedService({ ...policy.options, clock, random, endpointsPerDomain: 1, upstream })
+  const service = new FakeService({ ...policy.options, clock, random, endpointsPerDomain: 1, upstream })
   const seconds = options.quick ? 5 : QUIET_SECONDS
   const result = await load(clock, random, service.routers, seconds, (domain) => domain === 0 ? OVERFLOW_RATE : RATE)
   const label = `${policy.name}, load reports ${lag} ms late`
--- a/bench/Retries.ts
+++ b/bench/Retries.ts
@@ -5,7 +5,7 @@
 import { ManualClock } from '../testing/ManualClock.js'
 import { FakeRequest, RecordingSink } from '../testing/RoutingFixtures.js'
 import { BOUNDS } from './Bounds.js'
-import { SimulatedService } from './simulation/SimulatedService.js'
+import { FakeService } from '../testing/routing/FakeService.js'
 import type { IBench, IFigure } from './Types.js'
 
 const CHAIN = 6
@@ -21,7 +21,7 @@
 /** Time after the last arrival in which every call has ended. */
 const SETTLE_MS = 5_000
 
-/** Simulated time, so that the figures do not depend on the machine. */
+/** On a manual clock, so that the figures do not depend on the machine. */
 export const RETRIES: IBench = {
   name: 'retries',
   summary: 'requests run for each call through six services while the last of them fails, against retries at every hop',
@@ -55,7 +55,7 @@
   const services = createChain(clock, random, isNaive)
   for (const upstream of services.at(-1)?.upstreams ?? []) upstream.failingShare = failingShare
   let answered = 0
-  const [first] = services as [SimulatedService]
+  const [first] = services as [FakeService]
   for (let number = 0; number < calls; number++) {
     clock.after(number * GAP_MS as Milliseconds, () => {
       const attempts = isNaive ? NAIVE_ATTEMPTS : 1
@@ -68,12 +68,12 @@
 }
 
 /** Services of which each calls the next one. */
-function createChain (clock: ManualClock, random: RandomService, isNaive: boolean): readonly SimulatedService[] {
-  const services: SimulatedService[] = []
+function createChain (clock: ManualClock, random: RandomService, isNaive: boolean): readonly FakeService[] {
+  const services: FakeService[] = []
   for (let position = CHAIN - 1; position >= 0; position--) {
     const next = services[0]
     const work = next === undefined ? undefined : (call: ICall): Promise<number> => callNext(next, clock, call, random, isNaive)
-    services.unshift(new SimulatedService({
+    services.unshift(new FakeService({
       clock,
       random,
       endpointsPerDomain: 1,
@@ -85,7 +85,7 @@
 }
 
 /** What an upstream does: its call is one hop deeper, and has the time that remains. */
-function callNext (next: SimulatedService, clock: ManualClock, call: ICall, random: RandomService, isNaive: boolean): Promise<number> {
+function callNext (next: FakeService, clock: ManualClock, call: ICall, random: RandomService, isNaive: boolean): Promise<number> {
   const remaining = Math.max(0, Math.floor(call.deadlineAt - clock.now()))
   const headers = { [HEADER.depth]: String(call.depth + 1), [HEADER.deadline]: String(remaining) }
   return callService(next, clock, random.integer(next.routers.length), isNaive ? NAIVE_ATTEMPTS : 1, headers)
@@ -93,7 +93,7 @@
 
 /** Status of the answer; 503 if there was none. */
 async function callService (
-  service: SimulatedService, clock: ManualClock, domain: number, attempts: number, headers: Readonly<Record<string, string>>
+  service: FakeService, clock: ManualClock, domain: number, attempts: number, headers: Readonly<Record<string, string>>
 ): Promise<number> {
   // With attempts of its own, the caller switches the router's retries off by a depth above 0.
   const sent = attempts > 1 ? { [HEADER.depth]: '1', ...headers } : headers
--- a/bench/Simulations.test.ts
+++ b/bench/RoutingBenches.test.ts
@@ -1,4 +1,4 @@
-/** The benchmarks in simulated time give the same figures on every machine, so they are held here. */
+/** The benchmarks on a manual clock give the same figures on every machine, so they are held here. */
 import { expect } from 'chai'
 import { GRAY } from './Gray.js'
 import { RETRIES } from './Retries.js'
@@ -16,7 +16,7 @@
   return figures.find((figure) => figure.name === name)?.value ?? NaN
 }
 
-describe('benchmarks in simulated time', () => {
+describe('benchmarks on a manual clock', () => {
   it('keep retries through six services below the bound, whatever share of the last one fails', async () => {
     const bounded = (await figuresOf(RETRIES)).filter((figure) => figure.bound !== undefined)
     expect(bounded).to.have.length(3)
--- a/bench/simulation/SimulatedService.ts
+++ b/testing/routing/FakeService.ts
@@ -1,4 +1,4 @@
-/** One service with an endpoint in each failure domain and a router in each, in simulated time. */
+/** One service with an endpoint in each failure domain and a router in each, on a manual clock. */
 import { Emitter } from '../../src/common/Emitter.js'
 import { InvariantService } from '../../src/common/InvariantService.js'
 import { MetricsService } from '../../src/common/MetricsService.js'
@@ -7,40 +7,40 @@
 import type { IPoolResource, IRetryResource } from '../../src/documents/Types.js'
 import type { IRoutableEndpoint } from '../../src/membership/Types.js'
 import { RouterService } from '../../src/routing/RouterService.js'
-import { RecordingLog } from '../../testing/RecordingLog.js'
-import { createActive, createEndpoint, createRoute, createSnapshot, POOL, RETRY } from '../../testing/RoutingFixtures.js'
-import { SimulatedGates } from './SimulatedGates.js'
-import { SimulatedUpstream, type ISimulatedUpstreamOptions } from './SimulatedUpstream.js'
+import { RecordingLog } from '../RecordingLog.js'
+import { createActive, createEndpoint, createRoute, createSnapshot, POOL, RETRY } from '../RoutingFixtures.js'
+import { FakeGates } from './FakeGates.js'
+import { FakeUpstream, type IFakeUpstreamOptions } from './FakeUpstream.js'
 
 /** Failure domains with their regions, as in the sizes of today. */
 export const DOMAINS: ReadonlyArray<readonly [string, string]> = [
   ['ub-1', 'ulaanbaatar'], ['ub-2', 'ulaanbaatar'], ['dk-1', 'darkhan'], ['dk-2', 'darkhan'], ['mg-1', 'mandalgovi'], ['mg-2', 'mandalgovi']
 ]
 
-/** What a simulated service needs. */
-export interface ISimulatedServiceOptions {
+/** What a fake service needs. */
+export interface IFakeServiceOptions {
   readonly clock: IClockService
   readonly random: IRandomService
   readonly pool?: Partial<IPoolResource>
   readonly retry?: Partial<IRetryResource>
   readonly endpointsPerDomain: number
   /** Behaviour of the upstream number `at` of the service. */
-  readonly upstream: (at: number) => Omit<ISimulatedUpstreamOptions, 'clock' | 'random'>
+  readonly upstream: (at: number) => Omit<IFakeUpstreamOptions, 'clock' | 'random'>
 }
 
 /** Routers and upstreams of one service. */
-export class SimulatedService {
-  public readonly upstreams: readonly SimulatedUpstream[]
+export class FakeService {
+  public readonly upstreams: readonly FakeUpstream[]
   /** One router a failure domain, in the order of `DOMAINS`. */
   public readonly routers: readonly RouterService[]
   public readonly log = new RecordingLog()
 
-  constructor (options: ISimulatedServiceOptions) {
+  constructor (options: IFakeServiceOptions) {
     const endpoints = DOMAINS.flatMap((place) => Array.from({ length: options.endpointsPerDomain }, () => place))
       .map((place, at) => createEndpoint(String(at), place))
     const { clock, random } = options
-    this.upstreams = endpoints.map((_, at) => new SimulatedUpstream({ ...options.upstream(at), clock, random }))
-    const byId = new Map<EndpointId, SimulatedUpstream>()
+    this.upstreams = endpoints.map((_, at) => new FakeUpstream({ ...options.upstream(at), clock, random }))
+    const byId = new Map<EndpointId, FakeUpstream>()
     for (const [at, upstream] of this.upstreams.entries()) byId.set((endpoints[at] as IRoutableEndpoint).id, upstream)
     this.routers = DOMAINS.map(([failureDomain, region]) => {
       const location = { failureDomain: failureDomain as FailureDomain, region: region as Region }
@@ -54,8 +54,8 @@
   }
 
   private _createRouter (
-    options: ISimulatedServiceOptions, location: ILocation, endpoints: readonly IRoutableEndpoint[],
-    upstreams: ReadonlyMap<EndpointId, SimulatedUpstream>
+    options: IFakeServiceOptions, location: ILocation, endpoints: readonly IRoutableEndpoint[],
+    upstreams: ReadonlyMap<EndpointId, FakeUpstream>
   ): RouterService {
     const metrics = new MetricsService()
     const { clock, random } = options
@@ -68,7 +68,7 @@
       invariants: new InvariantService({ log: this.log, metrics }),
       snapshots: { current: createSnapshot(createActive([createRoute()], resources)) },
       membership: { endpoints: () => endpoints, onEndpointsChanged: new Emitter<ReadonlySet<ServiceName>>().event },
-      remoteGates: new SimulatedGates(clock, location, upstreams),
+      remoteGates: new FakeGates(clock, location, upstreams),
       location
     })
   }
--- a/bench/simulation/SimulatedUpstream.ts
+++ b/testing/routing/FakeUpstream.ts
@@ -1,10 +1,10 @@
-/** An upstream with its gate, in simulated time: slots, a bounded queue, service times, and reports that may lag. */
+/** An upstream with its gate, on a manual clock: slots, a bounded queue, service times, and reports that may lag. */
 import type { IClockService, IRandomService } from '../../src/common/Services.js'
 import type { Milliseconds } from '../../src/common/Types.js'
 import { HEADER, type CallOutcome, type IAnswerSink, type ICall } from '../../src/gate/Types.js'
 
 /** How the upstream behaves. */
-export interface ISimulatedUpstreamOptions {
+export interface IFakeUpstreamOptions {
   readonly clock: IClockService
   readonly random: IRandomService
   readonly slots: number
@@ -23,7 +23,7 @@
 }
 
 /** Runs calls in its slots. */
-export class SimulatedUpstream {
+export class FakeUpstream {
   /** Requests begun. */
   public executions = 0
   /** Multiplies service times. */
@@ -34,12 +34,12 @@
   private readonly _waiting: Array<() => void> = []
   private readonly _history: IObservation[] = []
 
-  constructor (private readonly _options: ISimulatedUpstreamOptions) {}
+  constructor (private readonly _options: IFakeUpstreamOptions) {}
 
   /** Runs one call; never rejects. */
   public async execute (call: ICall, sink: IAnswerSink): Promise<CallOutcome> {
     const { clock, slots, queue } = this._options
-    if (this._used >= slots && this._waiting.length >= queue) return { kind: 'not-run', reason: 'overloaded', step: 'simulation' }
+    if (this._used >= slots && this._waiting.length >= queue) return { kind: 'not-run', reason: 'overloaded', step: 'fake.gate' }
     if (this._used >= slots) await new Promise<void>((resolve) => { this._waiting.push(resolve) })
     else this._used++
     this._observe()
@@ -54,9 +54,9 @@
     const duration = -Math.log(1 - random.fraction()) * serviceMs * this.slowFactor
     const remaining = call.deadlineAt - clock.now()
     await clock.sleep(Math.min(duration, remaining) as Milliseconds)
-    if (duration >= remaining) return { kind: 'unknown', reason: 'deadline', step: 'simulation' }
+    if (duration >= remaining) return { kind: 'unknown', reason: 'deadline', step: 'fake.gate' }
     const status = random.fraction() < this.failingShare ? 503 : await work?.(call) ?? 200
-    if (clock.now() >= call.deadlineAt) return { kind: 'unknown', reason: 'deadline', step: 'simulation' }
+    if (clock.now() >= call.deadlineAt) return { kind: 'unknown', reason: 'deadline', step: 'fake.gate' }
     sink.begin(status, { [HEADER.occupancy]: `${this._reported()}/${this._options.slots}` })
     sink.end()
     return { kind: 'answered', status }
@@ -85,4 +85,4 @@
   }
 }
 
-const LATE: CallOutcome = Object.freeze({ kind: 'not-run', reason: 'deadline', step: 'simulation' })
+const LATE: CallOutcome = Object.freeze({ kind: 'not-run', reason: 'deadline', step: 'fake.gate' })
