--- a/src/daemon/CallServices.ts
+++ b/src/daemon/CallServices.ts
@@ -4,6 +4,7 @@
 import { IReportService, ISnapshotService } from '../distribution/Services.js'
 import { GateServer } from '../gate/GateServer.js'
 import { GateService } from '../gate/GateService.js'
+import { DEFAULT_BODY_LIMITS } from '../gate/RouteLimits.js'
 import { IGateService } from '../gate/Services.js'
 import { IBroadcastService, IMembershipService } from '../membership/Services.js'
 import { IObjectStore, ITableService } from '../platform/Services.js'
@@ -59,7 +60,8 @@
       broadcast: kernel.get(IBroadcastService),
       table: kernel.get(ITableService),
       objects: kernel.get(IObjectStore),
-      upstreams: settings.upstreams
+      upstreams: settings.upstreams,
+      settings: { bodyLimits: { ...DEFAULT_BODY_LIMITS, requestBytes: settings.limits['request-bytes'] } }
     })
   })
   kernel.register({
--- a/src/gate/CallRunner.ts
+++ b/src/gate/CallRunner.ts
@@ -8,7 +8,7 @@
 import { ANSWER_REFUSED } from './Events.js'
 import type { GateMetrics } from './GateMetrics.js'
 import { fingerprintOf, readBodyInTime, FINGERPRINT_BODY_BYTES } from './KeptBody.js'
-import { findBodyLimits } from './RouteLimits.js'
+import { findBodyLimits, type IBodyLimits } from './RouteLimits.js'
 import type { StartedRequests } from './StartedRequests.js'
 import type { CallOutcome, IAnswerSink, ICall, NotRunReason } from './Types.js'
 import type { UpstreamConnection } from './UpstreamConnections.js'
@@ -25,6 +25,8 @@
   readonly claims: ClaimService
   readonly guard: CrashGuard
   readonly started: StartedRequests
+  /** Limits of routes that name none. */
+  readonly bodyLimits: IBodyLimits
 }
 
 /** Connections that were closed while idle and are passed over before a call is refused. */
@@ -117,8 +119,8 @@
   }
 
   private _exchange (endpoint: UpstreamEndpoint, call: ICall, sink: IAnswerSink, body: Body): UpstreamExchange {
-    const { clock, snapshots } = this._options
-    const limits = findBodyLimits(snapshots.current, call.service, call.route)
+    const { clock, snapshots, bodyLimits } = this._options
+    const limits = findBodyLimits(snapshots.current, call.service, call.route, bodyLimits)
     const onStarting = (): NotRunReason | undefined => this._onStarting(endpoint, call, clock.now())
     const { requestBytes, responseBytes } = limits
     return new UpstreamExchange({ call, sink, body, clock, onStarting, requestBytes, responseBytes })
--- a/src/gate/GateService.ts
+++ b/src/gate/GateService.ts
@@ -11,7 +11,7 @@
 import { CrashGuard, type ICrashGuardSettings } from './CrashGuard.js'
 import { DRAIN_COMPLETED, DRAIN_GRACE_EXCEEDED, DRAIN_STARTED } from './Events.js'
 import { GateMetrics } from './GateMetrics.js'
-import { findBodyLimits, findPool } from './RouteLimits.js'
+import { DEFAULT_BODY_LIMITS, findBodyLimits, findPool, type IBodyLimits } from './RouteLimits.js'
 import type { IGateService, IOccupancy, IUpstreamSettings } from './Services.js'
 import { StartedRequests, type IStartedRequestsOptions } from './StartedRequests.js'
 import type { CallOutcome, IAnswerSink, ICall, NotRunReason, SettleAnswer } from './Types.js'
@@ -25,6 +25,8 @@
   readonly openTimeout: Milliseconds
   /** How long a leaving endpoint still takes calls, while the other nodes learn that it leaves. */
   readonly drainNotice: Milliseconds
+  /** Limits of routes that name none. */
+  readonly bodyLimits: IBodyLimits
   readonly startedRequests: Partial<IStartedRequestsOptions>
   readonly claims: Partial<IClaimSettings>
   readonly crashGuard: Partial<ICrashGuardSettings>
@@ -35,6 +37,7 @@
   openInterval: 1 as Milliseconds,
   openTimeout: 1_000 as Milliseconds,
   drainNotice: 1_000 as Milliseconds,
+  bodyLimits: DEFAULT_BODY_LIMITS,
   startedRequests: {},
   claims: {},
   crashGuard: {}
@@ -87,7 +90,8 @@
       metrics: this._metrics,
       claims: this.claims,
       guard: this._guard,
-      started: this._started
+      started: this._started,
+      bodyLimits: this._settings.bodyLimits
     })
     for (const upstream of options.upstreams) this._addEndpoint(upstream)
     this._registerGauges()
@@ -177,7 +181,7 @@
   private _refusal (call: ICall, endpoint: UpstreamEndpoint, now: Timestamp): NotRunReason | undefined {
     if (now >= call.deadlineAt) return 'deadline'
     if (call.isCancelled || this._started.isRefused(call.requestId)) return 'cancelled'
-    const limits = findBodyLimits(this._options.snapshots.current, call.service, call.route)
+    const limits = findBodyLimits(this._options.snapshots.current, call.service, call.route, this._settings.bodyLimits)
     if ((call.bodyContent?.byteLength ?? call.bodyBytes ?? 0) > limits.requestBytes) return 'too-large'
     return endpoint.refusal(now)
   }
--- a/src/gate/RouteLimits.ts
+++ b/src/gate/RouteLimits.ts
@@ -24,10 +24,10 @@
   return resources?.find((resource): resource is IPoolResource => resource.kind === 'pool')
 }
 
-/** Limits of a route. */
-export function findBodyLimits (snapshot: ISnapshot, service: ServiceName, name: RouteName): IBodyLimits {
+/** Limits of a route; `fallback` where it names none. */
+export function findBodyLimits (snapshot: ISnapshot, service: ServiceName, name: RouteName, fallback: IBodyLimits): IBodyLimits {
   const route = findRoute(snapshot, service, name)
-  if (route?.limit === undefined) return DEFAULT_BODY_LIMITS
+  if (route?.limit === undefined) return fallback
   const limit = snapshot.resource(route.limit)
-  return limit?.kind === 'limit' ? limit : DEFAULT_BODY_LIMITS
+  return limit?.kind === 'limit' ? limit : fallback
 }
