Split addresses by one function

Cause: the split of host:port stood twice, in the gate's connections and in the daemon, and two test fixtures held the same pool. Change: common/HostPort serves gate, daemon and tests; the fake documents of the gate take the pool of the routing fixtures with their own probe interval. Behaviour and assertions are as before.

--- a/src/daemon/CallServices.ts
+++ b/src/daemon/CallServices.ts
@@ -16,7 +16,7 @@
 import { IBurnService, IRouterService } from '../routing/Services.js'
 import { FOUNDATION, foundationOf } from './Foundation.js'
 import type { KeyService } from './keys/KeyService.js'
-import { splitAddress } from './Listening.js'
+import { splitAddress } from '../common/HostPort.js'
 import { ICallerFront, ICaughtUpService, IGateServer } from './Services.js'
 import type { ISettings } from './settings/Types.js'
 
--- a/src/daemon/Daemon.test.ts
+++ b/src/daemon/Daemon.test.ts
@@ -11,7 +11,7 @@
 import { DaemonRig, type IStartedNode } from '../../testing/daemon/DaemonRig.js'
 import { TrialKeys } from '../../testing/daemon/TrialKeys.js'
 import type { IKeyFileNames } from './keys/KeyFiles.js'
-import { splitAddress } from './Listening.js'
+import { splitAddress } from '../common/HostPort.js'
 
 const HELP_PATTERN = /^# HELP (savoryknot_\S+) (.+)$/gm
 /** The last word of a name that tells the unit; a total counts what the name says. */
--- a/src/daemon/settings/SettingsReader.ts
+++ b/src/daemon/settings/SettingsReader.ts
@@ -6,7 +6,7 @@
 import type { EndpointId, NetworkAddress } from '../../common/Types.js'
 import type { IUpstreamSettings } from '../../gate/Services.js'
 import type { IKeyFileNames } from '../keys/KeyFiles.js'
-import { splitAddress } from '../Listening.js'
+import { splitAddress } from '../../common/HostPort.js'
 import { SettingsError } from './SettingsError.js'
 import {
   LIMITS_SECTION, LOG_SECTION, NODE_SECTION, PEERS_SECTION, PLATFORM_SECTION, TLS_SECTION, UPSTREAM_SECTION
--- a/src/gate/GateBreaks.test.ts
+++ b/src/gate/GateBreaks.test.ts
@@ -6,7 +6,7 @@
 import type { RequestId, Timestamp } from '../common/Types.js'
 import { GateRig, summarise } from '../../testing/gate/GateRig.js'
 import { HEADER } from './Types.js'
-import { splitAddress } from './UpstreamConnections.js'
+import { splitAddress } from '../common/HostPort.js'
 
 describe('Gate when connections break', () => {
   let rig: GateRig
--- a/src/gate/GateServer.ts
+++ b/src/gate/GateServer.ts
@@ -16,7 +16,7 @@
 import type { IGateService } from './Services.js'
 import { refusalAnswer } from './Refusals.js'
 import { HEADER, type CallOutcome } from './Types.js'
-import { splitAddress } from './UpstreamConnections.js'
+import { splitAddress } from '../common/HostPort.js'
 
 /** What the server needs. */
 export interface IGateServerOptions {
--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector } from 'undici'
 import { Disposable } from '../common/Disposable.js'
+import { splitAddress } from '../common/HostPort.js'
 import type { IClockService } from '../common/Services.js'
 import type { IDisposable, Milliseconds, NetworkAddress } from '../common/Types.js'
 import { UpstreamUnreachableError } from './GateErrors.js'
@@ -212,11 +213,4 @@
   }
 }
 
-/** Splits `host:port`; the brackets of an IPv6 address are removed. */
-export function splitAddress (address: NetworkAddress): { host: string, port: number } {
-  const colon = address.lastIndexOf(':')
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '')
-  return { host, port: Number(address.slice(colon + 1)) }
-}
-
 function ignore (): void {}
--- a/testing/gate/FakeSnapshots.ts
+++ b/testing/gate/FakeSnapshots.ts
@@ -1,4 +1,5 @@
 /** Documents in force, for tests and benches of the gate. */
+import { POOL } from '../RoutingFixtures.js'
 import { Emitter } from '../../src/common/Emitter.js'
 import type {
   ContentHash, DocumentVersion, Milliseconds, ResourceName, RouteName, ServiceName, TeamName
@@ -18,21 +19,7 @@
   readonly drainGraceMs: number
 }
 
-const DEFAULT_POOL: IPoolResource = Object.freeze({
-  kind: 'pool',
-  name: 'endpoints' as ResourceName,
-  isExported: true,
-  slots: 9,
-  connections: 110,
-  queue: 18,
-  queueTimeout: 200 as Milliseconds,
-  slowStart: 0 as Milliseconds,
-  balancing: 'two-choices',
-  spillAt: 80,
-  ejectionCeiling: 34,
-  healthPath: '/health',
-  healthInterval: 50 as Milliseconds
-})
+const DEFAULT_POOL: IPoolResource = Object.freeze({ ...POOL, healthInterval: 50 as Milliseconds })
 
 const DEFAULT_LIMIT: ILimitResource = Object.freeze({
   kind: 'limit', name: 'bodies' as ResourceName, isExported: false, requestBytes: 100_000, responseBytes: 200_000, rate: 0
--- a/testing/gate/GateRig.ts
+++ b/testing/gate/GateRig.ts
@@ -7,7 +7,7 @@
 import { GateServer } from '../../src/gate/GateServer.js'
 import { GateService, type IGateSettings } from '../../src/gate/GateService.js'
 import { HEADER } from '../../src/gate/Types.js'
-import { splitAddress } from '../../src/gate/UpstreamConnections.js'
+import { splitAddress } from '../../src/common/HostPort.js'
 import type { IBroadcastService } from '../../src/membership/Services.js'
 import { EmbeddedObjectStore } from '../../src/platform/EmbeddedObjectStore.js'
 import { EmbeddedTableService } from '../../src/platform/EmbeddedTableService.js'
