--- a/src/common/ClockService.ts
+++ b/src/common/ClockService.ts
@@ -1,15 +1,18 @@
 /** The clock of the running process. */
+import { performance } from 'node:perf_hooks'
 import { toDisposable } from './Disposable.js'
 import type { IClockService } from './Services.js'
 import type { IDisposable, Milliseconds, Timestamp } from './Types.js'
 
-/** Reads the system clock; never goes backwards within one process. */
+/**
+ * Starts at the time of day and goes on with the steady clock of the system, so that a time of day that is set
+ * forwards or backwards moves no deadline.
+ */
 export class ClockService implements IClockService {
-  private _last = 0
+  private readonly _origin = Date.now() - performance.now()
 
   public now (): Timestamp {
-    this._last = Math.max(this._last, Date.now())
-    return this._last as Timestamp
+    return Math.floor(this._origin + performance.now()) as Timestamp
   }
 
   public after (delay: Milliseconds, action: () => void): IDisposable {
--- a/src/common/LogService.ts
+++ b/src/common/LogService.ts
@@ -18,7 +18,7 @@
 /** Defaults of `LogService`. */
 export const DEFAULT_LOG_OPTIONS: ILogServiceOptions = Object.freeze({ level: 'info', format: 'json', fields: {} })
 
-/** Writes to standard error, so that standard output stays free for results. */
+/** Writes to standard error unless told otherwise, so that standard output stays free for results. */
 export class LogService implements ILogService {
   private readonly _logger: Logger
 
@@ -33,6 +33,11 @@
     })
   }
 
+  /** Bytes of standard output that wait for its reader. */
+  public get waitingBytes (): number {
+    return process.stdout.writableLength
+  }
+
   public log (event: IEventDefinition, fields: IEventFields = {}): void {
     // winston keeps the name of the event under `message`, so that a field of that name goes under `detail`.
     const { message: detail, ...others } = fields
@@ -40,6 +45,14 @@
   }
 }
 
+/** Writes to standard output, without waiting for its reader. */
+export function outputTransport (): LogTransport {
+  // A pipe would block the process while nobody reads; the handle is there only for pipes and sockets.
+  const { _handle: handle } = process.stdout as { _handle?: { setBlocking?: (isBlocking: boolean) => void } }
+  handle?.setBlocking?.(false)
+  return new transports.Stream({ stream: process.stdout })
+}
+
 function consoleTransport (): LogTransport {
   return new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })
 }
--- /dev/null
+++ b/src/daemon/ExitCodes.ts
@@ -0,0 +1,6 @@
+/** Exit codes of savoryknotd. */
+
+export const EXIT_DONE = 0
+export const EXIT_FAILED = 1
+/** The settings or the command line are wrong. */
+export const EXIT_INVALID = 2
--- a/src/daemon/Main.ts
+++ b/src/daemon/Main.ts
@@ -1,17 +1,13 @@
 /** Entry point of `savoryknotd`. */
+import { readFileSync } from 'node:fs'
 import { cac } from 'cac'
-import { LogService } from '../common/LogService.js'
-import { SavoryknotError } from '../common/SavoryknotError.js'
-import { Daemon } from './Daemon.js'
-import { DAEMON_FAILED } from './Events.js'
-import { readSettings } from './settings/SettingsReader.js'
+import { IniSectionReader } from '../common/IniSectionReader.js'
+import { EXIT_DONE, EXIT_INVALID } from './ExitCodes.js'
 import { SettingsError } from './settings/SettingsError.js'
-import type { ISettings } from './settings/Types.js'
 import { SOFTWARE_VERSION } from './Software.js'
 
-const EXIT_DONE = 0
-const EXIT_FAILED = 1
-const EXIT_INVALID = 2
+/** Section that only the settings of a node of the mesh have. */
+const MESH_SECTION_NAME = 'mesh'
 
 /** What the command line says. */
 interface IArguments {
@@ -19,6 +15,12 @@
   readonly isCheckOnly: boolean
 }
 
+/** A settings file that was found valid. */
+interface ILoadedSettings {
+  /** Runs the node; gives the exit code. */
+  run (): Promise<number>
+}
+
 /** Undefined if only help or the version was asked for. */
 function readArguments (): IArguments | undefined {
   const parser = cac('savoryknotd')
@@ -32,14 +34,37 @@
   return { settings: options.settings === undefined ? undefined : String(options.settings), isCheckOnly: options.check === true }
 }
 
+/** True for the settings of a node of the mesh. A file that cannot be read is reported by the reader of settings. */
+function isMesh (file: string): boolean {
+  try {
+    return new IniSectionReader(readFileSync(file, 'utf8')).names.includes(MESH_SECTION_NAME)
+  } catch {
+    return false
+  }
+}
+
+/** Each kind of node loads only its own modules, which saves memory and time at the start. */
+async function load (file: string): Promise<ILoadedSettings> {
+  if (isMesh(file)) {
+    const [{ readMeshSettings }, { runMesh }, { Adapter }] = await Promise.all([
+      import('../mesh/daemon/MeshSettings.js'), import('../mesh/daemon/Run.js'), import('../../platform/Adapter.js')
+    ])
+    const settings = readMeshSettings(file)
+    return { run: () => runMesh({ file, settings, adapter: new Adapter() }) }
+  }
+  const [{ readSettings }, { run }] = await Promise.all([import('./settings/SettingsReader.js'), import('./Run.js')])
+  const settings = readSettings(file)
+  return { run: () => run(settings) }
+}
+
 /** Undefined after a refusal, which has been printed. */
-function loadSettings (file: string | undefined): ISettings | undefined {
+async function loadSettings (file: string | undefined): Promise<ILoadedSettings | undefined> {
   if (file === undefined) {
     process.stderr.write('savoryknotd: --settings FILE is needed; see savoryknotd --help\n')
     return undefined
   }
   try {
-    return readSettings(file)
+    return await load(file)
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error
     process.stderr.write(`${error.message}\n`)
@@ -47,38 +72,13 @@
   }
 }
 
-/** Logs an error that ends the process. */
-function logFailure (settings: ISettings, error: unknown): void {
-  const fields = error instanceof SavoryknotError ? { step: error.step, peer: error.peer } : { step: 'daemon.run' }
-  new LogService(settings.log).log(DAEMON_FAILED, { ...fields, message: error instanceof Error ? error.message : String(error) })
-}
-
-/** Runs until a signal asks for a stop. */
-async function run (settings: ISettings): Promise<number> {
-  try {
-    const daemon = new Daemon(settings)
-    const stopped = new Promise<void>((resolve, reject) => {
-      const stop = (): void => { daemon.stop().then(resolve, reject) }
-      process.on('SIGTERM', stop)
-      process.on('SIGINT', stop)
-    })
-    process.on('SIGHUP', () => daemon.reloadKeys())
-    await Promise.race([daemon.start(), stopped])
-    await stopped
-    return EXIT_DONE
-  } catch (error) {
-    logFailure(settings, error)
-    return EXIT_FAILED
-  }
-}
-
 /** Exit code of the whole program. */
 async function main (): Promise<number> {
   const given = readArguments()
   if (given === undefined) return EXIT_DONE
-  const settings = loadSettings(given.settings)
-  if (settings === undefined) return EXIT_INVALID
-  if (!given.isCheckOnly) return run(settings)
+  const loaded = await loadSettings(given.settings)
+  if (loaded === undefined) return EXIT_INVALID
+  if (!given.isCheckOnly) return loaded.run()
   process.stdout.write(`${given.settings}: valid\n`)
   return EXIT_DONE
 }
--- a/src/daemon/settings/SettingsSchema.ts
+++ b/src/daemon/settings/SettingsSchema.ts
@@ -16,7 +16,7 @@
 const EXPECTED_ADDRESS = 'an IP address and a port such as 10.0.0.7:7400 or [fd00::7]:7400'
 
 /** An address of this process or of another. */
-function addressValue (description: string): z.ZodType<NetworkAddress> {
+export function addressValue (description: string): z.ZodType<NetworkAddress> {
   return textValue({ description }, EXPECTED_ADDRESS, parseAddress)
 }
 
--- a/src/documentation/EventCatalogue.ts
+++ b/src/documentation/EventCatalogue.ts
@@ -8,11 +8,12 @@
 import { PLATFORM_EVENTS } from '../platform/Events.js'
 import { ROUTING_EVENTS } from '../routing/Events.js'
 import { DAEMON_EVENTS } from '../daemon/Events.js'
+import { MESH_EVENTS } from '../mesh/Events.js'
 
 /** Every event, in the order of its number. */
 export const ALL_EVENTS: readonly IEventDefinition[] = [
   ...COMMON_EVENTS, ...PLATFORM_EVENTS, ...DOCUMENTS_EVENTS, ...MEMBERSHIP_EVENTS, ...DISTRIBUTION_EVENTS,
-  ...ROUTING_EVENTS, ...GATE_EVENTS, ...DAEMON_EVENTS
+  ...ROUTING_EVENTS, ...GATE_EVENTS, ...DAEMON_EVENTS, ...MESH_EVENTS
 ].sort((left, right) => left.number - right.number)
 
 /** The page docs/EVENTS.md. */
--- a/src/membership/GrpcPeerTransport.ts
+++ b/src/membership/GrpcPeerTransport.ts
@@ -4,7 +4,6 @@
   type ServerDuplexStream, type ServiceDefinition, type UntypedServiceImplementation
 } from '@grpc/grpc-js'
 import { NODE_SERVER_NAME } from '../common/CertificateIdentity.js'
-import { addDuration } from '../common/Ids.js'
 import { GrpcPeerChannel } from './GrpcPeerChannel.js'
 import { PeerUnreachableError } from './MembershipErrors.js'
 import { exchangeDefinition } from './PeerCodec.js'
@@ -149,9 +148,15 @@
   }
 
   private _waitForReady (client: Client): Promise<void> {
-    const deadline = addDuration(this._options.clock.now(), this._options.dialTimeout)
+    const { clock, dialTimeout } = this._options
     return new Promise((resolve, reject) => {
-      client.waitForReady(deadline, (error) => error === undefined || error === null ? resolve() : reject(error))
+      // The library's own deadline is a time of day, which may be set while it is waited for.
+      const timer = clock.after(dialTimeout, () => reject(new Error(`no connection after ${dialTimeout} ms`)))
+      client.waitForReady(Infinity, (error) => {
+        timer.dispose()
+        if (error === undefined || error === null) resolve()
+        else reject(error)
+      })
     })
   }
 
--- a/src/membership/RedialBackoff.ts
+++ b/src/membership/RedialBackoff.ts
@@ -20,17 +20,17 @@
 }
 
 /** Doubles the wait with each failure and draws its second half at random. */
-export class RedialBackoff {
-  private readonly _failures = new Map<NodeId | FailureDomain, IFailures>()
+export class RedialBackoff<TId extends string = NodeId | FailureDomain> {
+  private readonly _failures = new Map<TId, IFailures>()
 
   constructor (private readonly _options: IRedialBackoffOptions) {}
 
-  public mayDial (id: NodeId | FailureDomain, now: Timestamp): boolean {
+  public mayDial (id: TId, now: Timestamp): boolean {
     const failures = this._failures.get(id)
     return failures === undefined || now >= failures.notBefore
   }
 
-  public recordFailure (id: NodeId | FailureDomain, now: Timestamp): void {
+  public recordFailure (id: TId, now: Timestamp): void {
     const { redialDelay, longestRedialDelay, random } = this._options
     if (this._failures.size >= MAXIMUM_PEERS) this._failures.clear()
     const count = (this._failures.get(id)?.count ?? 0) + 1
@@ -39,7 +39,7 @@
     this._failures.set(id, { count, notBefore: addDuration(now, delay) })
   }
 
-  public recordSuccess (id: NodeId | FailureDomain): void {
+  public recordSuccess (id: TId): void {
     this._failures.delete(id)
   }
 }
--- a/src/membership/Rendezvous.ts
+++ b/src/membership/Rendezvous.ts
@@ -9,14 +9,14 @@
 const MAXIMUM_CACHED_SCORES = 65_536
 
 /** Ranks members for one key by a score that depends on nothing but the key and the member. */
-export class Rendezvous {
-  private readonly _scores = new Map<NodeId, number>()
+export class Rendezvous<TId extends string = NodeId> {
+  private readonly _scores = new Map<TId, number>()
 
   constructor (private readonly _key: string) {}
 
   /** The `count` highest-ranked members, the highest first. */
-  public top (members: Iterable<NodeId>, count: number): readonly NodeId[] {
-    const best: NodeId[] = []
+  public top (members: Iterable<TId>, count: number): readonly TId[] {
+    const best: TId[] = []
     for (const id of members) {
       const position = best.findIndex((other) => this._isAbove(id, other))
       if (position >= 0) best.splice(position, 0, id)
@@ -26,12 +26,12 @@
     return best
   }
 
-  private _isAbove (first: NodeId, second: NodeId): boolean {
+  private _isAbove (first: TId, second: TId): boolean {
     const difference = this._score(first) - this._score(second)
     return difference === 0 ? first > second : difference > 0
   }
 
-  private _score (id: NodeId): number {
+  private _score (id: TId): number {
     let score = this._scores.get(id)
     if (score === undefined) {
       if (this._scores.size >= MAXIMUM_CACHED_SCORES) this._scores.clear()
--- /dev/null
+++ b/src/mesh/calls/CallTask.ts
@@ -0,0 +1,162 @@
+/** One request of a caller, from its route to its final answer. */
+import type { IClockService, ILogService } from '../../common/Services.js'
+import { createRequestId } from '../../common/Ids.js'
+import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
+import { CALL_REPEATED } from '../Events.js'
+import type { AttemptOutcome, IMeshCall, IMeshRoute, IWholeAnswer } from '../Types.js'
+import type { EndpointDirectory } from './EndpointDirectory.js'
+import type { EndpointView } from './EndpointView.js'
+import { typicalServiceTime, type Placement } from './Placement.js'
+import { hasArrived, judgeRepeat } from './RepeatRules.js'
+import type { RetryAllowance } from './RetryAllowance.js'
+
+/** What calls use of the node. */
+export interface ICallServices {
+  readonly directory: EndpointDirectory
+  readonly placement: Placement
+  readonly allowance: RetryAllowance
+  readonly clock: IClockService
+  readonly log: ILogService
+}
+
+/** A request that has been matched to a route. */
+export interface IRoutedRequest {
+  readonly route: IMeshRoute
+  /** The part of the route's traffic that the request belongs to. */
+  readonly service: ServiceName
+  readonly callerRequestId: string | undefined
+  readonly callerService: string
+  readonly method: string
+  readonly path: string
+  readonly fields: readonly string[]
+  readonly body: Buffer | undefined
+  readonly arrivedAt: Timestamp
+  readonly deadlineAt: Timestamp
+  readonly onCancelled: IEvent<void>
+  readonly isCancelled: () => boolean
+}
+
+/** The final answer. */
+export type CallResult =
+  | { readonly kind: 'answered', readonly answer: IWholeAnswer }
+  /** Not run, and never will be. */
+  | { readonly kind: 'refused', readonly reason: string, readonly retryAfter: Milliseconds }
+  /** May have run. */
+  | { readonly kind: 'unknown', readonly reason: string }
+
+/** Shortest time after which a caller is asked to come again. */
+const LEAST_RETRY_AFTER_MS = 50
+/** Time after which a caller is asked to come again where no endpoint can be reached. */
+const NO_ENDPOINT_RETRY_AFTER_MS = 300
+
+/** Sends the request to one endpoint after the other until there is a final answer. */
+export class CallTask {
+  private readonly _tried = new Set<EndpointView>()
+  private _tries = 0
+  private _arrivals = 0
+  private _mayHaveRun = false
+  /** Answer of an endpoint that failed, for want of a better one. */
+  private _failedAnswer: IWholeAnswer | undefined
+  private _retryAfter: Milliseconds | undefined
+  private _lastEndpoint = ''
+
+  constructor (private readonly _services: ICallServices, private readonly _request: IRoutedRequest) {}
+
+  /** Attempts made. */
+  public get tries (): number {
+    return this._tries
+  }
+
+  /** Endpoint of the last attempt; empty if there was none. */
+  public get lastEndpoint (): string {
+    return this._lastEndpoint
+  }
+
+  /** Runs the request to its final answer. Never rejects. */
+  public async run (): Promise<CallResult> {
+    const { allowance, clock } = this._services
+    allowance.noteRequest(this._request.service, clock.now())
+    for (;;) {
+      const now = clock.now()
+      const view = this._choose(now)
+      if (view === undefined) return this._conclude({ kind: 'refused', reason: 'no-endpoint' })
+      const outcome = await this._attempt(view, now)
+      if (!this._mayGoOn(outcome, clock.now())) return this._conclude(outcome)
+    }
+  }
+
+  private _choose (now: Timestamp): EndpointView | undefined {
+    const { directory, placement } = this._services
+    const { service, route } = this._request
+    const candidates = directory.candidates(service, now).filter((view) => !this._tried.has(view))
+    return placement.choose(candidates, route.objective, now)
+  }
+
+  private async _attempt (view: EndpointView, now: Timestamp): Promise<AttemptOutcome> {
+    const { directory, placement } = this._services
+    const expected = placement.expectedTime(view, typicalServiceTime([view]), now) as Milliseconds
+    this._tries++
+    this._tried.add(view)
+    this._lastEndpoint = view.target.endpoint.id
+    const outcome = await directory.execute(view, this._callTo(view), expected, this._request.onCancelled)
+    if (hasArrived(outcome)) this._arrivals++
+    if (outcome.kind === 'unknown') this._mayHaveRun = true
+    if (outcome.kind === 'answered') this._failedAnswer = outcome.answer
+    if (outcome.kind === 'refused' && outcome.retryAfter !== undefined) this._noteRetryAfter(outcome.retryAfter)
+    return outcome
+  }
+
+  private _callTo (view: EndpointView): IMeshCall {
+    const { route, service, callerRequestId, callerService, method, path, fields, body, arrivedAt, deadlineAt } = this._request
+    return {
+      requestId: createRequestId(),
+      callerRequestId,
+      route: route.name,
+      service,
+      endpoint: view.target.endpoint.id,
+      callerService,
+      repeat: route.repeat,
+      rank: route.rank,
+      objectiveAt: arrivedAt + route.objective as Timestamp,
+      deadlineAt,
+      method,
+      path,
+      fields,
+      body
+    }
+  }
+
+  private _mayGoOn (outcome: AttemptOutcome, now: Timestamp): boolean {
+    const { allowance, directory, log } = this._services
+    const { route, service, deadlineAt, isCancelled, callerRequestId } = this._request
+    const subject = { repeat: route.repeat, attempts: route.attempts, deadlineAt, isCancelled: isCancelled() }
+    const verdict = judgeRepeat(subject, outcome, { arrivals: this._arrivals, tries: this._tries }, now)
+    if (verdict === 'final') return false
+    // An answer is worth more than a refusal for want of another endpoint.
+    if (verdict === 'again-if-allowed' && (this._choose(now) === undefined || !allowance.take(service, directory.nodes, now))) return false
+    log.log(CALL_REPEATED, {
+      step: 'calls.repeat',
+      request: callerRequestId,
+      route: route.name,
+      endpoint: this._lastEndpoint,
+      outcome: outcome.kind,
+      reason: outcome.kind === 'answered' ? String(outcome.answer.status) : outcome.reason,
+      arrivals: this._arrivals,
+      tries: this._tries
+    })
+    return true
+  }
+
+  private _noteRetryAfter (wait: Milliseconds): void {
+    this._retryAfter = Math.min(this._retryAfter ?? Infinity, wait) as Milliseconds
+  }
+
+  private _conclude (outcome: AttemptOutcome): CallResult {
+    if (outcome.kind === 'answered') return outcome
+    if (this._failedAnswer !== undefined) return { kind: 'answered', answer: this._failedAnswer }
+    if (outcome.kind === 'unknown') return outcome
+    if (this._mayHaveRun) return { kind: 'unknown', reason: `an earlier attempt may have run; the last was refused: ${outcome.reason}` }
+    const wait = this._retryAfter ?? (outcome.reason === 'shed' ? LEAST_RETRY_AFTER_MS : NO_ENDPOINT_RETRY_AFTER_MS)
+    return { kind: 'refused', reason: outcome.reason, retryAfter: Math.max(LEAST_RETRY_AFTER_MS, wait) as Milliseconds }
+  }
+}
--- /dev/null
+++ b/src/mesh/calls/CallerPort.ts
@@ -0,0 +1,247 @@
+/** HTTP port for callers: those on this VM, and the endpoint beside this node when it calls other services. */
+import { Histogram } from 'prom-client'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { splitAddress } from '../../common/HostPort.js'
+import type { ILogService, IMetricsService, IService } from '../../common/Services.js'
+import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
+import { HeaderRules } from '../../gate/HeaderRules.js'
+import { HttpInbound } from '../../gate/HttpInbound.js'
+import { readBodyInTime } from '../../gate/KeptBody.js'
+import { CALL_FINISHED, CALLER_MALFORMED } from '../Events.js'
+import { MAXIMUM_ANSWER_BYTES } from '../exchange/HttpExchange.js'
+import type { IConfigurationService, IMessageFormat } from '../Services.js'
+import type { ICallerLimits, IMeshRoute } from '../Types.js'
+import { WeightedSplit } from '../configuration/WeightedSplit.js'
+import { CallTask, type CallResult, type ICallServices } from './CallTask.js'
+
+/** What the port needs. */
+export interface ICallerPortOptions extends ICallServices {
+  readonly address: NetworkAddress
+  readonly configuration: IConfigurationService
+  readonly format: IMessageFormat
+  /** False until the node knows configuration and nodes. */
+  readonly isReady: () => boolean
+  /** Service that runs on this VM. */
+  readonly callerService: () => string
+  readonly log: ILogService
+  readonly metrics: IMetricsService
+}
+
+/** Time after which a caller is asked to come again while the node starts. */
+const STARTING_RETRY_AFTER_MS = 500 as Milliseconds
+/** Room for the first request line beside the fields that the configuration allows. */
+const MAXIMUM_HEAD_BYTES = 65_536
+const MAXIMUM_FIELDS = 200
+const CONNECTION_CHECK_INTERVAL_MS = 1_000
+const MILLISECONDS_PER_SECOND = 1_000
+const LATENCY_BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4]
+/** Answers that have no body by their status. */
+const BODILESS_STATUSES: readonly number[] = [204, 304]
+const STATUS = Object.freeze({ malformed: 400, noRoute: 404, tooLarge: 413, unknown: 502, refused: 503, late: 504 })
+
+/** Takes requests, finds their route, and writes the final answer. */
+export class CallerPort implements IService {
+  private readonly _server: Server
+  private readonly _rules = new HeaderRules({
+    maximumBytes: MAXIMUM_HEAD_BYTES, maximumFields: MAXIMUM_FIELDS, maximumTargetBytes: MAXIMUM_HEAD_BYTES
+  })
+
+  private readonly _split = new WeightedSplit()
+  private readonly _latency: Histogram
+  private readonly _busy = new WeakMap<Socket, number>()
+  private _inFlight = 0
+  private _isClosing = false
+
+  constructor (private readonly _options: ICallerPortOptions) {
+    this._server = createServer({
+      requestTimeout: 0, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, maxHeaderSize: MAXIMUM_HEAD_BYTES, noDelay: true
+    })
+    this._server.on('request', (message: IncomingMessage, response: ServerResponse) => this._onRequest(message, response))
+    this._server.on('clientError', (error: Error & { code?: string }, socket: Socket) => this._onClientError(error, socket))
+    this._server.on('upgrade', (_message: IncomingMessage, socket: Socket) => socket.destroy())
+    this._server.on('connect', (_message: IncomingMessage, socket: Socket) => socket.destroy())
+    _options.configuration.onReplaced(({ configuration }) => {
+      this._applyLimits(configuration.limits)
+      this._split.retain(new Set(configuration.routes.map((route) => route.name)))
+    })
+    this._latency = new Histogram({
+      name: 'savoryknot_call_seconds',
+      help: 'Time of requests of callers to their final answer, by outcome and rank. Unit: seconds.',
+      labelNames: ['outcome', 'rank'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers: [_options.metrics.registry]
+    })
+  }
+
+  /** Requests that have no whole answer yet. */
+  public get inFlight (): number {
+    return this._inFlight
+  }
+
+  public start (): Promise<void> {
+    const { host, port } = splitAddress(this._options.address)
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, () => {
+        this._server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  /** Asks callers to close their connections with each answer from now on. */
+  public close (): void {
+    this._isClosing = true
+  }
+
+  public stop (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  private _applyLimits (limits: ICallerLimits): void {
+    this._server.keepAliveTimeout = limits.idleTimeout
+    this._server.headersTimeout = limits.headerTimeout
+  }
+
+  private _onRequest (message: IncomingMessage, response: ServerResponse): void {
+    const { socket } = message
+    this._inFlight++
+    this._busy.set(socket, (this._busy.get(socket) ?? 0) + 1)
+    response.once('close', () => {
+      this._inFlight--
+      this._busy.set(socket, (this._busy.get(socket) ?? 1) - 1)
+    })
+    this._serve(message, response).catch((error: unknown) => {
+      this._options.log.log(CALLER_MALFORMED, { step: 'caller.serve', peer: socket.remoteAddress, reason: String(error) })
+      response.destroy()
+    })
+  }
+
+  private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { configuration, clock, format } = this._options
+    const arrivedAt = clock.now()
+    const requestId = format.callerRequestId(message.headers)
+    const fault = this._rules.faultOf(message)
+    if (fault !== undefined) return this._refuseMalformed(message, response, fault)
+    const index = configuration.current
+    const isServing = index !== undefined && this._options.isReady()
+    if (!isServing) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
+    const inbound = new HttpInbound(message, response)
+    const route = index.match(message.headers.host ?? '', inbound.path)
+    if (route === undefined) return this._refuse(message, response, STATUS.noRoute, requestId)
+    const patience = Math.min(route.timeout, format.callerPatience(message.headers) ?? route.timeout)
+    const deadlineAt = arrivedAt + patience as Timestamp
+    const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_ANSWER_BYTES)
+    const body = inbound.body === undefined ? EMPTY_BODY : await readBodyInTime(inbound.body, limit, deadlineAt, clock)
+    if (inbound.isCancelled) return
+    if (body === undefined) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
+    if (!body.isWhole) return this._refuse(message, response, STATUS.tooLarge, requestId)
+    const content = inbound.body === undefined ? undefined : body.content
+    await this._route({ message, response, inbound, route, requestId, body: content, arrivedAt, deadlineAt })
+  }
+
+  private async _route (accepted: IAcceptedRequest): Promise<void> {
+    const { message, response, inbound, route, requestId, body, arrivedAt, deadlineAt } = accepted
+    const task = new CallTask(this._options, {
+      route,
+      service: this._split.choose(route),
+      callerRequestId: requestId,
+      callerService: this._options.callerService(),
+      method: inbound.method,
+      path: inbound.path,
+      fields: this._options.format.forwardedFields(message.headers),
+      body,
+      arrivedAt,
+      deadlineAt,
+      onCancelled: inbound.onCancelled,
+      isCancelled: () => inbound.isCancelled
+    })
+    const result = await task.run()
+    this._logResult(route, requestId, task, result, arrivedAt, inbound.isCancelled)
+    this._writeResult(message, response, requestId, result)
+  }
+
+  private _writeResult (message: IncomingMessage, response: ServerResponse, requestId: string | undefined, result: CallResult): void {
+    if (result.kind === 'refused') return this._refuse(message, response, STATUS.refused, requestId, result.retryAfter)
+    if (result.kind === 'unknown') return this._refuse(message, response, result.reason === 'deadline' ? STATUS.late : STATUS.unknown, requestId)
+    if (response.destroyed) return
+    const { status, fields, body } = result.answer
+    const length = BODILESS_STATUSES.includes(status) ? [] : ['content-length', String(body.byteLength)]
+    response.writeHead(status, [...fields, ...length, ...this._closingFields()])
+    response.end(body)
+  }
+
+  private _refuse (
+    message: IncomingMessage, response: ServerResponse, status: number, requestId: string | undefined, retryAfter?: Milliseconds
+  ): void {
+    if (response.destroyed) return
+    const fields = [...this._options.format.refusalFields(requestId, retryAfter), 'content-length', '0']
+    // The rest of a body that nobody reads must not be taken for the next request.
+    const closing = message.complete ? this._closingFields() : CLOSE
+    response.writeHead(status, [...fields, ...closing])
+    response.end()
+  }
+
+  private _refuseMalformed (message: IncomingMessage, response: ServerResponse, fault: string): void {
+    this._options.log.log(CALLER_MALFORMED, { step: 'caller.request', peer: message.socket.remoteAddress, reason: fault })
+    this._refuse(message, response, STATUS.malformed, undefined)
+  }
+
+  private _closingFields (): readonly string[] {
+    return this._isClosing ? CLOSE : KEEP
+  }
+
+  /** The parser gave up. While a request of the connection is under way, nothing may be said that looks like its answer. */
+  private _onClientError (error: Error & { code?: string }, socket: Socket): void {
+    const isBusy = (this._busy.get(socket) ?? 0) > 0
+    if (error.code !== 'ECONNRESET') {
+      this._options.log.log(CALLER_MALFORMED, { step: 'caller.parse', peer: socket.remoteAddress, reason: error.message })
+    }
+    if (!socket.writable || isBusy || socket.bytesWritten > 0) {
+      socket.destroy()
+      return
+    }
+    const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+    socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
+  }
+
+  private _logResult (
+    route: IMeshRoute, requestId: string | undefined, task: CallTask, result: CallResult, arrivedAt: Timestamp, isCancelled: boolean
+  ): void {
+    const { clock, configuration, log } = this._options
+    const duration = clock.now() - arrivedAt
+    const outcome = isCancelled ? 'cancelled' : result.kind
+    this._latency.observe({ outcome, rank: String(route.rank) }, duration / MILLISECONDS_PER_SECOND)
+    log.log(CALL_FINISHED, {
+      step: 'caller.answer',
+      request: requestId,
+      route: route.name,
+      configuration: configuration.version,
+      outcome,
+      status: result.kind === 'answered' ? result.answer.status : undefined,
+      reason: result.kind === 'answered' ? undefined : result.reason,
+      retryAfter: result.kind === 'refused' ? result.retryAfter : undefined,
+      endpoint: task.lastEndpoint,
+      tries: task.tries,
+      durationMs: duration
+    })
+  }
+}
+
+/** A request whose head and body were read. */
+interface IAcceptedRequest {
+  readonly message: IncomingMessage
+  readonly response: ServerResponse
+  readonly inbound: HttpInbound
+  readonly route: IMeshRoute
+  readonly requestId: string | undefined
+  readonly body: Buffer | undefined
+  readonly arrivedAt: Timestamp
+  readonly deadlineAt: Timestamp
+}
+
+const EMPTY_BODY = Object.freeze({ content: Buffer.alloc(0), isWhole: true })
+const CLOSE: readonly string[] = Object.freeze(['connection', 'close'])
+const KEEP: readonly string[] = Object.freeze([])
--- /dev/null
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -0,0 +1,105 @@
+/** Endpoints and their nodes, as this node sees and uses them. */
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import type { IClockService, ILogService } from '../../common/Services.js'
+import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
+import { localityTier } from '../../routing/LocalityTiers.js'
+import type { EndpointGate } from '../endpoint/EndpointGate.js'
+import type { NodeQuestions } from '../exchange/NodeQuestions.js'
+import type { INodeIdentity, INodeTable } from '../Services.js'
+import type { AttemptOutcome, IEndpointLoad, IMeshCall, IMeshEndpoint, NodeName } from '../Types.js'
+import { EndpointView } from './EndpointView.js'
+import { RemoteNode } from './RemoteNode.js'
+
+/** What the directory needs. */
+export interface IEndpointDirectoryOptions {
+  readonly self: INodeIdentity
+  readonly nodes: INodeTable
+  readonly gate: EndpointGate
+  readonly questions: NodeQuestions
+  readonly clock: IClockService
+  readonly log: ILogService
+}
+
+/** Keeps observations across changes of the table of nodes. */
+export class EndpointDirectory extends Disposable {
+  private readonly _remotes = new Map<NodeName, RemoteNode>()
+  private readonly _views = new Map<NodeName, EndpointView>()
+
+  constructor (private readonly _options: IEndpointDirectoryOptions) {
+    super()
+    this.register(_options.nodes.onChanged(() => this._retain()))
+    this.register(toDisposable(() => { for (const remote of this._remotes.values()) remote.dispose() }))
+  }
+
+  /** Nodes that are known. */
+  public get nodes (): number {
+    return this._options.nodes.nodes.size
+  }
+
+  /** Endpoints of a service that may be given a request now. */
+  public candidates (service: ServiceName, now: Timestamp): readonly EndpointView[] {
+    const views: EndpointView[] = []
+    for (const target of this._options.nodes.endpoints(service)) {
+      if (this._remotes.get(target.node.node)?.isSuspect === true) continue
+      const view = this._view(target)
+      if (!view.isPaused(now)) views.push(view)
+    }
+    return views
+  }
+
+  /** Number of endpoints of a service, also of those that get no requests now. */
+  public count (service: ServiceName): number {
+    return this._options.nodes.endpoints(service).length
+  }
+
+  /** Runs one attempt at an endpoint and keeps what it shows. */
+  public async execute (view: EndpointView, call: IMeshCall, expected: Milliseconds, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
+    const { clock, gate, self } = this._options
+    const startedAt = clock.now()
+    view.outstanding++
+    const isLocal = view.target.node.node === self.name
+    const outcome = isLocal ? await gate.execute(call, onCancelled) : await this._remote(view.target).execute(call, expected, onCancelled)
+    view.outstanding--
+    const now = clock.now()
+    view.observe(outcome, now - startedAt as Milliseconds, now)
+    return outcome
+  }
+
+  private _view (target: IMeshEndpoint): EndpointView {
+    const known = this._views.get(target.node.node)
+    const isSame = known?.target.endpoint.id === target.endpoint.id && known.target.endpoint.bornAt === target.endpoint.bornAt
+    if (known !== undefined && isSame) {
+      known.target = target
+      return known
+    }
+    const view = new EndpointView(target, localityTier(this._options.self, target.node))
+    this._views.set(target.node.node, view)
+    return view
+  }
+
+  private _remote (target: IMeshEndpoint): RemoteNode {
+    const { node: name, gateAddress } = target.node
+    const known = this._remotes.get(name)
+    if (known !== undefined && known.address === gateAddress) return known
+    known?.dispose()
+    const remote = new RemoteNode({
+      ...this._options,
+      name,
+      address: gateAddress,
+      onLoad: (load: IEndpointLoad, now: Timestamp) => this._views.get(name)?.observeLoad(load, now)
+    })
+    this._remotes.set(name, remote)
+    return remote
+  }
+
+  /** Forgets nodes that are in the table no more. */
+  private _retain (): void {
+    const { nodes } = this._options.nodes
+    for (const [name, remote] of this._remotes) {
+      if (nodes.has(name)) continue
+      remote.dispose()
+      this._remotes.delete(name)
+      this._views.delete(name)
+    }
+  }
+}
--- /dev/null
+++ b/src/mesh/calls/RemoteNode.ts
@@ -0,0 +1,199 @@
+/** One other node, as the way to its endpoint. */
+import { Disposable } from '../../common/Disposable.js'
+import type { IClockService, ILogService } from '../../common/Services.js'
+import type { IDisposable, IEvent, Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
+import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
+import { CALL_SETTLED, NODE_SUSPECT, NODE_TRUSTED } from '../Events.js'
+import { decodeOutcome, encodeCall, INNER_HEADER } from '../exchange/CallCodec.js'
+import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
+import type { NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
+import type { AttemptOutcome, IEndpointLoad, IMeshCall, NodeName } from '../Types.js'
+
+/** What a remote node needs. */
+export interface IRemoteNodeOptions {
+  readonly name: NodeName
+  readonly address: NetworkAddress
+  readonly questions: NodeQuestions
+  readonly clock: IClockService
+  readonly log: ILogService
+  /** Called with the load that a probe brought. */
+  readonly onLoad: (load: IEndpointLoad, now: Timestamp) => void
+}
+
+/** Connections to one node. */
+const CONNECTION_LIMIT = 256
+/** Time between two openings of connections. */
+const OPEN_INTERVAL_MS = 1 as Milliseconds
+/** Well above a round trip between regions, well below the time that callers wait. */
+const OPEN_TIMEOUT_MS = 350 as Milliseconds
+/** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
+const CONNECTION_TRIES = 3
+/** Time after the deadline in which the node's own answer may still come. */
+const DEADLINE_GRACE_MS = 100
+/** Least wait for an answer before the node is asked what became of the request, and multiple of the usual time. */
+const LEAST_PATIENCE_MS = 300
+const PATIENCE_FACTOR = 3
+/** First and longest time between two probes of a suspect node. */
+const SHORTEST_PROBE_INTERVAL_MS = 250
+const LONGEST_PROBE_INTERVAL_MS = 2_500
+
+/** Sends calls; asks about those that stay without an answer; keeps requests away while the node is silent. */
+export class RemoteNode extends Disposable {
+  private readonly _connections: UpstreamConnections
+  private _processToken: string | undefined
+  private _isSuspect = false
+
+  constructor (private readonly _options: IRemoteNodeOptions) {
+    super()
+    const { address, clock } = _options
+    this._connections = this.register(new UpstreamConnections({
+      address, clock, openInterval: OPEN_INTERVAL_MS, openTimeout: OPEN_TIMEOUT_MS, onUnreachable: () => undefined
+    }))
+    this._connections.resize(0, CONNECTION_LIMIT)
+  }
+
+  public get address (): NetworkAddress {
+    return this._options.address
+  }
+
+  /** True while the node does not answer. */
+  public get isSuspect (): boolean {
+    return this._isSuspect
+  }
+
+  /** Runs one attempt. Never rejects. `expected`: usual time to the answer. */
+  public async execute (call: IMeshCall, expected: Milliseconds, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
+    for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
+      const connection = await this._acquire()
+      if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
+      const attempt = new Attempt(this._options, call, this._processToken)
+      const end = await attempt.run(connection, expected, onCancelled)
+      this._connections.release(connection, end.kind === 'answer')
+      if (attempt.isNodeSilent) this._suspect('no answer to a question')
+      if (end.kind !== 'not-sent') return await this._interpret(attempt, end, call)
+    }
+    return { kind: 'refused', reason: 'unreachable' }
+  }
+
+  private async _interpret (attempt: Attempt, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, call: IMeshCall): Promise<AttemptOutcome> {
+    if (end.kind === 'answer') {
+      this._noteToken(end)
+      return decodeOutcome(end.status, end.headers, end.body) ?? { kind: 'unknown', reason: 'answer of no node' }
+    }
+    if (attempt.isProvenNotRun) return { kind: 'refused', reason: 'unreachable' }
+    if (end.reason === 'deadline' || end.reason === 'cancelled') return { kind: 'unknown', reason: end.reason }
+    // The connection broke: only the node knows whether the request has begun.
+    const reply = await attempt.settle()
+    if (reply === undefined) this._suspect('connection broke and the node does not answer')
+    return reply === 'never-will-be' ? { kind: 'refused', reason: 'unreachable' } : { kind: 'unknown', reason: `connection to ${call.endpoint} broke` }
+  }
+
+  private _noteToken (end: Extract<ExchangeEnd, { kind: 'answer' }>): void {
+    const token = end.headers[INNER_HEADER.processToken]
+    if (typeof token === 'string') this._processToken = token
+  }
+
+  private async _acquire (): Promise<UpstreamConnection | undefined> {
+    try {
+      return await this._connections.acquire()
+    } catch (error) {
+      this._suspect(String(error))
+      return undefined
+    }
+  }
+
+  private _suspect (reason: string): void {
+    if (this._isSuspect || this.isDisposed) return
+    this._isSuspect = true
+    this._options.log.log(NODE_SUSPECT, { step: 'calls.node', peer: this._options.name, reason })
+    this._probeUntilTrusted().catch((error: unknown) => {
+      this._isSuspect = false
+      this._options.log.log(NODE_TRUSTED, { step: 'calls.node', peer: this._options.name, reason: String(error) })
+    })
+  }
+
+  private async _probeUntilTrusted (): Promise<void> {
+    const { questions, clock, address, log, name, onLoad } = this._options
+    const since = clock.now()
+    for (let interval = SHORTEST_PROBE_INTERVAL_MS; !this.isDisposed; interval = Math.min(LONGEST_PROBE_INTERVAL_MS, interval * 1.5)) {
+      await clock.sleep(interval as Milliseconds)
+      const answer = await questions.probe(address)
+      if (answer === undefined) continue
+      const now = clock.now()
+      this._isSuspect = false
+      this._processToken = answer.processToken
+      if (answer.load !== undefined) onLoad(answer.load, now)
+      log.log(NODE_TRUSTED, { step: 'calls.node', peer: name, silentMs: now - since })
+      return
+    }
+  }
+}
+
+/** One attempt under way: deadline, cancellation, and the question what became of it. */
+class Attempt {
+  /** True once the node has said that the request never will run. */
+  public isProvenNotRun = false
+  /** True once the node did not answer a question. */
+  public isNodeSilent = false
+  private readonly _exchange: HttpExchange
+  private _question: IDisposable | undefined
+  private _isOver = false
+
+  constructor (
+    private readonly _options: IRemoteNodeOptions, private readonly _call: IMeshCall, private readonly _processToken: string | undefined
+  ) {
+    this._exchange = new HttpExchange({
+      method: _call.method, path: _call.path, fields: encodeCall(_call, _options.clock.now()), body: _call.body
+    })
+  }
+
+  public async run (connection: UpstreamConnection, expected: Milliseconds, onCancelled: IEvent<void>): Promise<ExchangeEnd> {
+    const { clock } = this._options
+    const remaining = this._call.deadlineAt - clock.now()
+    const deadline = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => this._exchange.abort('deadline'))
+    const cancel = onCancelled(() => { if (this._call.repeat === 'idempotent') this._exchange.abort('cancelled') })
+    this._askAfter(Math.max(LEAST_PATIENCE_MS, expected * PATIENCE_FACTOR) as Milliseconds)
+    const end = await this._exchange.run(connection)
+    this._isOver = true
+    deadline.dispose()
+    cancel.dispose()
+    this._question?.dispose()
+    return end
+  }
+
+  /** What the node says of the request; undefined if it does not answer. */
+  public async settle (): Promise<SettleReply | undefined> {
+    const { log, name } = this._options
+    const reply = await this._askNode()
+    log.log(CALL_SETTLED, { step: 'calls.settle', peer: name, request: this._call.callerRequestId, reply: reply ?? 'no answer' })
+    return reply
+  }
+
+  /** As long as no answer has told which process is there, the node can say nothing of a request, but that it lives. */
+  private async _askNode (): Promise<SettleReply | undefined> {
+    const { questions, address } = this._options
+    if (this._processToken !== undefined) return await questions.settle(address, this._call.requestId, this._processToken)
+    return await questions.probe(address) === undefined ? undefined : 'running'
+  }
+
+  private _askAfter (patience: Milliseconds): void {
+    this._question = this._options.clock.after(patience, () => {
+      this._ask(patience).catch((error: unknown) => this._exchange.abort(`question failed: ${String(error)}`))
+    })
+  }
+
+  /** Ends the attempt if there is nothing to wait for any more. */
+  private async _ask (patience: Milliseconds): Promise<void> {
+    const reply = await this.settle()
+    if (this._isOver) return
+    if (reply === undefined) this.isNodeSilent = true
+    if (reply === 'never-will-be') {
+      this.isProvenNotRun = true
+      this._exchange.abort('never began')
+    } else if (reply === 'running' || this._call.repeat !== 'idempotent') {
+      this._askAfter(patience * 2 as Milliseconds)
+    } else {
+      this._exchange.abort(reply === undefined ? 'node is silent' : 'answer was lost')
+    }
+  }
+}
--- /dev/null
+++ b/src/mesh/configuration/ConfigurationService.ts
@@ -0,0 +1,89 @@
+/** Holds the configuration in force on this node and replaces it by one assignment. */
+import { Gauge } from 'prom-client'
+import { Emitter } from '../../common/Emitter.js'
+import type { IInvariantService, ILogService, IMetricsService } from '../../common/Services.js'
+import type { IEvent, Timestamp } from '../../common/Types.js'
+import { CONFIGURATION_APPLIED, CONFIGURATION_REJECTED } from '../Events.js'
+import type { IConfigurationDecoder, IConfigurationService } from '../Services.js'
+import type { ConfigurationVersion, IMeshConfiguration } from '../Types.js'
+import { RouteIndex } from './RouteIndex.js'
+
+/** What the service needs. */
+export interface IConfigurationServiceOptions {
+  readonly decoder: IConfigurationDecoder
+  readonly log: ILogService
+  readonly metrics: IMetricsService
+  readonly invariants: IInvariantService
+}
+
+const NO_VERSION = 0 as ConfigurationVersion
+
+/** Applies a newer configuration whole or not at all. A request keeps the index that it began with. */
+export class ConfigurationService implements IConfigurationService {
+  private readonly _onReplaced = new Emitter<RouteIndex>()
+  private readonly _versionGauge: Gauge
+  private _current: RouteIndex | undefined
+  private _text = ''
+
+  constructor (private readonly _options: IConfigurationServiceOptions) {
+    this._versionGauge = new Gauge({
+      name: 'savoryknot_configuration_version',
+      help: 'Version of the configuration in force. Unit: version number.',
+      registers: [_options.metrics.registry]
+    })
+  }
+
+  public get current (): RouteIndex | undefined {
+    return this._current
+  }
+
+  public get text (): string {
+    return this._text
+  }
+
+  public get version (): ConfigurationVersion {
+    return this._current?.configuration.version ?? NO_VERSION
+  }
+
+  public get onReplaced (): IEvent<RouteIndex> {
+    return this._onReplaced.event
+  }
+
+  public offer (text: string, now: Timestamp): boolean {
+    if (text === this._text) return true
+    const { log } = this._options
+    const startedAt = now
+    try {
+      const configuration = this._options.decoder.decode(text)
+      // An older version arrives late from a peer or from a reading that another one overtook.
+      if (configuration.version <= this.version) return false
+      this._checkRoutes(configuration)
+      this._replace(new RouteIndex(configuration), text)
+    } catch (error) {
+      log.log(CONFIGURATION_REJECTED, { step: 'configuration.apply', inForce: this.version, reason: String(error) })
+      return false
+    }
+    log.log(CONFIGURATION_APPLIED, {
+      step: 'configuration.apply', version: this.version, routes: this._current?.configuration.routes.length, learntAt: startedAt
+    })
+    return true
+  }
+
+  private _replace (index: RouteIndex, text: string): void {
+    const isNewer = index.configuration.version > this.version
+    if (!this._options.invariants.check(isNewer, 'version-never-lower', 'configuration.apply')) return
+    this._current = index
+    this._text = text
+    this._versionGauge.set(index.configuration.version)
+    this._onReplaced.fire(index)
+  }
+
+  /** Every route leads to services that the same configuration holds. */
+  private _checkRoutes (configuration: IMeshConfiguration): void {
+    for (const route of configuration.routes) {
+      const missing = route.shares.find(({ service }) => !configuration.services.has(service))
+      if (this._options.invariants.check(missing === undefined, 'route-has-resource', 'configuration.check')) continue
+      throw new Error(`route ${route.name} leads to service ${missing?.service ?? ''}, which the configuration lacks`)
+    }
+  }
+}
--- /dev/null
+++ b/src/mesh/daemon/MeshSettings.ts
@@ -0,0 +1,83 @@
+/** Settings of a node of the mesh: zod schemas of the sections, and their reader. */
+import { readFileSync } from 'node:fs'
+import { z } from 'zod'
+import { IniSectionReader } from '../../common/IniSectionReader.js'
+import { countValue, durationValue, textValue } from '../../common/IniValues.js'
+import type { FailureDomain, Milliseconds, Region } from '../../common/Types.js'
+import { SettingsError } from '../../daemon/settings/SettingsError.js'
+import { LOG_SECTION, addressValue } from '../../daemon/settings/SettingsSchema.js'
+import type { NodeName } from '../Types.js'
+
+const HOUR_MS = 3_600_000
+const MAXIMUM_TEXT_LENGTH = 200
+
+/** A name that the deployment chose. */
+function labelValue<TName extends string> (description: string): z.ZodType<TName> {
+  return textValue({ description }, `a text of up to ${MAXIMUM_TEXT_LENGTH} characters`, (text) => text.length <= MAXIMUM_TEXT_LENGTH ? text as TName : undefined)
+}
+
+/** A duration; deployments write it in whole milliseconds or seconds. */
+function time (description: string, fallback: string): z.ZodType<Milliseconds> {
+  return durationValue({ description, default: fallback }, { minimum: 0, maximum: HOUR_MS })
+}
+
+export const MESH_SECTION = z.strictObject({
+  node: labelValue<NodeName>('Name of this node; a restarted process has the same name.'),
+  'failure-domain': labelValue<FailureDomain>('Failure domain in which this node runs.'),
+  region: labelValue<Region>('Region of the failure domain.'),
+  service: textValue({ description: 'Service that runs on this VM, until its endpoint reports one.', default: 'none' }, 'a name', (text) => text),
+  'caller-address': addressValue('HTTP port for callers on this VM.'),
+  'gate-address': addressValue('HTTP port for calls from other nodes.'),
+  'peer-address': addressValue('RPC port for the views of other nodes.'),
+  'ready-address': addressValue('HTTP port at which the platform asks whether the node is ready.'),
+  'control-address': addressValue('HTTP port for the reports of the endpoint on this VM.'),
+  'metrics-address': addressValue('HTTP port for /metrics.')
+})
+
+export const STORE_SECTION = z.strictObject({
+  address: addressValue('The platform\'s store.')
+})
+
+export const BOUNDS_SECTION = z.strictObject({
+  heartbeat: time('Time between two reports of an endpoint.', '1500 ms'),
+  stop: time('Longest time between a request to stop and the end of the process.', '6 s'),
+  'retry-window': time('Window in which repeats are counted.', '10 s'),
+  'retry-share': textValue({ description: 'Repeats in a window as a share of its requests.', default: '0.2' }, 'a number from 0 to 1', parseShare),
+  'retry-slack': countValue({ description: 'Repeats in a window beyond the share, over all nodes.', default: '50' }, { minimum: 0, maximum: 1_000_000 })
+})
+
+/** Settings as the node uses them. */
+export interface IMeshSettings {
+  readonly mesh: z.infer<typeof MESH_SECTION>
+  readonly store: z.infer<typeof STORE_SECTION>
+  readonly bounds: z.infer<typeof BOUNDS_SECTION>
+  readonly log: z.infer<typeof LOG_SECTION>
+}
+
+const SECTIONS = ['mesh', 'store', 'bounds', 'log']
+
+/** Reads a file. Throws `SettingsError` with every fault. */
+export function readMeshSettings (file: string): IMeshSettings {
+  return parseMeshSettings(file, readFileSync(file, 'utf8'))
+}
+
+/** Checks a text as if it had been read from `file`. */
+export function parseMeshSettings (file: string, text: string): IMeshSettings {
+  const reader = new IniSectionReader(text)
+  for (const name of reader.names) {
+    if (!SECTIONS.includes(name)) reader.addFault(name, '', `unknown section; expected ${SECTIONS.map((section) => `[${section}]`).join(', ')}`)
+  }
+  const mesh = reader.required('mesh', MESH_SECTION)
+  const store = reader.required('store', STORE_SECTION)
+  const bounds = reader.optional('bounds', BOUNDS_SECTION)
+  const log = reader.optional('log', LOG_SECTION)
+  if (mesh === undefined || store === undefined || bounds === undefined || log === undefined || reader.faults.length > 0) {
+    throw new SettingsError(file, reader.faults)
+  }
+  return Object.freeze({ mesh, store, bounds, log })
+}
+
+function parseShare (text: string): number | undefined {
+  const share = Number(text)
+  return Number.isFinite(share) && share >= 0 && share <= 1 ? share : undefined
+}
--- /dev/null
+++ b/src/mesh/daemon/Run.ts
@@ -0,0 +1,51 @@
+/** Runs a node of the mesh until a signal asks for a stop. */
+import { BoundedLogService } from '../../common/BoundedLogService.js'
+import { ClockService } from '../../common/ClockService.js'
+import { LogService, outputTransport } from '../../common/LogService.js'
+import type { ILogService } from '../../common/Services.js'
+import { SavoryknotError } from '../../common/SavoryknotError.js'
+import { EXIT_DONE, EXIT_FAILED } from '../../daemon/ExitCodes.js'
+import { DAEMON_FAILED } from '../../daemon/Events.js'
+import { SETTINGS_REJECTED, SETTINGS_RELOADED } from '../Events.js'
+import type { IMeshAdapter } from '../Services.js'
+import { MeshDaemon } from './MeshDaemon.js'
+import { readMeshSettings, type IMeshSettings } from './MeshSettings.js'
+
+/** What a run needs. */
+export interface IMeshRunOptions {
+  /** Read again after SIGHUP. */
+  readonly file: string
+  readonly settings: IMeshSettings
+  readonly adapter: IMeshAdapter
+}
+
+/** Gives the exit code once the node has stopped. */
+export async function runMesh ({ file, settings, adapter }: IMeshRunOptions): Promise<number> {
+  const fields = { node: settings.mesh.node, failureDomain: settings.mesh['failure-domain'] }
+  const log = new BoundedLogService(new LogService({ ...settings.log, fields }, outputTransport()), new ClockService())
+  try {
+    const daemon = new MeshDaemon({ settings, adapter, log })
+    const stopped = new Promise<void>((resolve, reject) => {
+      const stop = (): void => { daemon.stop().then(resolve, reject) }
+      process.on('SIGTERM', stop)
+      process.on('SIGINT', stop)
+    })
+    process.on('SIGHUP', () => reload(daemon, file, log))
+    await Promise.race([daemon.start(), stopped])
+    await stopped
+    return EXIT_DONE
+  } catch (error) {
+    const origin = error instanceof SavoryknotError ? { step: error.step, peer: error.peer } : { step: 'daemon.run' }
+    log.log(DAEMON_FAILED, { ...origin, message: error instanceof Error ? error.message : String(error) })
+    return EXIT_FAILED
+  }
+}
+
+function reload (daemon: MeshDaemon, file: string, log: ILogService): void {
+  try {
+    daemon.reload(readMeshSettings(file))
+    log.log(SETTINGS_RELOADED, { step: 'daemon.reload', file })
+  } catch (error) {
+    log.log(SETTINGS_REJECTED, { step: 'daemon.reload', file, reason: String(error) })
+  }
+}
--- /dev/null
+++ b/src/mesh/endpoint/GateServer.ts
@@ -0,0 +1,131 @@
+/** HTTP server for calls and questions of other nodes. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { splitAddress } from '../../common/HostPort.js'
+import type { IClockService, ILogService, IService } from '../../common/Services.js'
+import type { NetworkAddress, RequestId } from '../../common/Types.js'
+import { HttpInbound } from '../../gate/HttpInbound.js'
+import { readBodyInTime } from '../../gate/KeptBody.js'
+import { CALLER_MALFORMED } from '../Events.js'
+import { decodeCall, encodeLoad, encodeOutcome, INNER_HEADER, type IInnerAnswer } from '../exchange/CallCodec.js'
+import { SETTLE_ANSWER, type SettleReply } from '../exchange/NodeQuestions.js'
+import { MAXIMUM_ANSWER_BYTES } from '../exchange/HttpExchange.js'
+import type { IMessageFormat } from '../Services.js'
+import type { IMeshCall } from '../Types.js'
+import type { EndpointGate } from './EndpointGate.js'
+
+/** What the server needs. */
+export interface IGateServerOptions {
+  readonly gate: EndpointGate
+  readonly format: IMessageFormat
+  readonly address: NetworkAddress
+  /** Identity of this process, by which others notice a restart. */
+  readonly processToken: string
+  /** Told the RPC address of each node that asks. */
+  readonly onPeer: (address: string) => void
+  readonly clock: IClockService
+  readonly log: ILogService
+}
+
+/** Longer than other nodes keep an unused connection. */
+const KEEP_ALIVE_MS = 120_000
+const MAXIMUM_HEAD_BYTES = 65_536
+const NO_BODY = Buffer.alloc(0)
+
+/** Hands calls to the gate; answers probes and questions about the fate of requests. */
+export class GateServer implements IService {
+  private readonly _server: Server
+  private _inFlight = 0
+
+  constructor (private readonly _options: IGateServerOptions) {
+    this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, maxHeaderSize: MAXIMUM_HEAD_BYTES, noDelay: true })
+    this._server.on('request', (message: IncomingMessage, response: ServerResponse) => {
+      this._serve(message, response).catch((error: unknown) => {
+        _options.log.log(CALLER_MALFORMED, { step: 'gate.serve', peer: message.socket.remoteAddress, reason: String(error) })
+        response.destroy()
+      })
+    })
+  }
+
+  /** Requests that have no whole answer yet. */
+  public get inFlight (): number {
+    return this._inFlight
+  }
+
+  public start (): Promise<void> {
+    const { host, port } = splitAddress(this._options.address)
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, () => {
+        this._server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  public stop (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const peer = message.headers[INNER_HEADER.peer]
+    if (typeof peer === 'string') this._options.onPeer(peer)
+    switch (message.headers[INNER_HEADER.purpose]) {
+      case 'probe': return this._answerProbe(response)
+      case 'settle': return this._answerSettle(message, response)
+      default: return await this._serveCall(message, response)
+    }
+  }
+
+  private async _serveCall (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    this._inFlight++
+    response.once('close', () => { this._inFlight-- })
+    const inbound = new HttpInbound(message, response)
+    const call = await this._readCall(inbound)
+    if (call === undefined) {
+      this._options.log.log(CALLER_MALFORMED, { step: 'gate.decode', peer: message.socket.remoteAddress })
+      return this._write(response, encodeOutcome({ kind: 'refused', reason: 'cancelled' }))
+    }
+    const outcome = await this._options.gate.execute(call, inbound.onCancelled)
+    this._write(response, encodeOutcome(outcome))
+  }
+
+  /** Undefined if the call is malformed or its body did not come whole. */
+  private async _readCall (inbound: HttpInbound): Promise<IMeshCall | undefined> {
+    const { clock, format } = this._options
+    const arrivedAt = clock.now()
+    const parts = {
+      method: inbound.method,
+      path: inbound.path,
+      headers: inbound.headers,
+      callerRequestId: format.callerRequestId(inbound.headers),
+      fields: format.forwardedFields(inbound.headers)
+    }
+    const head = decodeCall({ ...parts, body: undefined }, arrivedAt)
+    if (head === undefined || inbound.body === undefined) return head
+    const start = await readBodyInTime(inbound.body, MAXIMUM_ANSWER_BYTES, head.deadlineAt, clock)
+    return start?.isWhole === true ? { ...head, body: start.content } : undefined
+  }
+
+  private _answerProbe (response: ServerResponse): void {
+    const now = this._options.clock.now()
+    this._write(response, { status: 200, fields: [INNER_HEADER.load, encodeLoad(this._options.gate.load(now, now))], body: NO_BODY })
+  }
+
+  /** The token tells whether the request in question was sent to this process at all. */
+  private _answerSettle (message: IncomingMessage, response: ServerResponse): void {
+    const { gate, clock, processToken } = this._options
+    const requestId = message.headers[INNER_HEADER.requestId]
+    const isThisProcess = message.headers[INNER_HEADER.processToken] === processToken
+    const state: SettleReply = isThisProcess && typeof requestId === 'string' ? gate.settle(requestId as RequestId, clock.now()) : 'other-process'
+    this._write(response, { status: 200, fields: [SETTLE_ANSWER, state], body: NO_BODY })
+  }
+
+  private _write (response: ServerResponse, answer: IInnerAnswer): void {
+    if (response.destroyed) return
+    response.writeHead(answer.status, [
+      ...answer.fields, INNER_HEADER.processToken, this._options.processToken, 'content-length', String(answer.body.byteLength)
+    ])
+    response.end(answer.body)
+  }
+}
--- /dev/null
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -0,0 +1,102 @@
+/** One request and its whole answer on a connection that carries nothing else meanwhile. */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Dispatcher } from 'undici'
+import type { UpstreamConnection } from '../../gate/UpstreamConnections.js'
+
+/** The request. */
+export interface IExchangeRequest {
+  readonly method: string
+  readonly path: string
+  /** Names and values in turn, without the length of the body. */
+  readonly fields: readonly string[]
+  readonly body: Buffer | undefined
+  /** Asked right before the first byte is sent; false ends the exchange as not sent. */
+  readonly mayStart?: () => boolean
+}
+
+/** How an exchange ended. */
+export type ExchangeEnd =
+  | { readonly kind: 'answer', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
+  /** Not a byte of the request was sent. */
+  | { readonly kind: 'not-sent', readonly reason: string }
+  /** The request was sent, at least in part, and its answer is lost. */
+  | { readonly kind: 'broken', readonly reason: string }
+
+/** An answer above this size breaks the exchange; whole answers are held in memory. */
+export const MAXIMUM_ANSWER_BYTES = 16_777_216
+const FIRST_FINAL_STATUS = 200
+
+/** Collects the answer, so that a part of one is never passed on. */
+export class HttpExchange implements Dispatcher.DispatchHandler {
+  private readonly _chunks: Buffer[] = []
+  private _controller: Dispatcher.DispatchController | undefined
+  private _resolve: ((end: ExchangeEnd) => void) | undefined
+  private _status = 0
+  private _headers: IncomingHttpHeaders = {}
+  private _bytes = 0
+  private _abortReason: string | undefined
+
+  constructor (private readonly _request: IExchangeRequest) {}
+
+  /** True once the first byte may have been sent. */
+  public get isSent (): boolean {
+    return this._controller !== undefined
+  }
+
+  /** Runs the exchange. Never rejects. */
+  public run (connection: UpstreamConnection): Promise<ExchangeEnd> {
+    const { method, path, fields, body } = this._request
+    return new Promise((resolve) => {
+      this._resolve = resolve
+      if (this._abortReason !== undefined) return this._finish({ kind: 'not-sent', reason: this._abortReason })
+      try {
+        connection.client.dispatch({ path, method: method as Dispatcher.HttpMethod, headers: [...fields], body: body ?? null }, this)
+      } catch (error) {
+        this._finish({ kind: 'not-sent', reason: String(error) })
+      }
+    })
+  }
+
+  /** Ends the exchange and closes its connection, which cancels the request on the other side. */
+  public abort (reason: string): void {
+    if (this._abortReason !== undefined) return
+    this._abortReason = reason
+    this._controller?.abort(new Error(reason))
+  }
+
+  public onRequestStart (controller: Dispatcher.DispatchController): void {
+    // The client may start a request again after its connection closed; it must not be sent twice.
+    if (this._controller !== undefined || this._abortReason !== undefined || this._request.mayStart?.() === false) {
+      this._abortReason ??= 'not to be sent'
+      controller.abort(new Error(this._abortReason))
+      return
+    }
+    this._controller = controller
+  }
+
+  public onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (status < FIRST_FINAL_STATUS) return
+    this._status = status
+    this._headers = headers
+  }
+
+  public onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._bytes += chunk.byteLength
+    if (this._bytes > MAXIMUM_ANSWER_BYTES) this.abort('answer too large')
+    else this._chunks.push(chunk)
+  }
+
+  public onResponseEnd (): void {
+    this._finish({ kind: 'answer', status: this._status, headers: this._headers, body: Buffer.concat(this._chunks) })
+  }
+
+  public onResponseError (_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+    const reason = this._abortReason ?? error.message
+    this._finish(this.isSent ? { kind: 'broken', reason } : { kind: 'not-sent', reason })
+  }
+
+  private _finish (end: ExchangeEnd): void {
+    this._resolve?.(end)
+    this._resolve = undefined
+  }
+}
--- /dev/null
+++ b/src/mesh/exchange/NodeQuestions.ts
@@ -0,0 +1,78 @@
+/** Questions that one node asks another beside calls, each on a connection of its own. */
+import { connect, type Socket } from 'node:net'
+import { splitAddress } from '../../common/HostPort.js'
+import type { IClockService } from '../../common/Services.js'
+import type { Milliseconds, NetworkAddress, RequestId } from '../../common/Types.js'
+import { UpstreamConnection } from '../../gate/UpstreamConnections.js'
+import type { SettledState } from '../endpoint/EndpointGate.js'
+import { decodeLoad, INNER_HEADER } from './CallCodec.js'
+import { HttpExchange, type ExchangeEnd } from './HttpExchange.js'
+import type { IEndpointLoad } from '../Types.js'
+
+/** Field of the answer to a question about a request. */
+export const SETTLE_ANSWER = 'savoryknot-settled'
+
+/** What a node says of a request. `other-process`: the process that was sent the request is not there any more. */
+export type SettleReply = SettledState | 'other-process'
+
+const REPLIES: ReadonlySet<string> = new Set<SettleReply>(['never-will-be', 'running', 'finished', 'other-process'])
+
+/** Answer to a probe. */
+export interface IProbeAnswer {
+  readonly load: IEndpointLoad | undefined
+  readonly processToken: string | undefined
+}
+
+/** What the questions need. */
+export interface INodeQuestionsOptions {
+  readonly clock: IClockService
+  /** RPC address of this node, so that a node that knows nobody learns of one. */
+  readonly peerAddress: NetworkAddress
+  /** Time for connection and answer together. */
+  readonly timeout: Milliseconds
+}
+
+/** New connections only: one that has fallen silent says nothing about the node behind it. */
+export class NodeQuestions {
+  constructor (private readonly _options: INodeQuestionsOptions) {}
+
+  /** Undefined if there is no answer in time. */
+  public async probe (address: NetworkAddress): Promise<IProbeAnswer | undefined> {
+    const end = await this._ask(address, [INNER_HEADER.purpose, 'probe'])
+    if (end.kind !== 'answer') return undefined
+    const { headers } = end
+    const token = headers[INNER_HEADER.processToken]
+    const load = headers[INNER_HEADER.load]
+    return { load: decodeLoad(typeof load === 'string' ? load : undefined), processToken: typeof token === 'string' ? token : undefined }
+  }
+
+  /** Undefined if there is no answer in time. */
+  public async settle (address: NetworkAddress, requestId: RequestId, processToken: string): Promise<SettleReply | undefined> {
+    const fields = [INNER_HEADER.purpose, 'settle', INNER_HEADER.requestId, requestId, INNER_HEADER.processToken, processToken]
+    const end = await this._ask(address, fields)
+    const reply = end.kind === 'answer' ? end.headers[SETTLE_ANSWER] : undefined
+    return typeof reply === 'string' && REPLIES.has(reply) ? reply as SettleReply : undefined
+  }
+
+  private _ask (address: NetworkAddress, fields: readonly string[]): Promise<ExchangeEnd> {
+    const { clock, timeout, peerAddress } = this._options
+    const exchange = new HttpExchange({ method: 'GET', path: '/', fields: [...fields, 'host', address, INNER_HEADER.peer, peerAddress], body: undefined })
+    return new Promise((resolve) => {
+      const socket: Socket = connect({ ...splitAddress(address), noDelay: true })
+      const finish = (end: ExchangeEnd): void => {
+        timer.dispose()
+        socket.destroy()
+        resolve(end)
+      }
+      const timer = clock.after(timeout, () => finish({ kind: 'broken', reason: 'timeout' }))
+      socket.once('error', (error) => finish({ kind: 'not-sent', reason: error.message }))
+      socket.once('connect', () => {
+        const connection = new UpstreamConnection(socket, `http://${address}`)
+        exchange.run(connection).then((end) => {
+          finish(end)
+          connection.close()
+        }, (error: unknown) => finish({ kind: 'broken', reason: String(error) }))
+      })
+    })
+  }
+}
--- /dev/null
+++ b/src/mesh/view/ViewLink.ts
@@ -0,0 +1,103 @@
+/** Takes the view of another node. */
+import type { IClockService, ILogService } from '../../common/Services.js'
+import type { IDisposable, Milliseconds, Timestamp } from '../../common/Types.js'
+import type { ReceivedViewUpdate } from '../../generated/savoryknot/ViewUpdate.js'
+import type { IPeerChannel } from '../../membership/Services.js'
+import type { StorePosition } from '../../platform/Types.js'
+import { VIEW_BODY_REJECTED } from '../Events.js'
+import type { INodeIdentity } from '../Services.js'
+import { decodeConfiguration, decodeRows } from './ViewMessages.js'
+import type { ViewState } from './ViewState.js'
+
+/** A link without a message for this time is lost; three heartbeats. */
+export const VIEW_SILENCE_MS = 900 as Milliseconds
+
+/** How a link ended. */
+export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'released'
+
+/** What a link needs. */
+export interface IViewLinkOptions {
+  readonly channel: IPeerChannel
+  readonly state: ViewState
+  readonly self: INodeIdentity
+  readonly clock: IClockService
+  readonly log: ILogService
+  /** Called with each update, after it was applied. */
+  readonly onUpdate: (isCurrent: boolean) => void
+}
+
+/** One task: asks once, applies every update, ends when the other side is silent or not current. */
+export class ViewLink {
+  private _silence: IDisposable | undefined
+  private _end: ((end: ViewLinkEnd) => void) | undefined
+  private _isOver = false
+
+  constructor (private readonly _options: IViewLinkOptions) {}
+
+  /** Resolves when the link is over; its channel is then closed. */
+  public async run (): Promise<ViewLinkEnd> {
+    const { channel } = this._options
+    const ended = new Promise<ViewLinkEnd>((resolve) => { this._end = resolve })
+    const listeners = [
+      channel.onClosed(() => this._finish('closed')),
+      channel.onMessage((message) => {
+        if (message.kind === 'viewUpdate' && message.viewUpdate != null) this._receive(message.viewUpdate)
+      })
+    ]
+    this._ask()
+    this._waitForNext()
+    const end = await ended
+    for (const listener of listeners) listener.dispose()
+    this._silence?.dispose()
+    channel.dispose()
+    return end
+  }
+
+  /** Ends the link on purpose. */
+  public release (): void {
+    this._finish('released')
+  }
+
+  private _ask (): void {
+    const { channel, state, self } = this._options
+    channel.send({
+      viewRequest: { node: self.name, configurationVersion: state.configuration.version, nodesPosition: state.nodes.position }
+    })
+  }
+
+  private _receive (update: ReceivedViewUpdate): void {
+    if (this._isOver) return
+    const now = this._options.clock.now()
+    this._waitForNext()
+    if (!this._applyConfiguration(update, now)) return
+    this._options.state.nodes.apply(decodeRows(update), now)
+    this._options.onUpdate(update.isCurrent)
+    if (!update.isCurrent) this._finish('not-current')
+  }
+
+  /** False if the configuration could not be restored; it has then been asked for anew. */
+  private _applyConfiguration (update: ReceivedViewUpdate, now: Timestamp): boolean {
+    const { state, channel, log } = this._options
+    try {
+      const text = decodeConfiguration(update, state.configuration, channel.remoteAddress)
+      if (text !== undefined) state.configuration.offer(text, now)
+      if (update.isCurrent) state.advanceConfiguration(update.configurationPosition as StorePosition)
+      return true
+    } catch (error) {
+      log.log(VIEW_BODY_REJECTED, { step: 'view.apply', peer: channel.remoteAddress, version: update.configurationVersion, reason: String(error) })
+      channel.send({ viewRequest: { node: this._options.self.name, configurationVersion: 0, nodesPosition: state.nodes.position } })
+      return false
+    }
+  }
+
+  private _waitForNext (): void {
+    this._silence?.dispose()
+    this._silence = this._options.clock.after(VIEW_SILENCE_MS, () => this._finish('silent'))
+  }
+
+  private _finish (end: ViewLinkEnd): void {
+    if (this._isOver) return
+    this._isOver = true
+    this._end?.(end)
+  }
+}
--- /dev/null
+++ b/src/mesh/view/ViewServer.ts
@@ -0,0 +1,97 @@
+/** Sends this node's view to the nodes that asked for it. */
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import type { IClockService } from '../../common/Services.js'
+import type { IDisposable, Milliseconds } from '../../common/Types.js'
+import type { ReceivedViewRequest } from '../../generated/savoryknot/ViewRequest.js'
+import type { ViewUpdate } from '../../generated/savoryknot/ViewUpdate.js'
+import type { IPeerChannel } from '../../membership/Services.js'
+import type { StorePosition } from '../../platform/Types.js'
+import type { ConfigurationVersion } from '../Types.js'
+import type { ViewState } from './ViewState.js'
+import { encodeConfiguration, encodeRows, type ISentConfiguration } from './ViewMessages.js'
+
+/** Time between two updates when nothing changes. */
+export const VIEW_HEARTBEAT_MS = 300 as Milliseconds
+
+/** What the server needs. */
+export interface IViewServerOptions {
+  readonly state: ViewState
+  readonly isCurrent: () => boolean
+  readonly clock: IClockService
+}
+
+/** One node that follows. */
+interface IFollower {
+  readonly channel: IPeerChannel
+  sent: ISentConfiguration | undefined
+  position: StorePosition
+}
+
+/** Each follower gets what it lacks, changes at once, and heartbeats in between. */
+export class ViewServer extends Disposable {
+  private readonly _followers = new Set<IFollower>()
+
+  constructor (private readonly _options: IViewServerOptions) {
+    super()
+    const { state, clock } = _options
+    this.register(state.configuration.onReplaced(() => this.notify()))
+    this.register(state.nodes.onChanged(() => this.notify()))
+    this.register(clock.every(VIEW_HEARTBEAT_MS, () => this.notify()))
+    this.register(toDisposable(() => { for (const { channel } of this._followers) channel.dispose() }))
+  }
+
+  /** Number of nodes that follow. */
+  public get followers (): number {
+    return this._followers.size
+  }
+
+  /** Takes a channel that another node opened. */
+  public accept (channel: IPeerChannel): IDisposable {
+    let follower: IFollower | undefined
+    channel.onClosed(() => { if (follower !== undefined) this._followers.delete(follower) })
+    return channel.onMessage((message) => {
+      if (message.kind !== 'viewRequest' || message.viewRequest == null) return
+      if (follower !== undefined) this._followers.delete(follower)
+      follower = this._followerOf(channel, message.viewRequest)
+      this._followers.add(follower)
+      this._send(follower)
+    })
+  }
+
+  /** Sends every follower what it lacks. */
+  public notify (): void {
+    for (const follower of this._followers) this._send(follower)
+  }
+
+  private _followerOf (channel: IPeerChannel, request: ReceivedViewRequest): IFollower {
+    const { configuration } = this._options.state
+    const holdsPresent = request.configurationVersion === configuration.version && configuration.version > 0
+    return {
+      channel,
+      sent: holdsPresent ? { version: configuration.version, text: configuration.text } : undefined,
+      position: request.nodesPosition as StorePosition
+    }
+  }
+
+  private _send (follower: IFollower): void {
+    const { state, isCurrent } = this._options
+    const update: ViewUpdate = {
+      isCurrent: isCurrent(),
+      nodesPosition: state.nodes.position,
+      configurationPosition: state.configurationPosition,
+      rows: encodeRows(state.nodes.changedAfter(follower.position)),
+      ...this._configurationFor(follower)
+    }
+    // A full send buffer drops the message; the next one then carries the same again.
+    if (!follower.channel.send({ viewUpdate: update })) return
+    follower.position = state.nodes.position
+    follower.sent = { version: state.configuration.version, text: state.configuration.text }
+  }
+
+  private _configurationFor (follower: IFollower): Partial<ViewUpdate> {
+    const { version, text } = this._options.state.configuration
+    const known = follower.sent?.version ?? 0 as ConfigurationVersion
+    if (version === 0 || version <= known) return {}
+    return encodeConfiguration({ version, text }, known === 0 ? undefined : follower.sent)
+  }
+}
--- /dev/null
+++ b/src/mesh/view/ViewService.ts
@@ -0,0 +1,222 @@
+/** Keeps the view of this node current: by the store, or by a node that reads it. */
+import { Counter } from 'prom-client'
+import type { IClockService, ILogService, IMetricsService, IRandomService, IService } from '../../common/Services.js'
+import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
+import type { IPeerTransport } from '../../membership/Services.js'
+import type { IChangeFeed } from '../../platform/Services.js'
+import type { IRowReference, TableName } from '../../platform/Types.js'
+import { VIEW_LINK_LOST, VIEW_LINK_OPENED, VIEW_READING_STARTED, VIEW_READING_STOPPED } from '../Events.js'
+import type { IConfigurationService, INodeIdentity, IViewService } from '../Services.js'
+import type { NodeTable } from './NodeTable.js'
+import { ReadingPolicy, type IViewSource } from './ReadingPolicy.js'
+import { TableFollower } from './TableFollower.js'
+import { ViewLink } from './ViewLink.js'
+import { ViewServer } from './ViewServer.js'
+import { ViewState } from './ViewState.js'
+
+/** Name of the table of nodes. */
+export const NODE_TABLE = 'nodes' as TableName
+
+/** Times of the view. */
+export interface IViewTimes {
+  /** Longest time that the store is asked to wait for a new configuration. */
+  readonly configurationWait: Milliseconds
+  /** Pause after a new configuration. */
+  readonly configurationGather: Milliseconds
+  /** Longest time that the store is asked to wait for a change of the nodes. */
+  readonly nodesWait: Milliseconds
+  /** Pause after a change of the nodes. */
+  readonly nodesGather: Milliseconds
+  /** Time between two looks at who should be followed. */
+  readonly choiceInterval: Milliseconds
+  /** Time without a reading of the store after which any other node is asked. */
+  readonly storeLostAfter: Milliseconds
+  /** Longest time on a node that does not rank above this one. */
+  readonly substituteTime: Milliseconds
+}
+
+/** Defaults of `ViewService`. Waits are well below the seconds within which a change must be in force. */
+export const DEFAULT_VIEW_TIMES: IViewTimes = Object.freeze({
+  configurationWait: 1_000 as Milliseconds,
+  configurationGather: 200 as Milliseconds,
+  nodesWait: 2_500 as Milliseconds,
+  nodesGather: 300 as Milliseconds,
+  choiceInterval: 200 as Milliseconds,
+  storeLostAfter: 700 as Milliseconds,
+  substituteTime: 4_000 as Milliseconds
+})
+
+/** What the view needs. */
+export interface IViewServiceOptions {
+  readonly self: INodeIdentity
+  readonly configuration: IConfigurationService
+  readonly nodes: NodeTable
+  readonly feed: IChangeFeed
+  readonly configurationRow: IRowReference
+  readonly transport: IPeerTransport
+  readonly clock: IClockService
+  readonly random: IRandomService
+  readonly log: ILogService
+  readonly metrics: IMetricsService
+  readonly times?: Partial<IViewTimes>
+}
+
+/** One task chooses whom to follow; meanwhile, or for want of anyone, the store is followed. */
+export class ViewService implements IViewService, IService {
+  public readonly completed: Promise<void>
+  private readonly _times: IViewTimes
+  private readonly _state: ViewState
+  private readonly _server: ViewServer
+  private readonly _policy: ReadingPolicy
+  private readonly _followers: readonly TableFollower[]
+  private readonly _readings: Counter
+  private _complete: (() => void) | undefined
+  private _link: ViewLink | undefined
+  private _isLinkCurrent = false
+  private _lastCurrentAt: Timestamp
+  private _isStopping = false
+
+  constructor (private readonly _options: IViewServiceOptions) {
+    const { clock, random, self } = _options
+    this._times = { ...DEFAULT_VIEW_TIMES, ..._options.times }
+    this._lastCurrentAt = clock.now()
+    this._state = new ViewState(_options)
+    this._policy = new ReadingPolicy(self, random)
+    this._server = new ViewServer({ state: this._state, clock, isCurrent: () => this.isCurrent })
+    this._followers = [this._createConfigurationFollower(), this._createNodesFollower()]
+    this.completed = new Promise((resolve) => { this._complete = resolve })
+    this._readings = new Counter({
+      name: 'savoryknot_view_batches_total',
+      help: 'Answers of the store to readings of the view, by table. Unit: answers.',
+      labelNames: ['table'],
+      registers: [_options.metrics.registry]
+    })
+  }
+
+  public get isCurrent (): boolean {
+    const now = this._options.clock.now()
+    return this._isLinkCurrent || this._followers.every((follower) => follower.isCurrent(now))
+  }
+
+  public async start (): Promise<void> {
+    await this._options.transport.listen((channel) => { this._server.accept(channel) })
+    this._run().catch((error: unknown) => {
+      this._options.log.log(VIEW_LINK_LOST, { step: 'view.run', reason: String(error) })
+      this._startReading('task failed')
+    })
+  }
+
+  public async stop (): Promise<void> {
+    this._isStopping = true
+    this._link?.release()
+    for (const follower of this._followers) follower.stop()
+    this._server.dispose()
+    await this._options.transport.close()
+  }
+
+  public suggestPeer (address: string): void {
+    if (!this._state.isComplete) this._policy.suggest(address as NetworkAddress)
+  }
+
+  private async _run (): Promise<void> {
+    const { clock, nodes } = this._options
+    this._startReading('start')
+    while (!this._isStopping) {
+      const now = clock.now()
+      if (this.isCurrent) this._lastCurrentAt = now
+      const isStoreLost = now - this._lastCurrentAt > this._times.storeLostAfter
+      const source = this._policy.choose(nodes.nodes, isStoreLost, now)
+      if (source === undefined) {
+        this._startReading('no node ranks above this one, or none can be reached')
+        await clock.sleep(this._times.choiceInterval)
+      } else {
+        await this._followSource(source)
+      }
+    }
+  }
+
+  /** Follows a node until the link ends. The store is read until the node has given a current view. */
+  private async _followSource (source: IViewSource): Promise<void> {
+    const { transport, clock, log, self } = this._options
+    let link: ViewLink
+    try {
+      const channel = await transport.dial(source.address)
+      link = new ViewLink({ channel, state: this._state, self, clock, log, onUpdate: (isCurrent) => this._onUpdate(isCurrent) })
+    } catch (error) {
+      this._policy.recordFailure(source, clock.now())
+      log.log(VIEW_LINK_LOST, { step: 'view.dial', peer: source.name, reason: String(error) })
+      this._startReading('a node above could not be reached')
+      return
+    }
+    log.log(VIEW_LINK_OPENED, { step: 'view.follow', peer: source.name, isPreferred: source.isPreferred })
+    this._link = link
+    const limit = source.isPreferred ? undefined : clock.after(this._times.substituteTime, () => link.release())
+    const end = await link.run()
+    limit?.dispose()
+    this._link = undefined
+    this._isLinkCurrent = false
+    if (this._isStopping) return
+    this._startReading(`link ended: ${end}`)
+    log.log(VIEW_LINK_LOST, { step: 'view.follow', peer: source.name, reason: end })
+    if (end === 'released') this._policy.recordSuccess(source)
+    else this._policy.recordFailure(source, clock.now())
+  }
+
+  private _onUpdate (isCurrent: boolean): void {
+    this._isLinkCurrent = isCurrent
+    if (!isCurrent) return
+    this._lastCurrentAt = this._options.clock.now()
+    this._checkComplete()
+    this._stopReading()
+  }
+
+  private _startReading (reason: string): void {
+    if (this._isStopping || this._followers.every((follower) => follower.isRunning)) return
+    this._options.log.log(VIEW_READING_STARTED, { step: 'view.read', reason })
+    for (const follower of this._followers) follower.start()
+  }
+
+  private _stopReading (): void {
+    if (!this._followers.some((follower) => follower.isRunning)) return
+    for (const follower of this._followers) follower.stop()
+    this._options.log.log(VIEW_READING_STOPPED, { step: 'view.read' })
+  }
+
+  private _checkComplete (): void {
+    if (!this._state.isComplete) return
+    this._complete?.()
+    this._complete = undefined
+  }
+
+  private _createConfigurationFollower (): TableFollower {
+    const { configurationWait, configurationGather } = this._times
+    return new TableFollower({
+      ...this._options,
+      table: this._options.configurationRow.table,
+      position: () => this._state.configurationPosition,
+      wait: configurationWait,
+      gather: configurationGather,
+      onBatch: (batch, now) => {
+        this._readings.inc({ table: 'configuration' })
+        this._state.applyConfigurationBatch(batch, now)
+        this._checkComplete()
+      }
+    })
+  }
+
+  private _createNodesFollower (): TableFollower {
+    const { nodesWait, nodesGather } = this._times
+    return new TableFollower({
+      ...this._options,
+      table: NODE_TABLE,
+      position: () => this._state.nodes.position,
+      wait: nodesWait,
+      gather: nodesGather,
+      onBatch: (batch, now) => {
+        this._readings.inc({ table: 'nodes' })
+        this._options.nodes.apply(batch, now)
+        this._checkComplete()
+      }
+    })
+  }
+}
--- a/src/platform/PlatformHttpClient.ts
+++ b/src/platform/PlatformHttpClient.ts
@@ -43,6 +43,8 @@
   readonly body?: string | Uint8Array
   /** True if a repeat or a lost answer could change something. */
   readonly isWrite: boolean
+  /** Time allowed for this request in place of the usual one. */
+  readonly timeout?: Milliseconds
 }
 
 /** The whole answer of the platform. */
@@ -60,6 +62,8 @@
 const MAXIMUM_ANSWER_BYTES = 67_108_864
 /** Errors that arise before a byte of the request was sent. */
 const CONNECT_ERROR_CODES = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']
+/** Not found, history lost, condition failed: for the caller to sort out. */
+const ANSWERING_STATUSES = [404, 410, 412]
 /** The platform says by these that it did nothing. */
 const REFUSING_STATUSES = [429, 503]
 
@@ -89,7 +93,7 @@
     await this._dispatcher.close()
   }
 
-  /** Rejects with `PlatformUnavailableError` or `OutcomeUnknownError`; any status below 400, 404 and 412 are answers. */
+  /** Rejects with `PlatformUnavailableError` or `OutcomeUnknownError`; any status below 400, 404, 410 and 412 are answers. */
   public async request (request: IPlatformRequest): Promise<IPlatformAnswer> {
     const startedAt = this._services.clock.now()
     let outcome = 'answered'
@@ -116,7 +120,7 @@
         method,
         headers,
         body,
-        signal: AbortSignal.timeout(this._options.requestTimeout)
+        signal: AbortSignal.timeout(Math.ceil(request.timeout ?? this._options.requestTimeout))
       })
       const answer = { status: response.statusCode, headers: response.headers, body: Buffer.from(await response.body.arrayBuffer()) }
       return this._checkStatus(request, answer)
@@ -127,7 +131,7 @@
 
   private _checkStatus (request: IPlatformRequest, answer: IPlatformAnswer): IPlatformAnswer {
     const { status } = answer
-    if (status < 400 || status === 404 || status === 412) return answer
+    if (status < 400 || ANSWERING_STATUSES.includes(status)) return answer
     const origin = { step: request.step, peer: this._origin }
     const isRefused = status < 500 || REFUSING_STATUSES.includes(status)
     if (isRefused || !request.isWrite) throw new PlatformUnavailableError(`platform answered with status ${status}`, origin)
@@ -137,8 +141,9 @@
   private _sortError (request: IPlatformRequest, cause: unknown): Error {
     if (cause instanceof PlatformUnavailableError || cause instanceof OutcomeUnknownError) return cause
     const origin = { step: request.step, peer: this._origin, cause }
-    if (!request.isWrite || isConnectError(cause)) return new PlatformUnavailableError('platform cannot be reached', origin)
-    return new OutcomeUnknownError('answer of the platform was lost', origin)
+    const text = cause instanceof Error ? cause.message : String(cause)
+    if (!request.isWrite || isConnectError(cause)) return new PlatformUnavailableError(`platform cannot be reached: ${text}`, origin)
+    return new OutcomeUnknownError(`answer of the platform was lost: ${text}`, origin)
   }
 
   private _noteAnswer (step: string): void {
@@ -160,12 +165,13 @@
   }
 
   private _createDispatcher (): Dispatcher {
-    const { connections, connectTimeout, requestTimeout, tls } = this._options
+    const { connections, connectTimeout, tls } = this._options
     return new Agent({
       connections,
       connect: { ...tls, timeout: connectTimeout },
-      headersTimeout: requestTimeout,
-      bodyTimeout: requestTimeout,
+      // The signal of each request bounds it as a whole.
+      headersTimeout: 0,
+      bodyTimeout: 0,
       maxResponseSize: MAXIMUM_ANSWER_BYTES
     })
   }
--- a/src/platform/Services.ts
+++ b/src/platform/Services.ts
@@ -1,7 +1,9 @@
 /** Interfaces of the platform's services. A deployment fits its own by implementing these two. */
 import { createServiceKey } from '../common/Services.js'
+import type { Milliseconds } from '../common/Types.js'
 import type {
-  IRow, IRowReference, IRowScan, IStoredObject, ITransaction, ObjectExpectation, ObjectKey, ObjectWriteOutcome, TransactionOutcome
+  IChangeBatch, IRow, IRowReference, IRowScan, IStoredObject, ITransaction, ObjectExpectation, ObjectKey, ObjectWriteOutcome,
+  StorePosition, TableName, TransactionOutcome
 } from './Types.js'
 
 /**
@@ -17,6 +19,18 @@
   transact (transaction: ITransaction): Promise<TransactionOutcome>
 }
 
+/** Tells which rows of a table changed. Errors are those of reads of `ITableService`. */
+export interface IChangeFeed {
+  /** The whole table as of one moment. */
+  readAll (table: TableName, patience: Milliseconds): Promise<IChangeBatch>
+  /**
+   * Changes after `position`, as soon as there is one or else, with no rows, after `wait`.
+   * Rejects with `HistoryLostError` if the store no longer has all of them, and with
+   * `PlatformUnavailableError` if there is no answer `patience` after the end of `wait`.
+   */
+  changesAfter (table: TableName, position: StorePosition, wait: Milliseconds, patience: Milliseconds): Promise<IChangeBatch>
+}
+
 /** Object store. Errors are those of `ITableService`. */
 export interface IObjectStore {
   get (key: ObjectKey): Promise<IStoredObject | undefined>
@@ -26,3 +40,4 @@
 
 export const ITableService = createServiceKey<ITableService>('platform.table')
 export const IObjectStore = createServiceKey<IObjectStore>('platform.objects')
+export const IChangeFeed = createServiceKey<IChangeFeed>('platform.changes')
--- a/src/platform/Types.ts
+++ b/src/platform/Types.ts
@@ -7,6 +7,8 @@
 export type RowKey = Brand<string, 'RowKey'>
 /** Changes with every write of a row; compared for equality only. */
 export type RowRevision = Brand<string, 'RowRevision'>
+/** Place in the order of all changes of a store; grows with every change. */
+export type StorePosition = Brand<number, 'StorePosition'>
 /** Key of an object. */
 export type ObjectKey = Brand<string, 'ObjectKey'>
 /** Changes with every write of an object; compared for equality only. */
@@ -56,7 +58,8 @@
 
 /** Answer to a transaction. */
 export type TransactionOutcome =
-  | { readonly isCommitted: true }
+  /** `revision` is that of every row written, where the platform tells it. */
+  | { readonly isCommitted: true, readonly revision?: RowRevision }
   /** The first condition that did not hold. */
   | { readonly isCommitted: false, readonly failed: ICondition }
 
@@ -73,3 +76,21 @@
 export type ObjectWriteOutcome =
   | { readonly isWritten: true, readonly revision: ObjectRevision }
   | { readonly isWritten: false }
+
+/** One row as a change feed gives it. */
+export interface IChangedRow {
+  readonly key: RowKey
+  /** Place of the row's last change. */
+  readonly position: StorePosition
+  /** Undefined for a row that was deleted. */
+  readonly value?: string
+}
+
+/** Rows of one table that changed. */
+export interface IChangeBatch {
+  readonly rows: readonly IChangedRow[]
+  /** The batch holds every change of the table up to here. */
+  readonly position: StorePosition
+  /** True if the batch is the whole table; a row that it lacks does not exist. */
+  readonly isWhole: boolean
+}
