--- a/src/common/LogService.ts
+++ b/src/common/LogService.ts
@@ -50,6 +50,8 @@
   // A pipe would block the process while nobody reads; the handle is there only for pipes and sockets.
   const { _handle: handle } = process.stdout as { _handle?: { setBlocking?: (isBlocking: boolean) => void } }
   handle?.setBlocking?.(false)
+  // The reader of the log may go away; there is nowhere left to say so, and the node goes on.
+  process.stdout.on('error', () => undefined)
   return new transports.Stream({ stream: process.stdout })
 }
 
--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -29,9 +29,11 @@
 export class UpstreamConnection {
   public readonly client: Client
   private _isHandedOver = false
+  private _hasFailed = false
 
   constructor (private readonly _socket: Socket, origin: string) {
-    _socket.on('error', ignore)
+    // Before the client's own listener, which takes a reset for the end of an answer without length.
+    _socket.on('error', () => { this._hasFailed = true })
     // Reading notices a close by the upstream; bytes without a request belong to nobody.
     _socket.once('data', this._onUnsolicited)
     this.client = new Client(origin, {
@@ -49,6 +51,11 @@
     return !this._socket.destroyed && this._socket.writable
   }
 
+  /** True if the connection ended by an error, so that an answer without length may lack its end. */
+  public get hasFailed (): boolean {
+    return this._hasFailed
+  }
+
   /** Closes the connection at once. */
   public close (): void {
     this._socket.destroy()
--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -1,5 +1,7 @@
 /** One request of a caller, from its route to its final answer. */
 import type { IClockService, ILogService } from '../../common/Services.js'
+import { toDisposable } from '../../common/Disposable.js'
+import { Emitter } from '../../common/Emitter.js'
 import { createRequestId } from '../../common/Ids.js'
 import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { CALL_REPEATED } from '../Events.js'
@@ -44,11 +46,32 @@
   /** May have run. */
   | { readonly kind: 'unknown', readonly reason: string }
 
+const SERVER_ERROR = 500
+/** Multiple of the expected time after which an idempotent request is sent to a second endpoint as well. */
+const HEDGE_FACTOR = 2.2
+/** Shortest wait before that, so that requests of a few milliseconds are not doubled by chance. */
+const LEAST_HEDGE_DELAY_MS = 120
 /** Shortest time after which a caller is asked to come again. */
 const LEAST_RETRY_AFTER_MS = 50
 /** Time after which a caller is asked to come again where no endpoint can be reached. */
 const NO_ENDPOINT_RETRY_AFTER_MS = 300
 
+/** Lets one attempt be cancelled by the caller or by the end of the other one. */
+class AbortableAttempt {
+  private readonly _aborted = new Emitter<void>()
+
+  constructor (private readonly _onCancelled: IEvent<void>) {}
+
+  public readonly onCancelled: IEvent<void> = (listener) => {
+    const subscriptions = [this._onCancelled(listener), this._aborted.event(listener)]
+    return toDisposable(() => { for (const subscription of subscriptions) subscription.dispose() })
+  }
+
+  public abort (): void {
+    this._aborted.fire()
+  }
+}
+
 /** Sends the request to one endpoint after the other until there is a final answer. */
 export class CallTask {
   private readonly _tried = new Set<EndpointView>()
@@ -80,11 +103,55 @@
       const now = clock.now()
       const view = this._choose(now)
       if (view === undefined) return this._conclude({ kind: 'refused', reason: 'no-endpoint' })
-      const outcome = await this._attempt(view, now)
+      const outcome = await this._attemptHedged(view, now)
       if (!this._mayGoOn(outcome, clock.now())) return this._conclude(outcome)
     }
   }
 
+  /** One attempt; if it takes unusually long and the request may run twice, a second one beside it. The first answer counts. */
+  private async _attemptHedged (view: EndpointView, now: Timestamp): Promise<AttemptOutcome> {
+    const first = new AbortableAttempt(this._request.onCancelled)
+    const running = this._attempt(view, now, first.onCancelled)
+    if (this._request.route.repeat !== 'idempotent') return await running
+    const expected = this._services.placement.expectedTime(view, typicalServiceTime([view]), now)
+    const isLate = await this._isLate(running, Math.max(LEAST_HEDGE_DELAY_MS, expected * HEDGE_FACTOR) as Milliseconds)
+    const other = isLate ? this._chooseHedge(this._services.clock.now()) : undefined
+    if (other === undefined) return await running
+    const second = new AbortableAttempt(this._request.onCancelled)
+    const hedge = this._attempt(other, this._services.clock.now(), second.onCancelled)
+    const winner = await firstUseful(running, hedge)
+    first.abort()
+    second.abort()
+    return winner
+  }
+
+  /** True if the attempt has not ended after `delay`. */
+  private _isLate (running: Promise<AttemptOutcome>, delay: Milliseconds): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = this._services.clock.after(delay, () => resolve(true))
+      running.then(() => {
+        timer.dispose()
+        resolve(false)
+      }, () => resolve(false))
+    })
+  }
+
+  /** Another endpoint for a request whose first attempt is late, if the rules and the shared allowance let it have one. */
+  private _chooseHedge (now: Timestamp): EndpointView | undefined {
+    const { allowance, directory, log } = this._services
+    const { route, service, deadlineAt, isCancelled, callerRequestId } = this._request
+    if (isCancelled() || this._arrivals + 1 >= route.attempts) return undefined
+    const view = this._choose(now)
+    if (view === undefined) return undefined
+    const answerAt = now + this._services.placement.expectedTime(view, typicalServiceTime([view]), now)
+    if (answerAt >= deadlineAt) return undefined
+    if (!allowance.take(service, directory.nodes, now)) return undefined
+    log.log(CALL_REPEATED, {
+      step: 'calls.hedge', request: callerRequestId, route: route.name, endpoint: this._lastEndpoint, outcome: 'late', tries: this._tries
+    })
+    return view
+  }
+
   private _choose (now: Timestamp): EndpointView | undefined {
     const { directory, placement } = this._services
     const { service, route } = this._request
@@ -92,13 +159,13 @@
     return placement.choose(candidates, route.objective, now)
   }
 
-  private async _attempt (view: EndpointView, now: Timestamp): Promise<AttemptOutcome> {
+  private async _attempt (view: EndpointView, now: Timestamp, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
     const { directory, placement } = this._services
     const expected = placement.expectedTime(view, typicalServiceTime([view]), now) as Milliseconds
     this._tries++
     this._tried.add(view)
     this._lastEndpoint = view.target.endpoint.id
-    const outcome = await directory.execute(view, this._callTo(view), expected, this._request.onCancelled)
+    const outcome = await directory.execute(view, this._callTo(view), expected, onCancelled)
     if (hasArrived(outcome)) this._arrivals++
     if (outcome.kind === 'unknown') this._mayHaveRun = true
     if (outcome.kind === 'answered') this._failedAnswer = outcome.answer
@@ -160,3 +227,17 @@
     return { kind: 'refused', reason: outcome.reason, retryAfter: Math.max(LEAST_RETRY_AFTER_MS, wait) as Milliseconds }
   }
 }
+
+/** The first of two outcomes that is an answer other than a failure; if neither is, the second to end. */
+function firstUseful (left: Promise<AttemptOutcome>, right: Promise<AttemptOutcome>): Promise<AttemptOutcome> {
+  return new Promise((resolve) => {
+    let ended = 0
+    const take = (outcome: AttemptOutcome): void => {
+      ended++
+      if (ended === 2 || (outcome.kind === 'answered' && outcome.answer.status < SERVER_ERROR)) resolve(outcome)
+    }
+    const fail = (error: unknown): void => take({ kind: 'unknown', reason: String(error) })
+    left.then(take, fail)
+    right.then(take, fail)
+  })
+}
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -25,7 +25,7 @@
 /** Time between two openings of connections. */
 const OPEN_INTERVAL_MS = 1 as Milliseconds
 /** Well above a round trip between regions, well below the time that callers wait. */
-const OPEN_TIMEOUT_MS = 350 as Milliseconds
+const OPEN_TIMEOUT_MS = 200 as Milliseconds
 /** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
 const CONNECTION_TRIES = 3
 /** Time after the deadline in which the node's own answer may still come. */
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -97,7 +97,7 @@
     return {
       occupied: this.occupied,
       slots: this._record?.slots ?? 0,
-      serviceTime: this._times.overall,
+      serviceTime: Math.max(this._times.overall, this._meanAge(now)) as Milliseconds,
       failurePercent: this._failures.value(now),
       handled: now - arrivedAt as Milliseconds
     }
@@ -108,6 +108,21 @@
     this._connections?.dispose()
   }
 
+  /**
+   * Mean time that the requests in slots have run. At an endpoint whose times do not change it is about half of them;
+   * at one that has turned slow, or silent, it tells so before any request has ended.
+   */
+  private _meanAge (now: Timestamp): number {
+    let sum = 0
+    let count = 0
+    for (const { startedAt } of this._inFlight.values()) {
+      if (startedAt === undefined) continue
+      sum += now - startedAt
+      count++
+    }
+    return count === 0 ? 0 : sum / count
+  }
+
   private async _admit (gated: GatedCall, now: Timestamp): Promise<AttemptOutcome> {
     const refusal = this._refusal(gated.call, now)
     if (refusal !== undefined) return { kind: 'refused', reason: refusal }
@@ -148,6 +163,7 @@
   }
 
   private async _runInSlot (gated: GatedCall): Promise<AttemptOutcome> {
+    gated.startedAt = this._options.clock.now()
     try {
       return await this._run(gated)
     } finally {
--- a/src/mesh/endpoint/GatedCall.ts
+++ b/src/mesh/endpoint/GatedCall.ts
@@ -12,6 +12,8 @@
   /** Resolves with undefined when the request may run, else with its refusal. */
   public readonly turn: Promise<AttemptOutcome | undefined>
   public isCancelled = false
+  /** When the request got its slot; undefined while it waits. */
+  public startedAt: Timestamp | undefined
   /** Set once the request is sent to the endpoint. */
   public exchange: HttpExchange | undefined
   private _resolve: ((refusal: AttemptOutcome | undefined) => void) | undefined
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -31,6 +31,7 @@
   private readonly _chunks: Buffer[] = []
   private _controller: Dispatcher.DispatchController | undefined
   private _resolve: ((end: ExchangeEnd) => void) | undefined
+  private _connection: UpstreamConnection | undefined
   private _status = 0
   private _headers: IncomingHttpHeaders = {}
   private _bytes = 0
@@ -48,6 +49,7 @@
     const { method, path, fields, body } = this._request
     return new Promise((resolve) => {
       this._resolve = resolve
+      this._connection = connection
       if (this._abortReason !== undefined) return this._finish({ kind: 'not-sent', reason: this._abortReason })
       try {
         connection.client.dispatch({ path, method: method as Dispatcher.HttpMethod, headers: [...fields], body: body ?? null }, this)
@@ -87,6 +89,8 @@
   }
 
   public onResponseEnd (): void {
+    const isFramed = this._headers['content-length'] !== undefined || this._headers['transfer-encoding'] !== undefined
+    if (!isFramed && this._connection?.hasFailed === true) return this._finish({ kind: 'broken', reason: 'answer without length was cut' })
     this._finish({ kind: 'answer', status: this._status, headers: this._headers, body: Buffer.concat(this._chunks) })
   }
 
