Test the mesh against stand-ins of store and endpoint; wake the registration after a change at its end

Cause of the fault that the tests found: the task that writes the node's row let its waiters go before it counted as ended, so that a change right after was never written (a drain that the store never heard of).

--- /dev/null
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -0,0 +1,70 @@
+/** Reports that come late, twice, out of order, or of another incarnation. */
+import { expect } from 'chai'
+import type { EndpointId, Milliseconds, NetworkAddress, ServiceName, Timestamp } from '../../common/Types.js'
+import { RecordingLog } from '../../../testing/RecordingLog.js'
+import type { IEndpointReport } from '../Types.js'
+import { LocalEndpoint } from './LocalEndpoint.js'
+
+const NOW = 1_000 as Timestamp
+
+function report (id: string, bornAt: number, sequence: number, phase: IEndpointReport['phase'] = 'serving', service = 's'): IEndpointReport {
+  return {
+    id: id as EndpointId,
+    bornAt,
+    sequence,
+    phase,
+    service: service as ServiceName,
+    address: '10.0.0.1:80' as NetworkAddress,
+    slots: 4,
+    warmUpLeft: 0 as Milliseconds
+  }
+}
+
+describe('LocalEndpoint', () => {
+  let endpoint: LocalEndpoint
+  let changes: string[]
+
+  beforeEach(() => {
+    endpoint = new LocalEndpoint(new RecordingLog())
+    changes = []
+    endpoint.onChanged(({ id, phase, service }) => changes.push(`${id} ${service} ${phase}`))
+  })
+
+  it('takes reports in order only, and never goes back from draining', () => {
+    const outcomes = [
+      endpoint.report(report('a', 1, 3), NOW),
+      endpoint.report(report('a', 1, 2), NOW),
+      endpoint.report(report('a', 1, 5, 'draining'), NOW),
+      endpoint.report(report('a', 1, 4), NOW),
+      endpoint.report(report('a', 1, 6), NOW)
+    ]
+    expect([outcomes, changes]).to.deep.equal([['accepted', 'outdated', 'accepted', 'outdated', 'accepted'], ['a s serving', 'a s draining']])
+  })
+
+  it('takes a later incarnation under the same id, whose counts start anew', () => {
+    endpoint.report(report('a', 10, 50, 'draining'), NOW)
+    endpoint.report(report('a', 20, 1), NOW)
+    expect(endpoint.record).to.include({ bornAt: 20, phase: 'serving' })
+  })
+
+  it('ignores the late report and the late end of an incarnation that another one has replaced', () => {
+    endpoint.report(report('b', 20, 1, 'serving', 'other'), NOW)
+    expect([endpoint.report(report('a', 10, 99, 'draining'), NOW), endpoint.leave('a' as EndpointId, 10, NOW)]).to.deep.equal(['outdated', 'outdated'])
+    expect(endpoint.record).to.include({ id: 'b', phase: 'serving', service: 'other' })
+  })
+
+  it('is gone for good once it has deregistered, also if it goes on reporting', () => {
+    endpoint.report(report('a', 1, 1), NOW)
+    endpoint.leave('a' as EndpointId, 0, NOW)
+    endpoint.report(report('a', 1, 2), NOW)
+    expect(endpoint.record?.phase).to.equal('gone')
+  })
+
+  it('goes on with the endpoint of an earlier process until it reports itself', () => {
+    endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
+    expect(endpoint.heardAt).to.equal(undefined)
+    endpoint.report(report('a', 1, 1, 'draining'), NOW)
+    endpoint.adopt({ ...report('z', 1, 0), phase: 'serving' }, NOW)
+    expect([endpoint.record?.id, endpoint.record?.phase, endpoint.heardAt]).to.deep.equal(['a', 'draining', NOW])
+  })
+})
--- /dev/null
+++ b/src/mesh/endpoint/RegistrationService.test.ts
@@ -0,0 +1,105 @@
+/** A row that must be right in the end, whatever happens to the writes. */
+import { expect } from 'chai'
+import { ClockService } from '../../common/ClockService.js'
+import { MetricsService } from '../../common/MetricsService.js'
+import { RandomService } from '../../common/RandomService.js'
+import type { EndpointId, FailureDomain, Milliseconds, NetworkAddress, Region, ServiceName } from '../../common/Types.js'
+import { PlatformHttpClient } from '../../platform/PlatformHttpClient.js'
+import { PlatformStore } from '../../../platform/PlatformStore.js'
+import { RecordingLog } from '../../../testing/RecordingLog.js'
+import { StoreStandIn, type StoreMode } from '../../../testing/mesh/StoreStandIn.js'
+import type { NodeName } from '../Types.js'
+import { LocalEndpoint } from './LocalEndpoint.js'
+import { RegistrationService } from './RegistrationService.js'
+
+const LIMIT = 5_000 as Milliseconds
+
+describe('RegistrationService', () => {
+  let store: StoreStandIn
+  let endpoint: LocalEndpoint
+  let registration: RegistrationService
+  const clock = new ClockService()
+  const log = new RecordingLog()
+
+  beforeEach(async () => {
+    store = new StoreStandIn()
+    await store.start()
+    endpoint = new LocalEndpoint(log)
+    const client = new PlatformHttpClient({ clock, log, metrics: new MetricsService() }, { url: `http://${store.address}`, requestTimeout: 100 as Milliseconds })
+    registration = new RegistrationService({
+      self: { name: 'n' as NodeName, failureDomain: 'z' as FailureDomain, region: 'r' as Region },
+      gateAddress: '10.0.0.1:1' as NetworkAddress,
+      peerAddress: '10.0.0.1:2' as NetworkAddress,
+      endpoint,
+      table: new PlatformStore(client),
+      clock,
+      random: new RandomService(1),
+      log,
+      firstReportWait: 0 as Milliseconds
+    })
+  })
+
+  afterEach(() => {
+    registration.stop()
+    store.stop()
+  })
+
+  function report (sequence: number, phase: 'serving' | 'draining'): void {
+    endpoint.report({
+      id: 'i' as EndpointId, bornAt: 1, sequence, phase, service: 's' as ServiceName, address: '10.0.0.1:3' as NetworkAddress, slots: 4, warmUpLeft: 0 as Milliseconds
+    }, clock.now())
+  }
+
+  function storedPhase (): string | undefined {
+    const text = store.get('nodes', 'n')
+    return text === undefined ? undefined : (JSON.parse(text) as { endpoint?: { phase: string } }).endpoint?.phase
+  }
+
+  it('writes on change only, never for a heartbeat', async () => {
+    report(1, 'serving')
+    registration.begin(undefined)
+    await registration.settle(LIMIT)
+    report(2, 'serving')
+    report(3, 'serving')
+    await registration.settle(LIMIT)
+    expect(store.transactions).to.equal(1)
+  })
+
+  for (const mode of ['busy', 'many', 'reset', 'silent', 'lost'] as StoreMode[]) {
+    it(`brings a drain into the store after it was ${mode}`, async () => {
+      report(1, 'serving')
+      registration.begin(undefined)
+      await registration.settle(LIMIT)
+      store.mode = mode
+      report(2, 'draining')
+      expect(await registration.settle(150 as Milliseconds)).to.equal(false)
+      store.mode = 'well'
+      expect([await registration.settle(LIMIT), storedPhase()]).to.deep.equal([true, 'draining'])
+    })
+  }
+
+  it('is not undone by an earlier write that is performed late', async () => {
+    store.mode = 'late'
+    report(1, 'serving')
+    registration.begin(undefined)
+    await registration.settle(50 as Milliseconds)
+    store.mode = 'well'
+    report(2, 'draining')
+    await registration.settle(LIMIT)
+    store.performLate()
+    expect(storedPhase()).to.equal('draining')
+  })
+
+  it('takes the row of a node whose endpoint has ended away when the node leaves, and keeps that of one that restarts', async () => {
+    report(1, 'serving')
+    registration.begin(undefined)
+    await registration.settle(LIMIT)
+    await registration.leave()
+    await registration.settle(LIMIT)
+    expect(JSON.parse(store.get('nodes', 'n') ?? '{}')).to.include({ isLeaving: true })
+    report(2, 'draining')
+    await registration.leave()
+    await registration.settle(LIMIT)
+    expect(store.get('nodes', 'n')).to.equal(undefined)
+  })
+})
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -103,7 +103,10 @@
     if (!this._isStarted || this._isWriting || this._isStopped) return
     if (this._options.endpoint.record === undefined && !mayBeWithoutEndpoint) return
     this._isWriting = true
-    this._write().catch((error: unknown) => this._noteFailure(error)).finally(() => { this._isWriting = false })
+    this._write().catch((error: unknown) => {
+      this._isWriting = false
+      this._noteFailure(error)
+    })
   }
 
   private async _write (): Promise<void> {
@@ -115,6 +118,8 @@
         await this._options.clock.sleep(this._backoff())
       }
     }
+    // Before anyone who waited goes on, so that the next change wakes the task again.
+    this._isWriting = false
     this._release()
   }
 
--- /dev/null
+++ b/testing/mesh/EndpointStandIn.ts
@@ -0,0 +1,100 @@
+/** An endpoint of the users' platform, with faults to be switched on. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** How the endpoint treats a request after it has read it. */
+export type EndpointMode = 'well' | 'shed' | 'fail' | 'reset-after-run' | 'silent' | 'unsigned' | 'other-id' | 'cut-without-length'
+
+/** One request that ran. */
+export interface IRunRequest {
+  readonly id: string
+  readonly method: string
+  readonly path: string
+  readonly body: string
+  readonly expected: string
+  readonly caller: string
+  /** Milliseconds. */
+  readonly deadline: number
+}
+
+/** Signs what it runs, and keeps a record of it. */
+export class EndpointStandIn {
+  public mode: EndpointMode = 'well'
+  /** Time that a request takes, in milliseconds. */
+  public workTime = 0
+  public readonly runs: IRunRequest[] = []
+  /** Requests whose connection closed before their answer. */
+  public abandoned = 0
+  private readonly _server: Server
+
+  constructor (public readonly id: string) {
+    this._server = createServer((request, response) => { this._serve(request, response).catch(() => response.destroy()) })
+  }
+
+  public get address (): string {
+    const { address, port } = this._server.address() as AddressInfo
+    return `${address}:${port}`
+  }
+
+  public start (port = 0): Promise<void> {
+    return new Promise((resolve) => { this._server.listen(port, '127.0.0.1', resolve) })
+  }
+
+  public stop (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+
+  /** Body of a heartbeat. */
+  public heartbeat (service: string, sequence: number, state = 'ready'): string {
+    return JSON.stringify({
+      address: this.address,
+      born: 1,
+      nodeInfo: { service, version: 'v1', zone: 'z1', slots: 4 },
+      status: { state, sequence, coldLeftMs: 0 }
+    })
+  }
+
+  private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = []
+    for await (const chunk of request) chunks.push(chunk as Buffer)
+    const id = String(request.headers['x-savoryknot-attempt-id'] ?? '')
+    const echo = { 'x-savoryknot-attempt-id': this.mode === 'other-id' ? 'another' : id }
+    if (this.mode === 'shed') return write(response, 503, { ...echo, 'x-savoryknot-not-executed': '1' }, '')
+    this.runs.push({
+      id,
+      method: request.method ?? '',
+      path: request.url ?? '',
+      body: Buffer.concat(chunks).toString(),
+      expected: String(request.headers['x-savoryknot-expect-instance'] ?? ''),
+      caller: String(request.headers['x-savoryknot-caller-service'] ?? ''),
+      deadline: Number(request.headers['x-savoryknot-deadline-ms'])
+    })
+    response.once('close', () => { if (!response.writableFinished) this.abandoned++ })
+    if (this.workTime > 0) await new Promise((resolve) => setTimeout(resolve, this.workTime))
+    const signed = { ...echo, 'x-savoryknot-response-signature': `by ${this.id}` }
+    switch (this.mode) {
+      case 'fail': return write(response, 500, signed, 'failed')
+      case 'reset-after-run':
+        request.socket.resetAndDestroy()
+        return
+      case 'silent': return
+      case 'unsigned': return write(response, 200, echo, 'unsigned')
+      case 'cut-without-length': return cutWithoutLength(request, signed)
+      default: return write(response, 200, signed, `answer to ${request.url ?? ''}`)
+    }
+  }
+}
+
+function write (response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
+  response.writeHead(status, { ...headers, 'content-length': String(Buffer.byteLength(body)) })
+  response.end(body)
+}
+
+/** Half an answer that would end with its connection, then a reset. */
+function cutWithoutLength (request: IncomingMessage, headers: Record<string, string>): void {
+  const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+  request.socket.write(`HTTP/1.1 200 OK\r\n${fields}connection: close\r\n\r\nhalf`, () => {
+    setTimeout(() => request.socket.resetAndDestroy(), 20)
+  })
+}
--- /dev/null
+++ b/testing/mesh/MeshRig.ts
@@ -0,0 +1,146 @@
+/** Nodes of the mesh in one process, each with its endpoint, on a stand-in of the users' store. */
+import { request as sendRequest, type IncomingHttpHeaders } from 'node:http'
+import { Adapter } from '../../platform/Adapter.js'
+import { parseMeshSettings } from '../../src/mesh/daemon/MeshSettings.js'
+import { MeshDaemon } from '../../src/mesh/daemon/MeshDaemon.js'
+import { findFreePorts } from '../demonstration/FreePorts.js'
+import { RecordingLog } from '../RecordingLog.js'
+import { EndpointStandIn } from './EndpointStandIn.js'
+import { StoreStandIn } from './StoreStandIn.js'
+
+/** One node with its endpoint. */
+export interface IRigNode {
+  readonly daemon: MeshDaemon
+  readonly endpoint: EndpointStandIn
+  readonly service: string
+  readonly ports: Readonly<Record<'caller' | 'gate' | 'peer' | 'ready' | 'control' | 'metrics', number>>
+  readonly log: RecordingLog
+  readonly started: Promise<void>
+}
+
+/** An answer as a client sees it. */
+export interface IClientAnswer {
+  /** 0 if the connection ended without an answer. */
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+}
+
+/** A request of a client. */
+export interface IClientRequest {
+  readonly method?: string
+  readonly host?: string
+  readonly path?: string
+  readonly id?: string
+  readonly body?: string
+  /** Milliseconds. */
+  readonly deadline?: number
+}
+
+/** One route of a configuration. */
+export interface IRigRoute { readonly prefix: string, readonly service: string, readonly kind?: string, readonly timeout?: number }
+
+const CHECK_INTERVAL_MS = 10
+const CHECKS = 500
+
+/** Starts and stops everything. */
+export class MeshRig {
+  public readonly store = new StoreStandIn()
+  public readonly nodes: IRigNode[] = []
+  private _sequence = 0
+
+  public async start (routes: readonly IRigRoute[]): Promise<void> {
+    await this.store.start()
+    this.configure(1, routes)
+  }
+
+  /** Writes a version of the configuration. */
+  public configure (version: number, routes: readonly IRigRoute[]): void {
+    const services = [...new Set(routes.map((route) => route.service))]
+    this.store.put('op', 'config', JSON.stringify({
+      version: `r${version}`,
+      routes: {
+        columns: ['name', 'hostname', 'prefix', 'kind', 'timeoutMs', 'targetLatencyMs', 'priority', 'maxAttempts', 'service', 'weightedSplit'],
+        rows: routes.map(({ prefix, service, kind, timeout }) => [`r-${prefix}`, 'mesh.example', prefix, kind ?? 'idempotent', timeout ?? 2_000, 500, 1, 2, service, null])
+      },
+      services: { columns: ['name', 'healthPath', 'maxConns', 'protocol', 'tls'], rows: services.map((name) => [name, '/health', 20, 'h1', false]) },
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+    }))
+  }
+
+  /** Starts a node; it serves once `started` has resolved. */
+  public async startNode (service: string, failureDomain = 'z1'): Promise<IRigNode> {
+    const [caller, gate, peer, ready, control, metrics] = await findFreePorts(6) as [number, number, number, number, number, number]
+    const name = `node-${this.nodes.length}`
+    const at = (port: number): string => `127.0.0.1:${port}`
+    const settings = parseMeshSettings('rig', [
+      '[mesh]', `node = ${name}`, `failure-domain = ${failureDomain}`, 'region = r1', `service = ${service}`, `caller-address = ${at(caller)}`,
+      `gate-address = ${at(gate)}`, `peer-address = ${at(peer)}`, `ready-address = ${at(ready)}`, `control-address = ${at(control)}`,
+      `metrics-address = ${at(metrics)}`, '[store]', `address = ${this.store.address}`, '[bounds]', 'heartbeat = 50 ms', 'stop = 3 s', ''
+    ].join('\n'))
+    const log = new RecordingLog()
+    const daemon = new MeshDaemon({ settings, adapter: new Adapter(), log })
+    const endpoint = new EndpointStandIn(`i-${name}`)
+    await endpoint.start()
+    const node = { daemon, endpoint, service, ports: { caller, gate, peer, ready, control, metrics }, log, started: daemon.start() }
+    this.nodes.push(node)
+    return node
+  }
+
+  /** Starts a node, reports its endpoint, and waits until every node knows it. */
+  public async startServing (service: string, failureDomain?: string): Promise<IRigNode> {
+    const node = await this.startNode(service, failureDomain)
+    await node.started
+    await this.report(node)
+    await until(() => this.nodes.every((other) => other.log.events.some(({ name, fields }) => name === 'node-row-changed' && fields.endpoint === node.endpoint.id)))
+    return node
+  }
+
+  /** Sends a heartbeat; gives the status of its acknowledgement. */
+  public async report (node: IRigNode, state = 'ready', body?: string): Promise<number> {
+    const path = `/api/instances/${node.endpoint.id}/heartbeat`
+    return await this.post(node, path, body ?? node.endpoint.heartbeat(node.service, ++this._sequence, state))
+  }
+
+  public async post (node: IRigNode, path: string, body: string): Promise<number> {
+    return (await send(node.ports.control, { method: 'POST', path, host: 'control', body })).status
+  }
+
+  /** Sends a client's request to a node. */
+  public async call (node: IRigNode, request: IClientRequest): Promise<IClientAnswer> {
+    return await send(node.ports.caller, request)
+  }
+
+  public async ready (node: IRigNode): Promise<number> {
+    return (await send(node.ports.ready, { path: '/api/ready', host: 'ready' })).status
+  }
+
+  public async stop (): Promise<void> {
+    await Promise.all(this.nodes.map(({ daemon }) => daemon.stop()))
+    for (const { endpoint } of this.nodes) endpoint.stop()
+    this.store.stop()
+  }
+}
+
+/** Waits until `holds` does; fails after some seconds. */
+export async function until (holds: () => boolean | Promise<boolean>): Promise<void> {
+  for (let check = 0; check < CHECKS; check++) {
+    if (await holds()) return
+    await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS))
+  }
+  throw new Error('what was waited for did not come')
+}
+
+function send (port: number, { method, host, path, id, body, deadline }: IClientRequest): Promise<IClientAnswer> {
+  const headers: Record<string, string> = { host: host ?? 'mesh.example', 'x-savoryknot-attempt-id': id ?? 'attempt', 'x-savoryknot-deadline-ms': String(deadline ?? 1_500) }
+  return new Promise((resolve) => {
+    const request = sendRequest({ host: '127.0.0.1', port, method: method ?? 'GET', path: path ?? '/', headers, agent: false }, (answer) => {
+      const chunks: Buffer[] = []
+      answer.on('data', (chunk: Buffer) => chunks.push(chunk))
+      answer.on('end', () => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(chunks).toString() }))
+      answer.on('error', () => resolve({ status: 0, headers: {}, body: '' }))
+    })
+    request.on('error', () => resolve({ status: 0, headers: {}, body: '' }))
+    request.end(body)
+  })
+}
