Follow a node only by its distance from the store; tell slow endpoints by far larger ages only

Updates now carry the hops to the store: a preferred source must read itself, a substitute may be one hop away, and the store is tried meanwhile.

--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -41,6 +41,8 @@
 const SPARE_CONNECTIONS = 2
 /** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
 const CONNECTION_TRIES = 3
+/** Requests in slots that have run this multiple of the usual time, on average, show that the endpoint has turned slow. */
+const SLOW_AGE_FACTOR = 1.8
 const SERVER_ERROR = 500
 const GATEWAY_TIMEOUT = 504
 
@@ -97,7 +99,7 @@
     return {
       occupied: this.occupied,
       slots: this._record?.slots ?? 0,
-      serviceTime: Math.max(this._times.overall, this._meanAge(now)) as Milliseconds,
+      serviceTime: this._presentServiceTime(now),
       failurePercent: this._failures.value(now),
       handled: now - arrivedAt as Milliseconds
     }
@@ -108,6 +110,13 @@
     this._connections?.dispose()
   }
 
+  /** The usual time, or what the requests in slots have run already if that is far more. */
+  private _presentServiceTime (now: Timestamp): Milliseconds {
+    const usual = this._times.overall
+    const age = this._meanAge(now)
+    return age > usual * SLOW_AGE_FACTOR ? Math.round(age) as Milliseconds : usual
+  }
+
   /**
    * Mean time that the requests in slots have run. At an endpoint whose times do not change it is about half of them;
    * at one that has turned slow, or silent, it tells so before any request has ended.
--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -13,7 +13,7 @@
 export const VIEW_SILENCE_MS = 900 as Milliseconds
 
 /** How a link ended. */
-export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'released'
+export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'too-far' | 'released'
 
 /** What a link needs. */
 export interface IViewLinkOptions {
@@ -22,11 +22,13 @@
   readonly self: INodeIdentity
   readonly clock: IClockService
   readonly log: ILogService
-  /** Called with each update, after it was applied. */
-  readonly onUpdate: (isCurrent: boolean) => void
+  /** Most nodes that may stand between the other side and the store; this keeps two nodes from following each other. */
+  readonly maximumHops: number
+  /** Called with each update that is current, after it was applied, and with the hops of the other side. */
+  readonly onCurrent: (hops: number) => void
 }
 
-/** One task: asks once, applies every update, ends when the other side is silent or not current. */
+/** One task: asks once, applies every update, ends when the other side is silent, not current, or too far from the store. */
 export class ViewLink {
   private _silence: IDisposable | undefined
   private _end: ((end: ViewLinkEnd) => void) | undefined
@@ -71,8 +73,9 @@
     this._waitForNext()
     if (!this._applyConfiguration(update, now)) return
     this._options.state.nodes.apply(decodeRows(update), now)
-    this._options.onUpdate(update.isCurrent)
     if (!update.isCurrent) this._finish('not-current')
+    else if (update.hops > this._options.maximumHops) this._finish('too-far')
+    else this._options.onCurrent(update.hops)
   }
 
   /** False if the configuration could not be restored; it has then been asked for anew. */
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -17,6 +17,8 @@
 export interface IViewServerOptions {
   readonly state: ViewState
   readonly isCurrent: () => boolean
+  /** Nodes between this one and the store. */
+  readonly hops: () => number
   readonly clock: IClockService
 }
 
@@ -74,9 +76,10 @@
   }
 
   private _send (follower: IFollower): void {
-    const { state, isCurrent } = this._options
+    const { state, isCurrent, hops } = this._options
     const update: ViewUpdate = {
       isCurrent: isCurrent(),
+      hops: hops(),
       nodesPosition: state.nodes.position,
       configurationPosition: state.configurationPosition,
       rows: encodeRows(state.nodes.changedAfter(follower.position)),
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -31,21 +31,23 @@
   readonly choiceInterval: Milliseconds
   /** Time without a reading of the store after which any other node is asked. */
   readonly storeLostAfter: Milliseconds
-  /** Longest time on a node that does not rank above this one. */
-  readonly substituteTime: Milliseconds
 }
 
 /** Defaults of `ViewService`. Waits are well below the seconds within which a change must be in force. */
 export const DEFAULT_VIEW_TIMES: IViewTimes = Object.freeze({
-  configurationWait: 1_000 as Milliseconds,
+  configurationWait: 600 as Milliseconds,
   configurationGather: 200 as Milliseconds,
   nodesWait: 2_500 as Milliseconds,
   nodesGather: 300 as Milliseconds,
   choiceInterval: 200 as Milliseconds,
-  storeLostAfter: 700 as Milliseconds,
-  substituteTime: 4_000 as Milliseconds
+  storeLostAfter: 300 as Milliseconds
 })
 
+/** A node that ranks above this one is followed only while it reads the store itself. */
+const PREFERRED_HOPS = 0
+/** Any other node may follow one that reads. */
+const SUBSTITUTE_HOPS = 1
+
 /** What the view needs. */
 export interface IViewServiceOptions {
   readonly self: INodeIdentity
@@ -72,7 +74,8 @@
   private readonly _readings: Counter
   private _complete: (() => void) | undefined
   private _link: ViewLink | undefined
-  private _isLinkCurrent = false
+  /** Hops of the node that is followed; undefined while none gives a current view. */
+  private _sourceHops: number | undefined
   private _lastCurrentAt: Timestamp
   private _isStopping = false
 
@@ -82,7 +85,7 @@
     this._lastCurrentAt = clock.now()
     this._state = new ViewState(_options)
     this._policy = new ReadingPolicy(self, random)
-    this._server = new ViewServer({ state: this._state, clock, isCurrent: () => this.isCurrent })
+    this._server = new ViewServer({ state: this._state, clock, isCurrent: () => this.isCurrent, hops: () => this._hops })
     this._followers = [this._createConfigurationFollower(), this._createNodesFollower()]
     this.completed = new Promise((resolve) => { this._complete = resolve })
     this._readings = new Counter({
@@ -94,8 +97,7 @@
   }
 
   public get isCurrent (): boolean {
-    const now = this._options.clock.now()
-    return this._isLinkCurrent || this._followers.every((follower) => follower.isCurrent(now))
+    return this._isReadingCurrent || this._sourceHops !== undefined
   }
 
   public async start (): Promise<void> {
@@ -135,26 +137,16 @@
     }
   }
 
-  /** Follows a node until the link ends. The store is read until the node has given a current view. */
+  /** Follows a node until the link ends. The store is read until a node above this one has given a current view. */
   private async _followSource (source: IViewSource): Promise<void> {
-    const { transport, clock, log, self } = this._options
-    let link: ViewLink
-    try {
-      const channel = await transport.dial(source.address)
-      link = new ViewLink({ channel, state: this._state, self, clock, log, onUpdate: (isCurrent) => this._onUpdate(isCurrent) })
-    } catch (error) {
-      this._policy.recordFailure(source, clock.now())
-      log.log(VIEW_LINK_LOST, { step: 'view.dial', peer: source.name, reason: String(error) })
-      this._startReading('a node above could not be reached')
-      return
-    }
+    const { clock, log } = this._options
+    const link = await this._openLink(source)
+    if (link === undefined) return this._startReading('a node above could not be reached')
     log.log(VIEW_LINK_OPENED, { step: 'view.follow', peer: source.name, isPreferred: source.isPreferred })
     this._link = link
-    const limit = source.isPreferred ? undefined : clock.after(this._times.substituteTime, () => link.release())
     const end = await link.run()
-    limit?.dispose()
     this._link = undefined
-    this._isLinkCurrent = false
+    this._sourceHops = undefined
     if (this._isStopping) return
     this._startReading(`link ended: ${end}`)
     log.log(VIEW_LINK_LOST, { step: 'view.follow', peer: source.name, reason: end })
@@ -162,12 +154,43 @@
     else this._policy.recordFailure(source, clock.now())
   }
 
-  private _onUpdate (isCurrent: boolean): void {
-    this._isLinkCurrent = isCurrent
-    if (!isCurrent) return
+  /** Undefined if the node cannot be reached. */
+  private async _openLink (source: IViewSource): Promise<ViewLink | undefined> {
+    const { transport, clock, log, self } = this._options
+    try {
+      const channel = await transport.dial(source.address)
+      return new ViewLink({
+        channel,
+        state: this._state,
+        self,
+        clock,
+        log,
+        maximumHops: source.isPreferred ? PREFERRED_HOPS : SUBSTITUTE_HOPS,
+        onCurrent: (hops) => this._onLinkCurrent(source, hops)
+      })
+    } catch (error) {
+      this._policy.recordFailure(source, clock.now())
+      log.log(VIEW_LINK_LOST, { step: 'view.dial', peer: source.name, reason: String(error) })
+      return undefined
+    }
+  }
+
+  /** With a substitute the store is still tried, and the substitute is left once the store can be read again. */
+  private _onLinkCurrent (source: IViewSource, hops: number): void {
+    this._sourceHops = hops
     this._lastCurrentAt = this._options.clock.now()
     this._checkComplete()
-    this._stopReading()
+    if (source.isPreferred) this._stopReading()
+    else if (this._isReadingCurrent) this._link?.release()
+  }
+
+  private get _isReadingCurrent (): boolean {
+    const now = this._options.clock.now()
+    return this._followers.every((follower) => follower.isCurrent(now))
+  }
+
+  private get _hops (): number {
+    return this._isReadingCurrent || this._sourceHops === undefined ? 0 : this._sourceHops + 1
   }
 
   private _startReading (reason: string): void {
