--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -9,7 +9,7 @@
 import { HttpInbound } from '../../gate/HttpInbound.js'
 import { readBodyInTime } from '../../gate/KeptBody.js'
 import { CALL_FINISHED, CALLER_MALFORMED } from '../Events.js'
-import { MAXIMUM_ANSWER_BYTES } from '../exchange/HttpExchange.js'
+import { BODILESS_STATUSES, MAXIMUM_ANSWER_BYTES } from '../exchange/HttpExchange.js'
 import type { IConfigurationService, IMessageFormat } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
 import { WeightedSplit } from '../configuration/WeightedSplit.js'
@@ -36,8 +36,6 @@
 const CONNECTION_CHECK_INTERVAL_MS = 1_000
 const MILLISECONDS_PER_SECOND = 1_000
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4]
-/** Answers that have no body by their status. */
-const BODILESS_STATUSES: readonly number[] = [204, 304]
 const STATUS = Object.freeze({ malformed: 400, noRoute: 404, tooLarge: 413, unknown: 502, refused: 503, late: 504 })
 
 /** Takes requests, finds their route, and writes the final answer. */
@@ -52,6 +50,7 @@
   private readonly _busy = new WeakMap<Socket, number>()
   private _inFlight = 0
   private _isClosing = false
+  private _isRefusing = false
 
   constructor (private readonly _options: ICallerPortOptions) {
     this._server = createServer({
@@ -95,6 +94,11 @@
     this._isClosing = true
   }
 
+  /** Refuses new requests from now on, as not run; those that were taken go on. */
+  public refuseNew (): void {
+    this._isRefusing = true
+  }
+
   public stop (): void {
     this._server.close()
     this._server.closeAllConnections()
@@ -126,7 +130,7 @@
     const fault = this._rules.faultOf(message)
     if (fault !== undefined) return this._refuseMalformed(message, response, fault)
     const index = configuration.current
-    const isServing = index !== undefined && this._options.isReady()
+    const isServing = index !== undefined && this._options.isReady() && !this._isRefusing
     if (!isServing) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
     const inbound = new HttpInbound(message, response)
     const route = index.match(message.headers.host ?? '', inbound.path)
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -168,7 +168,8 @@
     for (;;) {
       const step = schedule.next(this._inFlight, this._clock.now())
       if (step === 'announce') await this._registration.leave()
-      if (step === 'refuse') this._gate.close()
+      if (step === 'refuse-nodes') this._gate.close()
+      if (step === 'refuse-callers') this._callerPort.refuseNew()
       if (step === 'end') break
       await this._clock.sleep(STOP_CHECK_INTERVAL_MS)
     }
--- a/src/mesh/daemon/StopSchedule.ts
+++ b/src/mesh/daemon/StopSchedule.ts
@@ -1,8 +1,8 @@
 /** Decides when a node that stops tells the others, refuses their requests, and ends. */
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 
-/** What to do now; each of the first two is given once. */
-export type StopStep = 'wait' | 'announce' | 'refuse' | 'end'
+/** What to do now; `announce`, `refuse-nodes` and `refuse-callers` are given once each. */
+export type StopStep = 'wait' | 'announce' | 'refuse-nodes' | 'refuse-callers' | 'end'
 
 /** Parts of a stop. */
 export interface IStopScheduleOptions {
@@ -18,31 +18,33 @@
 
 /** Defaults of `StopSchedule`. The platform asks once a second and takes a node out after two misses. */
 export const DEFAULT_STOP_SCHEDULE_OPTIONS: IStopScheduleOptions = Object.freeze({
-  callersGone: 2_400 as Milliseconds, announceAt: 1_300 as Milliseconds, refuseAt: 2_100 as Milliseconds, reserve: 500 as Milliseconds
+  callersGone: 2_400 as Milliseconds, announceAt: 1_300 as Milliseconds, refuseAt: 2_100 as Milliseconds, reserve: 900 as Milliseconds
 })
 
 /** Answers planned stops of nodes in turn: no request is cut, and the endpoint is away as shortly as possible. */
 export class StopSchedule {
   private readonly _options: IStopScheduleOptions
-  private _isAnnounced = false
-  private _isRefusing = false
+  private readonly _steps: Array<{ readonly step: StopStep, readonly at: number }>
 
   constructor (private readonly _startedAt: Timestamp, private readonly _limit: Milliseconds, options: Partial<IStopScheduleOptions> = {}) {
     this._options = { ...DEFAULT_STOP_SCHEDULE_OPTIONS, ...options }
+    const { announceAt, refuseAt, callersGone } = this._options
+    this._steps = [
+      { step: 'announce', at: Math.min(announceAt, _limit / 4) },
+      { step: 'refuse-nodes', at: Math.min(refuseAt, _limit / 2) },
+      // Callers that have not gone by then are told to, or their requests would be cut at the end.
+      { step: 'refuse-callers', at: Math.min(callersGone, _limit / 2) }
+    ]
   }
 
   public next (inFlight: number, now: Timestamp): StopStep {
     const elapsed = now - this._startedAt
-    const { callersGone, announceAt, refuseAt, reserve } = this._options
-    if (!this._isAnnounced && elapsed >= Math.min(announceAt, this._limit / 4)) {
-      this._isAnnounced = true
-      return 'announce'
+    const [due] = this._steps
+    if (due !== undefined && elapsed >= due.at) {
+      this._steps.shift()
+      return due.step
     }
-    if (!this._isRefusing && elapsed >= Math.min(refuseAt, this._limit / 2)) {
-      this._isRefusing = true
-      return 'refuse'
-    }
-    if (elapsed >= this._limit - reserve) return 'end'
-    return inFlight === 0 && this._isRefusing && elapsed >= callersGone ? 'end' : 'wait'
+    if (elapsed >= this._limit - this._options.reserve) return 'end'
+    return due === undefined && inFlight === 0 && elapsed >= Math.min(this._options.callersGone, this._limit / 2) ? 'end' : 'wait'
   }
 }
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -43,6 +43,8 @@
 const CONNECTION_TRIES = 3
 /** Requests in slots that have run this multiple of the usual time, on average, show that the endpoint has turned slow. */
 const SLOW_AGE_FACTOR = 1.8
+/** Time within which all connections of an endpoint that crashed are seen to close. */
+const CRASH_CLOSE_MS = 10 as Milliseconds
 const SERVER_ERROR = 500
 const GATEWAY_TIMEOUT = 504
 
@@ -78,7 +80,8 @@
   /** Runs one attempt. Never rejects. */
   public async execute (call: IMeshCall, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
     const arrivedAt = this._options.clock.now()
-    const gated = new GatedCall(call, this._times.expected(call.route))
+    const objective = Math.max(0, call.objectiveAt - arrivedAt) as Milliseconds
+    const gated = new GatedCall(call, this._times.expected(call.route, objective))
     const cancelListener = onCancelled(() => this._cancel(gated))
     const outcome = await this._admit(gated, arrivedAt)
     cancelListener.dispose()
@@ -216,7 +219,7 @@
     })
     gated.exchange = exchange
     const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
-    const end = await exchange.run(connection)
+    const end = await this._withoutCrash(await exchange.run(connection))
     timer.dispose()
     const isWhole = end.kind === 'answer' && this._faultOf(call, end) === undefined
     this._connections?.release(connection, isWhole)
@@ -224,6 +227,20 @@
     return end
   }
 
+  /**
+   * An answer without length ends with its connection, also when its endpoint crashes. A crash closes every connection
+   * and refuses new ones; an endpoint that only ends its answer does neither.
+   */
+  private async _withoutCrash (end: ExchangeEnd): Promise<ExchangeEnd> {
+    if (end.kind !== 'answer' || end.hasLength) return end
+    await this._options.clock.sleep(CRASH_CLOSE_MS)
+    if ((this._connections?.open.size ?? 0) > 0) return end
+    const connection = await this._acquire()
+    if (connection === undefined) return { kind: 'broken', reason: 'endpoint ended with its answer' }
+    this._connections?.release(connection, true)
+    return end
+  }
+
   /** Asked again right before the first byte, since the endpoint may have begun to leave meanwhile. */
   private _mayStart (call: IMeshCall): boolean {
     const isServing = this._record?.phase === 'serving' && this._record.service === call.service
--- a/src/mesh/endpoint/ServiceTimes.ts
+++ b/src/mesh/endpoint/ServiceTimes.ts
@@ -3,6 +3,8 @@
 
 /** Weight of the newest request in the moving averages. */
 const NEWEST_WEIGHT = 0.1
+/** Share of its objective that a request is thought to take at an endpoint that has run none: its line must not grow without bound. */
+const UNKNOWN_OBJECTIVE_SHARE = 0.3
 /** Routes that are remembered; the oldest is forgotten first. */
 const MAXIMUM_ROUTES = 1_000
 
@@ -16,9 +18,10 @@
     return Math.round(this._overall) as Milliseconds
   }
 
-  /** Of one route, or over all where the route is new. */
-  public expected (route: RouteName): Milliseconds {
-    return (this._routes.get(route) ?? this._overall) as Milliseconds
+  /** Of one route, or over all where the route is new; before the first request of all, a part of the time that it should take. */
+  public expected (route: RouteName, objective: Milliseconds): Milliseconds {
+    const known = this._routes.get(route) ?? this._overall
+    return (known > 0 ? known : objective * UNKNOWN_OBJECTIVE_SHARE) as Milliseconds
   }
 
   /** Takes the time of a request that ran to its end. */
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -16,7 +16,14 @@
 
 /** How an exchange ended. */
 export type ExchangeEnd =
-  | { readonly kind: 'answer', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
+  | {
+    readonly kind: 'answer'
+    readonly status: number
+    readonly headers: IncomingHttpHeaders
+    readonly body: Buffer
+    /** False if the answer ended with its connection, so that nothing but the other side's life tells whether it is whole. */
+    readonly hasLength: boolean
+  }
   /** Not a byte of the request was sent. */
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The request was sent, at least in part, and its answer is lost. */
@@ -25,6 +32,8 @@
 /** An answer above this size breaks the exchange; whole answers are held in memory. */
 export const MAXIMUM_ANSWER_BYTES = 16_777_216
 const FIRST_FINAL_STATUS = 200
+/** Answers that have no body by their status. */
+export const BODILESS_STATUSES: readonly number[] = [204, 304]
 
 /** Collects the answer, so that a part of one is never passed on. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
@@ -89,9 +98,10 @@
   }
 
   public onResponseEnd (): void {
-    const isFramed = this._headers['content-length'] !== undefined || this._headers['transfer-encoding'] !== undefined
-    if (!isFramed && this._connection?.hasFailed === true) return this._finish({ kind: 'broken', reason: 'answer without length was cut' })
-    this._finish({ kind: 'answer', status: this._status, headers: this._headers, body: Buffer.concat(this._chunks) })
+    const hasLength = this._headers['content-length'] !== undefined || this._headers['transfer-encoding'] !== undefined ||
+      this._request.method === 'HEAD' || BODILESS_STATUSES.includes(this._status)
+    if (!hasLength && this._connection?.hasFailed === true) return this._finish({ kind: 'broken', reason: 'answer without length was cut' })
+    this._finish({ kind: 'answer', status: this._status, headers: this._headers, body: Buffer.concat(this._chunks), hasLength })
   }
 
   public onResponseError (_controller: Dispatcher.DispatchController | undefined, error: Error): void {
--- a/src/mesh/view/NodeTable.ts
+++ b/src/mesh/view/NodeTable.ts
@@ -1,7 +1,7 @@
 /** The table of nodes as this node knows it. */
 import { Emitter } from '../../common/Emitter.js'
 import type { ILogService } from '../../common/Services.js'
-import type { IEvent, ServiceName, Timestamp } from '../../common/Types.js'
+import type { IEvent, NetworkAddress, ServiceName, Timestamp } from '../../common/Types.js'
 import type { IChangeBatch, IChangedRow, RowKey, StorePosition } from '../../platform/Types.js'
 import { NODE_ROW_CHANGED, NODE_ROW_IGNORED } from '../Events.js'
 import type { INodeTable } from '../Services.js'
@@ -20,6 +20,7 @@
   private readonly _onChanged = new Emitter<IChangeBatch>()
   private readonly _rows = new Map<RowKey, IChangedRow>()
   private readonly _nodes = new Map<NodeName, IKnownNode>()
+  private _present: ReadonlyMap<NodeName, IKnownNode> | undefined
   private _endpoints: ReadonlyMap<ServiceName, readonly IMeshEndpoint[]> | undefined
   private _position = 0 as StorePosition
 
@@ -29,8 +30,10 @@
     return this._position
   }
 
+  /** Without nodes whose address a later row has taken. */
   public get nodes (): ReadonlyMap<NodeName, IKnownNode> {
-    return this._nodes
+    this._present ??= this._withoutSuperseded()
+    return this._present
   }
 
   /** Fires with the rows that changed. */
@@ -39,7 +42,7 @@
   }
 
   public endpoints (service: ServiceName): readonly IMeshEndpoint[] {
-    this._endpoints ??= indexEndpoints(this._nodes.values())
+    this._endpoints ??= indexEndpoints(this.nodes.values())
     return this._endpoints.get(service) ?? NO_ENDPOINTS
   }
 
@@ -60,9 +63,22 @@
     this._position = Math.max(this._position, batch.position) as StorePosition
     if (changed.length === 0) return
     this._endpoints = undefined
+    this._present = undefined
     this._onChanged.fire({ rows: changed, position: this._position, isWhole: false })
   }
 
+  /** An address belongs to the node that wrote its row last. */
+  private _withoutSuperseded (): ReadonlyMap<NodeName, IKnownNode> {
+    const owners = new Map<NetworkAddress, IChangedRow>()
+    for (const [name, node] of this._nodes) {
+      const row = this._rows.get(name as string as RowKey)
+      const owner = owners.get(node.gateAddress)
+      if (row !== undefined && (owner === undefined || owner.position < row.position)) owners.set(node.gateAddress, row)
+    }
+    const present = [...this._nodes].filter(([name, node]) => owners.get(node.gateAddress)?.key === name as string)
+    return new Map(present)
+  }
+
   /** Rows that a whole reading lacks: they were deleted, at the latest at the moment of the reading. */
   private _missingFrom (batch: IChangeBatch): IChangedRow[] {
     const present = new Set(batch.rows.map((row) => row.key))
--- a/src/mesh/view/ReadingPolicy.ts
+++ b/src/mesh/view/ReadingPolicy.ts
@@ -13,6 +13,8 @@
   readonly address: NetworkAddress
   /** True for a node that ranks above this one; others are asked only when the store cannot be read. */
   readonly isPreferred: boolean
+  /** True if only the address is known; `name` then holds it, too. */
+  readonly isSuggested?: boolean
 }
 
 /** How many nodes of a region rank as readers; the second follows the first and takes over from it. */
@@ -90,6 +92,6 @@
   private _takeSuggested (): IViewSource | undefined {
     const address = this._suggested
     this._suggested = undefined
-    return address === undefined ? undefined : { name: address as string as NodeName, address, isPreferred: false }
+    return address === undefined ? undefined : { name: address as string as NodeName, address, isPreferred: false, isSuggested: true }
   }
 }
--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -6,6 +6,7 @@
 import type { StorePosition } from '../../platform/Types.js'
 import { VIEW_BODY_REJECTED } from '../Events.js'
 import type { INodeIdentity } from '../Services.js'
+import type { NodeName } from '../Types.js'
 import { decodeConfiguration, decodeRows } from './ViewMessages.js'
 import type { ViewState } from './ViewState.js'
 
@@ -13,13 +14,15 @@
 export const VIEW_SILENCE_MS = 900 as Milliseconds
 
 /** How a link ended. */
-export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'too-far' | 'released'
+export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'too-far' | 'other-node' | 'released'
 
 /** What a link needs. */
 export interface IViewLinkOptions {
   readonly channel: IPeerChannel
   readonly state: ViewState
   readonly self: INodeIdentity
+  /** Name that the other side must have; undefined if only its address is known. */
+  readonly peer: NodeName | undefined
   readonly clock: IClockService
   readonly log: ILogService
   /** Most nodes that may stand between the other side and the store; this keeps two nodes from following each other. */
@@ -69,7 +72,10 @@
 
   private _receive (update: ReceivedViewUpdate): void {
     if (this._isOver) return
-    const now = this._options.clock.now()
+    const { clock, peer, self } = this._options
+    const now = clock.now()
+    // The address of a node that has gone may belong to another one, or to this one.
+    if (update.node === self.name || (peer !== undefined && update.node !== peer)) return this._finish('other-node')
     this._waitForNext()
     if (!this._applyConfiguration(update, now)) return
     this._options.state.nodes.apply(decodeRows(update), now)
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -6,6 +6,7 @@
 import type { ViewUpdate } from '../../generated/savoryknot/ViewUpdate.js'
 import type { IPeerChannel } from '../../membership/Services.js'
 import type { StorePosition } from '../../platform/Types.js'
+import type { INodeIdentity } from '../Services.js'
 import type { ConfigurationVersion } from '../Types.js'
 import type { ViewState } from './ViewState.js'
 import { encodeConfiguration, encodeRows, type ISentConfiguration } from './ViewMessages.js'
@@ -15,6 +16,7 @@
 
 /** What the server needs. */
 export interface IViewServerOptions {
+  readonly self: INodeIdentity
   readonly state: ViewState
   readonly isCurrent: () => boolean
   /** Nodes between this one and the store. */
@@ -76,8 +78,9 @@
   }
 
   private _send (follower: IFollower): void {
-    const { state, isCurrent, hops } = this._options
+    const { state, isCurrent, hops, self } = this._options
     const update: ViewUpdate = {
+      node: self.name,
       isCurrent: isCurrent(),
       hops: hops(),
       nodesPosition: state.nodes.position,
