Split the sender to the endpoint from its gate

The gate had grown to 360 lines with two jobs: it admits, and it sent and judged answers. Behaviour is the same but for one reason: a request whose endpoint began to leave right before its first byte is refused as draining, so that the asking node tries another endpoint.

--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -4,12 +4,10 @@
 import type { IClockService, IInvariantService, ILogService, IMetricsService } from '../../common/Services.js'
 import type { IEvent, Milliseconds, RequestId, Timestamp } from '../../common/Types.js'
 import { StartedRequests } from '../../gate/StartedRequests.js'
-import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
-import { ANSWER_SPOILT, CALL_REFUSED_AT_GATE, ENDPOINT_REACHABLE, ENDPOINT_UNREACHABLE } from '../Events.js'
-import { answerFields } from '../exchange/CallCodec.js'
-import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
+import { CALL_REFUSED_AT_GATE } from '../Events.js'
 import type { IConfigurationService, ILocalEndpoint, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointLoad, IEndpointRecord, IMeshCall, RefusalReason } from '../Types.js'
+import { EndpointSender } from './EndpointSender.js'
 import { FailureShare } from './FailureShare.js'
 import { ServiceTimes } from './ServiceTimes.js'
 import { GatedCall } from './GatedCall.js'
@@ -29,39 +27,23 @@
 /** What became of a request whose node was asked for it. */
 export type SettledState = 'never-will-be' | 'running' | 'finished'
 
-/** Time between two openings of connections to the endpoint. */
-const OPEN_INTERVAL_MS = 1 as Milliseconds
-/** The endpoint is on the same VM. */
-const OPEN_TIMEOUT_MS = 500 as Milliseconds
-/** Pause after a failed opening in which requests are refused without another try. */
-const UNREACHABLE_PAUSE_MS = 250
-/** Time after the deadline in which the endpoint's own answer may still come. */
-const DEADLINE_GRACE_MS = 60
-/** Connections beyond the slots, for exchanges whose connection is being replaced. */
-const SPARE_CONNECTIONS = 2
-/** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
-const CONNECTION_TRIES = 3
 /** Requests in slots that have run this multiple of the usual time, on average, show that the endpoint has turned slow. */
 const SLOW_AGE_FACTOR = 1.8
-/** Time within which all connections of an endpoint that crashed are seen to close. */
-const CRASH_CLOSE_MS = 10 as Milliseconds
-const SERVER_ERROR = 500
-const GATEWAY_TIMEOUT = 504
 
 /** Admits calls by rank, objective and deadline, and runs them one to a connection. */
 export class EndpointGate extends Disposable {
+  private readonly _sender: EndpointSender
   private readonly _line = new WaitingLine<GatedCall>()
   private readonly _times = new ServiceTimes()
   private readonly _failures = new FailureShare()
   private readonly _started = new StartedRequests()
   private readonly _inFlight = new Map<RequestId, GatedCall>()
-  private _connections: UpstreamConnections | undefined
   private _record: IEndpointRecord | undefined
-  private _unreachableUntil = 0
   private _isClosing = false
 
   constructor (private readonly _options: IEndpointGateOptions) {
     super()
+    this._sender = this.register(new EndpointSender({ ..._options, times: this._times, failures: this._failures }))
     this.register(_options.endpoint.onChanged((record) => this._onEndpointChanged(record)))
     if (_options.endpoint.record !== undefined) this._onEndpointChanged(_options.endpoint.record)
     this._registerGauges()
@@ -108,11 +90,6 @@
     }
   }
 
-  public override dispose (): void {
-    super.dispose()
-    this._connections?.dispose()
-  }
-
   /** The usual time, or what the requests in slots have run already if that is far more. */
   private _presentServiceTime (now: Timestamp): Milliseconds {
     const usual = this._times.overall
@@ -160,7 +137,7 @@
     if (record.phase !== 'serving') return 'draining'
     if (now >= call.deadlineAt) return 'deadline'
     if (this._started.isRefused(call.requestId)) return 'cancelled'
-    return now < this._unreachableUntil ? 'unreachable' : undefined
+    return this._sender.isUnreachable(now) ? 'unreachable' : undefined
   }
 
   /** Undefined if the request may run now. */
@@ -177,7 +154,7 @@
   private async _runInSlot (gated: GatedCall): Promise<AttemptOutcome> {
     gated.startedAt = this._options.clock.now()
     try {
-      return await this._run(gated)
+      return await this._sender.run(gated, () => this._mayStart(gated.call))
     } finally {
       this._line.release(gated)
       this._startNext()
@@ -194,109 +171,10 @@
     }
   }
 
-  private async _run (gated: GatedCall): Promise<AttemptOutcome> {
-    for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
-      const connection = await this._acquire()
-      if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
-      const end = await this._exchange(gated, connection)
-      if (end.kind !== 'not-sent') return this._interpret(gated.call, end)
-      if (gated.isCancelled || !this._mayStart(gated.call)) return { kind: 'refused', reason: 'cancelled' }
-    }
-    return { kind: 'refused', reason: 'unreachable' }
-  }
-
-  private async _exchange (gated: GatedCall, connection: UpstreamConnection): Promise<ExchangeEnd> {
-    const { call } = gated
-    const { clock, format } = this._options
-    const startedAt = clock.now()
-    const remaining = call.deadlineAt - startedAt as Milliseconds
-    const exchange = new HttpExchange({
-      method: call.method,
-      path: call.path,
-      fields: [...call.fields, ...format.endpointFields(call, remaining)],
-      body: call.body,
-      mayStart: () => this._mayStart(call) && this._started.start(call.requestId, clock.now())
-    })
-    gated.exchange = exchange
-    const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
-    const end = await this._withoutCrash(await exchange.run(connection))
-    timer.dispose()
-    const isWhole = end.kind === 'answer' && this._faultOf(call, end) === undefined
-    this._connections?.release(connection, isWhole)
-    if (isWhole) this._noteWhole(call, startedAt, end)
-    return end
-  }
-
-  /**
-   * An answer without length ends with its connection, also when its endpoint crashes. A crash closes every connection
-   * and refuses new ones; an endpoint that only ends its answer does neither.
-   */
-  private async _withoutCrash (end: ExchangeEnd): Promise<ExchangeEnd> {
-    if (end.kind !== 'answer' || end.hasLength) return end
-    await this._options.clock.sleep(CRASH_CLOSE_MS)
-    if ((this._connections?.open.size ?? 0) > 0) return end
-    const connection = await this._acquire()
-    if (connection === undefined) return { kind: 'broken', reason: 'endpoint ended with its answer' }
-    this._connections?.release(connection, true)
-    return end
-  }
-
   /** Asked again right before the first byte, since the endpoint may have begun to leave meanwhile. */
   private _mayStart (call: IMeshCall): boolean {
     const isServing = this._record?.phase === 'serving' && this._record.service === call.service
-    return isServing && !this._started.isRefused(call.requestId)
-  }
-
-  private _noteWhole (call: IMeshCall, startedAt: Timestamp, end: Extract<ExchangeEnd, { kind: 'answer' }>): void {
-    const now = this._options.clock.now()
-    const isNotExecuted = this._options.format.readAnswerHead(end.status, end.headers).isNotExecuted
-    if (!isNotExecuted && end.status < SERVER_ERROR) this._times.record(call.route, now - startedAt as Milliseconds)
-    this._failures.record(isNotExecuted || (end.status >= SERVER_ERROR && end.status !== GATEWAY_TIMEOUT), now)
-    if (this._unreachableUntil === 0) return
-    this._unreachableUntil = 0
-    this._options.log.log(ENDPOINT_REACHABLE, { step: 'gate.exchange', endpoint: this._record?.id })
-  }
-
-  private _interpret (call: IMeshCall, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>): AttemptOutcome {
-    const now = this._options.clock.now()
-    if (end.kind === 'broken') {
-      if (end.reason !== 'cancelled') this._failures.record(true, now)
-      return { kind: 'unknown', reason: end.reason }
-    }
-    const fault = this._faultOf(call, end)
-    if (fault !== undefined) {
-      this._failures.record(true, now)
-      this._options.log.log(ANSWER_SPOILT, {
-        step: 'gate.answer', peer: this._record?.id, request: call.callerRequestId, status: end.status, reason: fault
-      })
-      return { kind: 'unknown', reason: fault }
-    }
-    if (this._options.format.readAnswerHead(end.status, end.headers).isNotExecuted) return { kind: 'refused', reason: 'shed' }
-    return { kind: 'answered', answer: { status: end.status, fields: answerFields(end.headers), body: end.body } }
-  }
-
-  /** Why an answer is not that of the request; undefined if it is. */
-  private _faultOf (call: IMeshCall, end: Extract<ExchangeEnd, { kind: 'answer' }>): string | undefined {
-    const head = this._options.format.readAnswerHead(end.status, end.headers)
-    const isOther = head.requestId !== undefined && call.callerRequestId !== undefined && head.requestId !== call.callerRequestId
-    if (isOther) return 'answer of another request'
-    if (end.headers['content-encoding'] !== undefined) return 'encoded answer'
-    const isSuccess = end.status >= 200 && end.status < 300
-    return isSuccess && !head.isSigned ? 'success without signature' : undefined
-  }
-
-  private async _acquire (): Promise<UpstreamConnection | undefined> {
-    try {
-      return await this._connections?.acquire()
-    } catch (error) {
-      const now = this._options.clock.now()
-      if (this._unreachableUntil === 0) {
-        this._options.log.log(ENDPOINT_UNREACHABLE, { step: 'gate.connect', peer: this._record?.address, endpoint: this._record?.id, reason: String(error) })
-      }
-      this._unreachableUntil = now + UNREACHABLE_PAUSE_MS
-      this._failures.record(true, now)
-      return undefined
-    }
+    return isServing && this._started.start(call.requestId, this._options.clock.now())
   }
 
   private _cancel (gated: GatedCall): void {
@@ -310,28 +188,11 @@
     const before = this._record
     this._record = record
     this._line.resize(record.slots)
-    if (before?.id !== record.id || before.bornAt !== record.bornAt || before.address !== record.address) this._renew(record)
+    if (before?.id !== record.id || before.bornAt !== record.bornAt || before.address !== record.address) this._sender.renew(record)
     if (record.phase === 'serving') return
     for (const gated of this._line.withdrawAll()) gated.refuse('draining')
   }
 
-  /** A new incarnation gets new connections and begins without a past. */
-  private _renew (record: IEndpointRecord): void {
-    this._connections?.dispose()
-    this._unreachableUntil = 0
-    this._failures.reset()
-    const connections = new UpstreamConnections({
-      address: record.address,
-      clock: this._options.clock,
-      onUnreachable: () => undefined,
-      openInterval: OPEN_INTERVAL_MS,
-      openTimeout: OPEN_TIMEOUT_MS
-    })
-    const limit = this._options.configuration.current?.configuration.services.get(record.service)?.connections
-    connections.resize(0, Math.min(limit ?? Infinity, record.slots + SPARE_CONNECTIONS))
-    this._connections = connections
-  }
-
   private _logRefusal (call: IMeshCall, reason: RefusalReason, retryAfter: Milliseconds | undefined): void {
     this._options.log.log(CALL_REFUSED_AT_GATE, {
       step: 'gate.admit',
--- /dev/null
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -0,0 +1,192 @@
+/** Sends requests to the endpoint beside this node and judges its answers. */
+import { Disposable } from '../../common/Disposable.js'
+import type { IClockService, ILogService } from '../../common/Services.js'
+import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
+import { ANSWER_SPOILT, ENDPOINT_REACHABLE, ENDPOINT_UNREACHABLE } from '../Events.js'
+import { answerFields } from '../exchange/CallCodec.js'
+import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
+import type { IConfigurationService, IMessageFormat } from '../Services.js'
+import type { AttemptOutcome, IEndpointRecord, IMeshCall } from '../Types.js'
+import type { FailureShare } from './FailureShare.js'
+import type { GatedCall } from './GatedCall.js'
+import type { ServiceTimes } from './ServiceTimes.js'
+
+/** What the sender needs. */
+export interface IEndpointSenderOptions {
+  readonly configuration: IConfigurationService
+  readonly format: IMessageFormat
+  readonly clock: IClockService
+  readonly log: ILogService
+  /** Where times and failures are kept. */
+  readonly times: ServiceTimes
+  readonly failures: FailureShare
+}
+
+/** The answer of an exchange. */
+type Answer = Extract<ExchangeEnd, { kind: 'answer' }>
+
+/** Time between two openings of connections to the endpoint. */
+const OPEN_INTERVAL_MS = 1 as Milliseconds
+/** The endpoint is on the same VM. */
+const OPEN_TIMEOUT_MS = 500 as Milliseconds
+/** Pause after a failed opening in which requests are refused without another try. */
+const UNREACHABLE_PAUSE_MS = 250
+/** Time after the deadline in which the endpoint's own answer may still come. */
+const DEADLINE_GRACE_MS = 60
+/** Connections beyond the slots, for exchanges whose connection is being replaced. */
+const SPARE_CONNECTIONS = 2
+/** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
+const CONNECTION_TRIES = 3
+/** Time within which all connections of an endpoint that crashed are seen to close. */
+const CRASH_CLOSE_MS = 10 as Milliseconds
+const SERVER_ERROR = 500
+const GATEWAY_TIMEOUT = 504
+
+/** One request at a time on each connection; a connection whose answer was not whole is never used again. */
+export class EndpointSender extends Disposable {
+  private _connections: UpstreamConnections | undefined
+  private _record: IEndpointRecord | undefined
+  /** 0 while the endpoint can be reached. */
+  private _unreachableUntil = 0
+
+  constructor (private readonly _options: IEndpointSenderOptions) {
+    super()
+  }
+
+  /** True for a moment after no connection could be opened. */
+  public isUnreachable (now: Timestamp): boolean {
+    return now < this._unreachableUntil
+  }
+
+  /** A new incarnation gets new connections and begins without a past. */
+  public renew (record: IEndpointRecord): void {
+    this._record = record
+    this._connections?.dispose()
+    this._unreachableUntil = 0
+    this._options.failures.reset()
+    const connections = new UpstreamConnections({
+      address: record.address,
+      clock: this._options.clock,
+      onUnreachable: () => undefined,
+      openInterval: OPEN_INTERVAL_MS,
+      openTimeout: OPEN_TIMEOUT_MS
+    })
+    const limit = this._options.configuration.current?.configuration.services.get(record.service)?.connections
+    connections.resize(0, Math.min(limit ?? Infinity, record.slots + SPARE_CONNECTIONS))
+    this._connections = connections
+  }
+
+  /** Runs a request that has its slot. `mayStart` is asked right before the first byte; it marks the request as started. */
+  public async run (gated: GatedCall, mayStart: () => boolean): Promise<AttemptOutcome> {
+    let isForbidden = false
+    const mayStartNow = (): boolean => {
+      isForbidden = !mayStart()
+      return !isForbidden
+    }
+    for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
+      const connection = await this._acquire()
+      if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
+      const end = await this._exchange(gated, connection, mayStartNow)
+      if (end.kind !== 'not-sent') return this._interpret(gated.call, end)
+      if (gated.isCancelled) return { kind: 'refused', reason: 'cancelled' }
+      // The endpoint began to leave meanwhile, or the asking node has been told that the request will not run.
+      if (isForbidden) return { kind: 'refused', reason: 'draining' }
+    }
+    return { kind: 'refused', reason: 'unreachable' }
+  }
+
+  public override dispose (): void {
+    super.dispose()
+    this._connections?.dispose()
+  }
+
+  private async _exchange (gated: GatedCall, connection: UpstreamConnection, mayStart: () => boolean): Promise<ExchangeEnd> {
+    const { call } = gated
+    const { clock, format } = this._options
+    const startedAt = clock.now()
+    const remaining = call.deadlineAt - startedAt as Milliseconds
+    const exchange = new HttpExchange({
+      method: call.method,
+      path: call.path,
+      fields: [...call.fields, ...format.endpointFields(call, remaining)],
+      body: call.body,
+      mayStart
+    })
+    gated.exchange = exchange
+    const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
+    const connections = this._connections
+    const end = await this._withoutCrash(await exchange.run(connection))
+    timer.dispose()
+    const isWhole = end.kind === 'answer' && this._faultOf(call, end) === undefined
+    connections?.release(connection, isWhole)
+    if (isWhole) this._noteWhole(call, startedAt, end)
+    return end
+  }
+
+  /**
+   * An answer without length ends with its connection, also when its endpoint crashes. A crash closes every connection
+   * and refuses new ones; an endpoint that only ends its answer does neither.
+   */
+  private async _withoutCrash (end: ExchangeEnd): Promise<ExchangeEnd> {
+    if (end.kind !== 'answer' || end.hasLength) return end
+    await this._options.clock.sleep(CRASH_CLOSE_MS)
+    if ((this._connections?.open.size ?? 0) > 0) return end
+    const connection = await this._acquire()
+    if (connection === undefined) return { kind: 'broken', reason: 'endpoint ended with its answer' }
+    this._connections?.release(connection, true)
+    return end
+  }
+
+  private _noteWhole (call: IMeshCall, startedAt: Timestamp, { status, headers }: Answer): void {
+    const { format, clock, times, failures, log } = this._options
+    const now = clock.now()
+    const { isNotExecuted } = format.readAnswerHead(status, headers)
+    if (!isNotExecuted && status < SERVER_ERROR) times.record(call.route, now - startedAt as Milliseconds)
+    failures.record(isNotExecuted || (status >= SERVER_ERROR && status !== GATEWAY_TIMEOUT), now)
+    if (this._unreachableUntil === 0) return
+    this._unreachableUntil = 0
+    log.log(ENDPOINT_REACHABLE, { step: 'gate.exchange', endpoint: this._record?.id })
+  }
+
+  private _interpret (call: IMeshCall, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>): AttemptOutcome {
+    const { clock, failures, log, format } = this._options
+    if (end.kind === 'broken') {
+      if (end.reason !== 'cancelled') failures.record(true, clock.now())
+      return { kind: 'unknown', reason: end.reason }
+    }
+    const fault = this._faultOf(call, end)
+    if (fault !== undefined) {
+      failures.record(true, clock.now())
+      log.log(ANSWER_SPOILT, { step: 'gate.answer', peer: this._record?.id, request: call.callerRequestId, status: end.status, reason: fault })
+      return { kind: 'unknown', reason: fault }
+    }
+    if (format.readAnswerHead(end.status, end.headers).isNotExecuted) return { kind: 'refused', reason: 'shed' }
+    return { kind: 'answered', answer: { status: end.status, fields: answerFields(end.headers), body: end.body } }
+  }
+
+  /** Why an answer is not that of the request; undefined if it is. */
+  private _faultOf (call: IMeshCall, { status, headers }: Answer): string | undefined {
+    const head = this._options.format.readAnswerHead(status, headers)
+    const isOther = head.requestId !== undefined && call.callerRequestId !== undefined && head.requestId !== call.callerRequestId
+    if (isOther) return 'answer of another request'
+    if (headers['content-encoding'] !== undefined) return 'encoded answer'
+    const isSuccess = status >= 200 && status < 300
+    return isSuccess && !head.isSigned ? 'success without signature' : undefined
+  }
+
+  private async _acquire (): Promise<UpstreamConnection | undefined> {
+    const { clock, log, failures } = this._options
+    try {
+      return await this._connections?.acquire()
+    } catch (error) {
+      if (this._unreachableUntil === 0) {
+        log.log(ENDPOINT_UNREACHABLE, { step: 'gate.connect', peer: this._record?.address, endpoint: this._record?.id, reason: String(error) })
+      }
+      const now = clock.now()
+      this._unreachableUntil = now + UNREACHABLE_PAUSE_MS
+      failures.record(true, now)
+      return undefined
+    }
+  }
+}
--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -60,6 +60,12 @@
     expect(endpoint.record?.phase).to.equal('gone')
   })
 
+  it('does not revive an endpoint that deregistered before the row of an earlier process was read', () => {
+    endpoint.leave('a' as EndpointId, 0, NOW)
+    endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
+    expect(endpoint.record?.phase).to.equal('gone')
+  })
+
   it('goes on with the endpoint of an earlier process until it reports itself', () => {
     endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
     expect(endpoint.heardAt).to.equal(undefined)
