Tell a reset behind an answer without length from its end by a write of no bytes

A write of no bytes fails with ECONNRESET on such a connection and succeeds after a plain end. Ruled out: the crash of the endpoint (its other connections stay), the order of listeners. Test: MeshPath, 'tells an answer without length that was cut from a whole one'; with the reset right behind the bytes it failed before.

--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -25,6 +25,10 @@
 /** Time after a failed opening before the next. */
 const REOPEN_DELAY_MS = 100 as Milliseconds
 
+/** Errors of the system that end a connection without the other side's consent. */
+const RESET_CODES = ['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'ECONNABORTED']
+const NO_BYTES = Buffer.alloc(0)
+
 /** One open connection; carries one exchange at a time. */
 export class UpstreamConnection {
   public readonly client: Client
@@ -32,8 +36,9 @@
   private _hasFailed = false
 
   constructor (private readonly _socket: Socket, origin: string) {
-    // Before the client's own listener, which takes a reset for the end of an answer without length.
-    _socket.on('error', () => { this._hasFailed = true })
+    // Both before the client's own listeners, which take a reset for the end of an answer without length.
+    _socket.on('error', this._noteFailure)
+    _socket.once('end', this._probeEnd)
     // Reading notices a close by the upstream; bytes without a request belong to nobody.
     _socket.once('data', this._onUnsolicited)
     this.client = new Client(origin, {
@@ -51,7 +56,7 @@
     return !this._socket.destroyed && this._socket.writable
   }
 
-  /** True if the connection ended by an error, so that an answer without length may lack its end. */
+  /** True if the connection ended by an error, so that an answer without length may lack its end. Known soon after the end. */
   public get hasFailed (): boolean {
     return this._hasFailed
   }
@@ -62,6 +67,16 @@
     this.client.destroy().catch(ignore)
   }
 
+  /** Errors of the client itself have codes of their own. */
+  private readonly _noteFailure = (error?: NodeJS.ErrnoException | null): void => {
+    if (error?.code !== undefined && RESET_CODES.includes(error.code)) this._hasFailed = true
+  }
+
+  /** A reset that comes together with the last bytes is reported as a plain end; a write of no bytes then fails. */
+  private readonly _probeEnd = (): void => {
+    if (!this._socket.destroyed) this._socket.write(NO_BYTES, this._noteFailure)
+  }
+
   private readonly _onUnsolicited = (): void => { this._socket.destroy() }
 
   /** Gives the client its only socket; a client never opens a second one. */
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -38,8 +38,8 @@
 const SPARE_CONNECTIONS = 2
 /** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
 const CONNECTION_TRIES = 3
-/** Time within which all connections of an endpoint that crashed are seen to close. */
-const CRASH_CLOSE_MS = 10 as Milliseconds
+/** Time within which a reset, or the close of all connections of an endpoint that crashed, is seen. */
+const END_CHECK_MS = 10 as Milliseconds
 const SERVER_ERROR = 500
 const GATEWAY_TIMEOUT = 504
 
@@ -116,7 +116,7 @@
     gated.exchange = exchange
     const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
     const connections = this._connections
-    const end = await this._withoutCrash(await exchange.run(connection))
+    const end = await this._checkEnd(await exchange.run(connection), connection)
     timer.dispose()
     const isWhole = end.kind === 'answer' && this._faultOf(call, end) === undefined
     connections?.release(connection, isWhole)
@@ -125,16 +125,17 @@
   }
 
   /**
-   * An answer without length ends with its connection, also when its endpoint crashes. A crash closes every connection
-   * and refuses new ones; an endpoint that only ends its answer does neither.
+   * An answer without length ends with its connection, also when that was reset or the endpoint crashed. A reset shows
+   * on the connection; a crash closes every connection and refuses new ones.
    */
-  private async _withoutCrash (end: ExchangeEnd): Promise<ExchangeEnd> {
+  private async _checkEnd (end: ExchangeEnd, connection: UpstreamConnection): Promise<ExchangeEnd> {
     if (end.kind !== 'answer' || end.hasLength) return end
-    await this._options.clock.sleep(CRASH_CLOSE_MS)
+    await this._options.clock.sleep(END_CHECK_MS)
+    if (connection.hasFailed) return { kind: 'broken', reason: 'answer without length was cut' }
     if ((this._connections?.open.size ?? 0) > 0) return end
-    const connection = await this._acquire()
-    if (connection === undefined) return { kind: 'broken', reason: 'endpoint ended with its answer' }
-    this._connections?.release(connection, true)
+    const other = await this._acquire()
+    if (other === undefined) return { kind: 'broken', reason: 'endpoint ended with its answer' }
+    this._connections?.release(other, true)
     return end
   }
 
--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net'
 
 /** How the endpoint treats a request after it has read it. */
-export type EndpointMode = 'well' | 'shed' | 'fail' | 'reset-after-run' | 'silent' | 'unsigned' | 'other-id' | 'cut-without-length'
+export type EndpointMode = 'well' | 'shed' | 'fail' | 'reset-after-run' | 'silent' | 'unsigned' | 'other-id' | 'cut-without-length' | 'whole-without-length'
 
 /** One request that ran. */
 export interface IRunRequest {
@@ -80,7 +80,8 @@
         return
       case 'silent': return
       case 'unsigned': return write(response, 200, echo, 'unsigned')
-      case 'cut-without-length': return cutWithoutLength(request, signed)
+      case 'cut-without-length': return writeWithoutLength(request, signed, 'half', true)
+      case 'whole-without-length': return writeWithoutLength(request, signed, 'whole', false)
       default: return write(response, 200, signed, `answer to ${request.url ?? ''}`)
     }
   }
@@ -91,10 +92,11 @@
   response.end(body)
 }
 
-/** Half an answer that would end with its connection, then a reset. */
-function cutWithoutLength (request: IncomingMessage, headers: Record<string, string>): void {
+/** An answer that ends with its connection, or is cut by a reset right behind its bytes. */
+function writeWithoutLength (request: IncomingMessage, headers: Record<string, string>, body: string, isCut: boolean): void {
   const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
-  request.socket.write(`HTTP/1.1 200 OK\r\n${fields}connection: close\r\n\r\nhalf`, () => {
-    setTimeout(() => request.socket.resetAndDestroy(), 20)
+  request.socket.write(`HTTP/1.1 200 OK\r\n${fields}connection: close\r\n\r\n${body}`, () => {
+    if (isCut) request.socket.resetAndDestroy()
+    else request.socket.end()
   })
 }
