--- a/src/mesh/calls/Placement.ts
+++ b/src/mesh/calls/Placement.ts
@@ -19,7 +19,7 @@
 
 /** Defaults of `Placement`. Traffic inside a region is nearly free, between regions it is paid for by volume. */
 export const DEFAULT_PLACEMENT_OPTIONS: IPlacementOptions = Object.freeze({
-  distanceCost: Object.freeze([0, 25, 200]) as unknown as readonly [Milliseconds, Milliseconds, Milliseconds],
+  distanceCost: Object.freeze([0, 60, 300]) as unknown as readonly [Milliseconds, Milliseconds, Milliseconds],
   crowdingShare: 0.3,
   warmUpFactor: 2,
   failureCost: 1.5,
