Let the kernel wire a node of the mesh

The daemon made every part by hand; the house style asks for a kernel whose services find each other by name. Only the wiring changed: ports still open before the view, the view's transport is still closed by the view.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -131,7 +131,4 @@
 }
 
 export const IConfigurationService = createServiceKey<IConfigurationService>('mesh.configuration')
-export const INodeTable = createServiceKey<INodeTable>('mesh.nodes')
 export const IViewService = createServiceKey<IViewService>('mesh.view')
-export const ILocalEndpoint = createServiceKey<ILocalEndpoint>('mesh.endpoint')
-export const IRegistrationService = createServiceKey<IRegistrationService>('mesh.registration')
--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -31,6 +31,11 @@
     this.register(toDisposable(() => { for (const remote of this._remotes.values()) remote.dispose() }))
   }
 
+  /** Closes the connections to other nodes. */
+  public stop (): void {
+    this.dispose()
+  }
+
   /** Nodes that are known. */
   public get nodes (): number {
     return this._options.nodes.nodes.size
--- /dev/null
+++ b/src/mesh/daemon/MeshServices.ts
@@ -0,0 +1,201 @@
+/** Registers the parts of a node of the mesh in the kernel. */
+import { randomBytes, randomInt } from 'node:crypto'
+import { ClockService } from '../../common/ClockService.js'
+import { InvariantService } from '../../common/InvariantService.js'
+import { MetricsService } from '../../common/MetricsService.js'
+import { RandomService } from '../../common/RandomService.js'
+import { IClockService, IInvariantService, ILogService, IMetricsService, IRandomService, type IKernel } from '../../common/Services.js'
+import type { Milliseconds } from '../../common/Types.js'
+import { FOUNDATION, foundationOf, type IFoundation } from '../../daemon/Foundation.js'
+import { MetricsServer } from '../../daemon/MetricsServer.js'
+import { GrpcPeerTransport } from '../../membership/GrpcPeerTransport.js'
+import { PlatformHttpClient } from '../../platform/PlatformHttpClient.js'
+import { CallerPort } from '../calls/CallerPort.js'
+import { EndpointDirectory } from '../calls/EndpointDirectory.js'
+import { Placement } from '../calls/Placement.js'
+import { RetryAllowance } from '../calls/RetryAllowance.js'
+import { ConfigurationService } from '../configuration/ConfigurationService.js'
+import { EndpointGate } from '../endpoint/EndpointGate.js'
+import { GateServer } from '../endpoint/GateServer.js'
+import { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
+import { RegistrationService } from '../endpoint/RegistrationService.js'
+import { NodeQuestions } from '../exchange/NodeQuestions.js'
+import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
+import { NodeTable } from '../view/NodeTable.js'
+import { ViewService } from '../view/ViewService.js'
+import type { IMeshSettings } from './MeshSettings.js'
+import { MESH_KEY } from './ServiceKeys.js'
+
+/** What the parts need of the daemon. */
+export interface IMeshServicesOptions {
+  readonly adapter: IMeshAdapter
+  readonly log: ILogService
+  /** Ports and bounds are taken once, the rest each time it is needed. */
+  readonly settings: () => IMeshSettings
+  readonly control: INodeControl
+  /** True once the node knows configuration and nodes, also while it stops. */
+  readonly isServing: () => boolean
+}
+
+const SEED_LIMIT = 2 ** 31
+const TOKEN_BYTES = 6
+/** Wait beyond one heartbeat for the first report of the endpoint. */
+const FIRST_REPORT_SLACK_MS = 500
+const QUESTION_TIMEOUT_MS = 350 as Milliseconds
+const STORE_TIMEOUT_MS = 2_000 as Milliseconds
+const STORE_CONNECTIONS = 4
+
+/** Registers everything; the kernel makes and starts it in the order of dependencies, ports before the view. */
+export function registerMesh (kernel: IKernel, options: IMeshServicesOptions): void {
+  registerFoundation(kernel, options)
+  registerView(kernel, options)
+  registerEndpoint(kernel, options)
+  registerCalls(kernel, options)
+  registerPorts(kernel, options)
+}
+
+function registerFoundation (kernel: IKernel, { log }: IMeshServicesOptions): void {
+  kernel.register({ key: IClockService, dependsOn: [], create: () => new ClockService() })
+  kernel.register({ key: IRandomService, dependsOn: [], create: () => new RandomService(randomInt(SEED_LIMIT)) })
+  kernel.register({ key: ILogService, dependsOn: [], create: () => log })
+  kernel.register({ key: IMetricsService, dependsOn: [], create: () => new MetricsService() })
+  kernel.register({
+    key: IInvariantService,
+    dependsOn: [ILogService, IMetricsService],
+    create: () => new InvariantService({ log, metrics: kernel.get(IMetricsService) })
+  })
+}
+
+function registerView (kernel: IKernel, { adapter, settings }: IMeshServicesOptions): void {
+  const { mesh, store } = settings()
+  kernel.register({
+    key: MESH_KEY.store,
+    dependsOn: FOUNDATION,
+    create: () => adapter.createStore(new PlatformHttpClient(foundationOf(kernel), {
+      url: `http://${store.address}`, requestTimeout: STORE_TIMEOUT_MS, connections: STORE_CONNECTIONS
+    }))
+  })
+  kernel.register({
+    key: IConfigurationService,
+    dependsOn: FOUNDATION,
+    create: () => new ConfigurationService({ ...foundationOf(kernel), decoder: adapter.decoder })
+  })
+  kernel.register({ key: MESH_KEY.nodes, dependsOn: FOUNDATION, create: () => new NodeTable(foundationOf(kernel)) })
+  kernel.register({
+    key: MESH_KEY.transport,
+    dependsOn: FOUNDATION,
+    isStartedByOwner: true,
+    create: () => new GrpcPeerTransport({ ...foundationOf(kernel), address: mesh['peer-address'] })
+  })
+  kernel.register({
+    key: IViewService,
+    // The ports open first: the platform and the endpoint get answers while the node learns.
+    dependsOn: [
+      MESH_KEY.store, IConfigurationService, MESH_KEY.nodes, MESH_KEY.transport, MESH_KEY.gateServer, MESH_KEY.callerPort,
+      MESH_KEY.controlPort, MESH_KEY.metricsServer
+    ],
+    create: () => {
+      const view = new ViewService({
+        ...commonOf(kernel, settings()),
+        configuration: kernel.get(IConfigurationService),
+        nodes: kernel.get(MESH_KEY.nodes),
+        feed: kernel.get(MESH_KEY.store),
+        configurationRow: adapter.configurationRow,
+        transport: kernel.get(MESH_KEY.transport)
+      })
+      kernel.get(MESH_KEY.gateServer).onPeer((address) => view.suggestPeer(address))
+      return view
+    }
+  })
+}
+
+function registerEndpoint (kernel: IKernel, { adapter, settings }: IMeshServicesOptions): void {
+  const { mesh, bounds } = settings()
+  kernel.register({ key: MESH_KEY.endpoint, dependsOn: FOUNDATION, create: () => new LocalEndpoint(kernel.get(ILogService)) })
+  kernel.register({
+    key: MESH_KEY.registration,
+    dependsOn: [MESH_KEY.endpoint, MESH_KEY.store],
+    create: () => new RegistrationService({
+      ...commonOf(kernel, settings()),
+      gateAddress: mesh['gate-address'],
+      peerAddress: mesh['peer-address'],
+      endpoint: kernel.get(MESH_KEY.endpoint),
+      table: kernel.get(MESH_KEY.store),
+      firstReportWait: bounds.heartbeat + FIRST_REPORT_SLACK_MS as Milliseconds
+    })
+  })
+  kernel.register({
+    key: MESH_KEY.gate,
+    dependsOn: [MESH_KEY.endpoint, IConfigurationService],
+    create: () => new EndpointGate({
+      ...foundationOf(kernel),
+      endpoint: kernel.get(MESH_KEY.endpoint),
+      configuration: kernel.get(IConfigurationService),
+      format: adapter.format
+    })
+  })
+  kernel.register({
+    key: MESH_KEY.gateServer,
+    dependsOn: [MESH_KEY.gate],
+    create: () => new GateServer({
+      ...foundationOf(kernel),
+      gate: kernel.get(MESH_KEY.gate),
+      format: adapter.format,
+      address: mesh['gate-address'],
+      processToken: randomBytes(TOKEN_BYTES).toString('hex')
+    })
+  })
+}
+
+function registerCalls (kernel: IKernel, { adapter, settings, isServing }: IMeshServicesOptions): void {
+  const { mesh, bounds } = settings()
+  kernel.register({
+    key: MESH_KEY.questions,
+    dependsOn: FOUNDATION,
+    create: () => new NodeQuestions({ clock: kernel.get(IClockService), peerAddress: mesh['peer-address'], timeout: QUESTION_TIMEOUT_MS })
+  })
+  kernel.register({
+    key: MESH_KEY.directory,
+    dependsOn: [MESH_KEY.nodes, MESH_KEY.gate, MESH_KEY.questions],
+    create: () => new EndpointDirectory({
+      ...commonOf(kernel, settings()),
+      nodes: kernel.get(MESH_KEY.nodes),
+      gate: kernel.get(MESH_KEY.gate),
+      questions: kernel.get(MESH_KEY.questions)
+    })
+  })
+  kernel.register({
+    key: MESH_KEY.callerPort,
+    dependsOn: [MESH_KEY.directory, IConfigurationService],
+    create: () => new CallerPort({
+      ...foundationOf(kernel),
+      address: mesh['caller-address'],
+      configuration: kernel.get(IConfigurationService),
+      format: adapter.format,
+      directory: kernel.get(MESH_KEY.directory),
+      placement: new Placement(kernel.get(IRandomService)),
+      allowance: new RetryAllowance({ ratio: bounds['retry-share'], slack: bounds['retry-slack'], window: bounds['retry-window'] }),
+      isReady: isServing,
+      callerService: () => kernel.get(MESH_KEY.endpoint).record?.service ?? settings().mesh.service
+    })
+  })
+}
+
+function registerPorts (kernel: IKernel, { adapter, settings, control, log }: IMeshServicesOptions): void {
+  const { mesh } = settings()
+  kernel.register({
+    key: MESH_KEY.controlPort,
+    dependsOn: [MESH_KEY.registration],
+    create: () => adapter.createControlPort({ control, readyAddress: mesh['ready-address'], controlAddress: mesh['control-address'], log })
+  })
+  kernel.register({
+    key: MESH_KEY.metricsServer,
+    dependsOn: FOUNDATION,
+    create: () => new MetricsServer({ address: mesh['metrics-address'], metrics: kernel.get(IMetricsService), isReady: () => control.isReady })
+  })
+}
+
+/** The foundation, and who this node is. */
+function commonOf (kernel: IKernel, { mesh }: IMeshSettings): IFoundation & { readonly self: INodeIdentity } {
+  return { ...foundationOf(kernel), self: { name: mesh.node, failureDomain: mesh['failure-domain'], region: mesh.region } }
+}
--- /dev/null
+++ b/src/mesh/daemon/ServiceKeys.ts
@@ -0,0 +1,28 @@
+/** Names under which the parts of a node find each other in the kernel, beside those of `Services.ts`. */
+import { createServiceKey, type IService } from '../../common/Services.js'
+import type { IPeerTransport } from '../../membership/Services.js'
+import type { IChangeFeed, ITableService } from '../../platform/Services.js'
+import type { CallerPort } from '../calls/CallerPort.js'
+import type { EndpointDirectory } from '../calls/EndpointDirectory.js'
+import type { EndpointGate } from '../endpoint/EndpointGate.js'
+import type { GateServer } from '../endpoint/GateServer.js'
+import type { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
+import type { RegistrationService } from '../endpoint/RegistrationService.js'
+import type { NodeQuestions } from '../exchange/NodeQuestions.js'
+import type { NodeTable } from '../view/NodeTable.js'
+
+/** Keys of the parts of one node. */
+export const MESH_KEY = Object.freeze({
+  store: createServiceKey<ITableService & IChangeFeed>('mesh.store'),
+  transport: createServiceKey<IPeerTransport>('mesh.transport'),
+  nodes: createServiceKey<NodeTable>('mesh.nodes'),
+  endpoint: createServiceKey<LocalEndpoint>('mesh.endpoint'),
+  registration: createServiceKey<RegistrationService>('mesh.registration'),
+  gate: createServiceKey<EndpointGate>('mesh.gate'),
+  gateServer: createServiceKey<GateServer>('mesh.gate-server'),
+  questions: createServiceKey<NodeQuestions>('mesh.questions'),
+  directory: createServiceKey<EndpointDirectory>('mesh.directory'),
+  callerPort: createServiceKey<CallerPort>('mesh.caller-port'),
+  controlPort: createServiceKey<IService>('mesh.control-port'),
+  metricsServer: createServiceKey<IService>('mesh.metrics-server')
+})
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -54,6 +54,11 @@
     return this._line.running + this._line.waiting
   }
 
+  /** Closes the connections to the endpoint. */
+  public stop (): void {
+    this.dispose()
+  }
+
   /** Refuses new requests from now on; those that run or wait go on. */
   public close (): void {
     this._isClosing = true
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -1,8 +1,9 @@
 /** HTTP server for calls and questions of other nodes. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Emitter } from '../../common/Emitter.js'
 import { splitAddress } from '../../common/HostPort.js'
 import type { IClockService, ILogService, IService } from '../../common/Services.js'
-import type { NetworkAddress, RequestId } from '../../common/Types.js'
+import type { IEvent, NetworkAddress, RequestId } from '../../common/Types.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
 import { readBodyInTime } from '../../gate/KeptBody.js'
 import { CALLER_MALFORMED } from '../Events.js'
@@ -20,8 +21,6 @@
   readonly address: NetworkAddress
   /** Identity of this process, by which others notice a restart. */
   readonly processToken: string
-  /** Told the RPC address of each node that asks. */
-  readonly onPeer: (address: string) => void
   readonly clock: IClockService
   readonly log: ILogService
 }
@@ -33,6 +32,7 @@
 
 /** Hands calls to the gate; answers probes and questions about the fate of requests. */
 export class GateServer implements IService {
+  private readonly _onPeer = new Emitter<string>()
   private readonly _server: Server
   private _inFlight = 0
 
@@ -46,6 +46,11 @@
     })
   }
 
+  /** Fires with the RPC address of each node that asks. */
+  public get onPeer (): IEvent<string> {
+    return this._onPeer.event
+  }
+
   /** Requests that have no whole answer yet. */
   public get inFlight (): number {
     return this._inFlight
@@ -69,7 +74,7 @@
 
   private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const peer = message.headers[INNER_HEADER.peer]
-    if (typeof peer === 'string') this._options.onPeer(peer)
+    if (typeof peer === 'string') this._onPeer.fire(peer)
     switch (message.headers[INNER_HEADER.purpose]) {
       case 'probe': return this._answerProbe(response)
       case 'settle': return this._answerSettle(message, response)
