Do not give up an attempt because its node was restarted before it

If the process ended after the request was sent, its connection breaks. Ruled out: the stop of the asking node.

--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -190,7 +190,8 @@
     if (reply === 'never-will-be') {
       this.isProvenNotRun = true
       this._exchange.abort('never began')
-    } else if (reply === 'running' || this._call.repeat !== 'idempotent') {
+    } else if (reply === 'running' || reply === 'other-process' || this._call.repeat !== 'idempotent') {
+      // Another process than the one known before: the request was sent to it, or its connection will break by itself.
       this._askAfter(patience * 2 as Milliseconds)
     } else {
       this._exchange.abort(reply === undefined ? 'node is silent' : 'answer was lost')
