End a drain whose timer fires a moment before the clock; test what a restarted node says of a request

Traced: the clock reads whole milliseconds of the steady clock, a timer may fire up to a millisecond before it shows the time, and the drain's only wake-up then found the notice not over and never looked again, so that a planned stop would hang too. The timer itself is the end of the notice now. The new test, with a clock that lags by 2 ms, hung before and passes.

--- a/src/gate/GateFlow.test.ts
+++ b/src/gate/GateFlow.test.ts
@@ -5,6 +5,7 @@
 import { FaultyTable } from '../../testing/gate/FaultyTable.js'
 import { GateRig, summarise, type IRigAnswer } from '../../testing/gate/GateRig.js'
 import { ManualClock } from '../../testing/ManualClock.js'
+import { ClockService } from '../common/ClockService.js'
 import type { Milliseconds, RequestId, Timestamp } from '../common/Types.js'
 import type { RequestClass } from '../documents/Types.js'
 import { EmbeddedTableService } from '../platform/EmbeddedTableService.js'
@@ -142,6 +143,18 @@
     expect(rig.upstream.cancelled).to.equal(0)
   })
 
+  it('ends a drain also when its timer fires a moment before the clock says so', async () => {
+    /** Reads a little less than has passed, as a clock of whole milliseconds beside a finer timer does. */
+    class LateClock extends ClockService {
+      public override now (): Timestamp {
+        return super.now() - 2 as Timestamp
+      }
+    }
+    const rig = await start(new GateRig({ clock: new LateClock(), settings: { drainNotice: 20 as Milliseconds } }))
+    await rig.gate.drain(Date.now() as Timestamp)
+    expect(rig.membership.state).to.equal('left')
+  })
+
   it('starts nothing whose claim is decided only after the drain', async () => {
     const table = new FaultyTable(new EmbeddedTableService())
     const rig = await start(new GateRig({ table, settings: { drainNotice: 20 as Milliseconds } }))
--- a/src/gate/UpstreamEndpoint.ts
+++ b/src/gate/UpstreamEndpoint.ts
@@ -139,11 +139,13 @@
 
   /** Announces that the endpoint leaves. New work is still taken for `notice`, while the others learn of it. */
   public startDrain (notice: Milliseconds, now: Timestamp): void {
-    this._refusesAt = addDuration(now, notice)
+    const refusesAt = addDuration(now, notice)
+    this._refusesAt = refusesAt
     this._setState('draining', 'node stops', now)
     this._options.clock.after(notice, () => {
       this._queue.refuseAll('draining')
-      this._notifyIfIdle(this._options.clock.now())
+      // A timer may fire a moment before the clock, in whole milliseconds, has reached its time.
+      this._notifyIfIdle(Math.max(this._options.clock.now(), refusesAt) as Timestamp)
     })
   }
 
--- /dev/null
+++ b/src/mesh/calls/RemoteNode.test.ts
@@ -0,0 +1,92 @@
+/** What a node says of a request that stays without an answer, and what is made of it. */
+import { expect } from 'chai'
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { ClockService } from '../../common/ClockService.js'
+import { Emitter } from '../../common/Emitter.js'
+import type { EndpointId, Milliseconds, NetworkAddress, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
+import { RecordingLog } from '../../../testing/RecordingLog.js'
+import { INNER_HEADER } from '../exchange/CallCodec.js'
+import type { NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
+import type { IMeshCall, NodeName, RepeatKind } from '../Types.js'
+import { RemoteNode } from './RemoteNode.js'
+
+/** Longer than the first question waits. */
+const SLOW_MS = 700
+const EXPECTED = 10 as Milliseconds
+
+describe('RemoteNode', () => {
+  const clock = new ClockService()
+  let server: Server
+  let node: RemoteNode
+  let delay: number
+  let reply: SettleReply | undefined
+
+  beforeEach(async () => {
+    delay = 0
+    reply = 'running'
+    server = createServer((_request, response) => {
+      setTimeout(() => {
+        response.writeHead(200, { [INNER_HEADER.outcome]: 'answered', [INNER_HEADER.processToken]: 'one' })
+        response.end('whole')
+      }, delay)
+    })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    const { port } = server.address() as AddressInfo
+    const questions = { settle: async () => reply, probe: async () => undefined } as unknown as NodeQuestions
+    node = new RemoteNode({
+      name: 'n' as NodeName, address: `127.0.0.1:${port}` as NetworkAddress, questions, clock, log: new RecordingLog(), onLoad: () => undefined
+    })
+  })
+
+  afterEach(() => {
+    node.dispose()
+    server.close()
+    server.closeAllConnections()
+  })
+
+  /** Kind and reason of the outcome of a call whose answer is slow, after one that was not. */
+  async function outcomeOf (settled: SettleReply | undefined, repeat: RepeatKind): Promise<string> {
+    await node.execute(callOf(repeat), EXPECTED, new Emitter<void>().event)
+    reply = settled
+    delay = SLOW_MS
+    const outcome = await node.execute(callOf(repeat), EXPECTED, new Emitter<void>().event)
+    return outcome.kind === 'answered' ? outcome.kind : `${outcome.kind}: ${outcome.reason}`
+  }
+
+  function callOf (repeat: RepeatKind): IMeshCall {
+    const now = clock.now()
+    return {
+      requestId: 'r' as RequestId,
+      callerRequestId: 'c',
+      route: 'route' as RouteName,
+      service: 's' as ServiceName,
+      endpoint: 'e' as EndpointId,
+      callerService: 'caller',
+      repeat,
+      rank: 0,
+      objectiveAt: now + 1_000 as Timestamp,
+      deadlineAt: now + 5_000 as Timestamp,
+      method: 'GET',
+      path: '/',
+      fields: ['host', 'mesh.example'],
+      body: undefined
+    }
+  }
+
+  it('waits for a node that runs the request, and for one that was restarted before the request came', async () => {
+    expect(await outcomeOf('running', 'idempotent')).to.equal('answered')
+    expect(await outcomeOf('other-process', 'idempotent')).to.equal('answered')
+    expect(await outcomeOf('finished', 'non-idempotent')).to.equal('answered')
+  })
+
+  it('takes a request that will never run for refused, and an answer that was lost for unknown', async () => {
+    expect(await outcomeOf('never-will-be', 'non-idempotent')).to.equal('refused: unreachable')
+    expect(await outcomeOf('finished', 'idempotent')).to.equal('unknown: connection to e broke')
+  })
+
+  it('keeps requests away from a node that does not answer a question', async () => {
+    expect(await outcomeOf(undefined, 'idempotent')).to.match(/^unknown/)
+    expect(node.isSuspect).to.equal(true)
+  })
+})
--- a/testing/gate/GateRig.ts
+++ b/testing/gate/GateRig.ts
@@ -1,6 +1,7 @@
 /** A gate with a stand-in upstream and its server, over real sockets, for tests and benches. */
 import { request as sendRequest, type IncomingMessage } from 'node:http'
 import { ClockService } from '../../src/common/ClockService.js'
+import type { IClockService } from '../../src/common/Services.js'
 import { InvariantService } from '../../src/common/InvariantService.js'
 import { MetricsService } from '../../src/common/MetricsService.js'
 import type { EndpointId, NetworkAddress, ServiceName } from '../../src/common/Types.js'
@@ -26,6 +27,7 @@
   readonly table: ITableService
   readonly objects: IObjectStore
   readonly broadcast: IBroadcastService
+  readonly clock: IClockService
 }
 
 /** A request to the gate. */
@@ -91,7 +93,7 @@
   private _createGate (): void {
     const { log, metrics, invariants, membership, snapshots, table, upstream } = this
     const { objects, broadcast, settings } = this._options
-    const clock = new ClockService()
+    const clock = this._options.clock ?? new ClockService()
     this.gate = new GateService({
       clock,
       log,
