Use one function each for listening, header fields, jitter and statuses

Read once more: the mesh had its own copies of listenAt, of the loop over header fields (also in HttpAnswerSink and UpstreamExchange), of singleHeader, of the wait from the upper half of a bound, and of what a status says. An endpoint's answer head was read three times and judged twice; the sender judges it once. Heartbeats to followers no longer scan the table of nodes when nothing changed. The limit of bodies is named for both directions. Behaviour is the same.

--- a/src/common/Listening.ts
+++ b/src/common/Listening.ts
@@ -1,8 +1,8 @@
 /** Opens listening sockets. */
 import type { Server } from 'node:net'
-import { splitAddress } from '../common/HostPort.js'
-import { SavoryknotError } from '../common/SavoryknotError.js'
-import type { NetworkAddress } from '../common/Types.js'
+import { splitAddress } from './HostPort.js'
+import { SavoryknotError } from './SavoryknotError.js'
+import type { NetworkAddress } from './Types.js'
 
 /** A port could not be opened. */
 export class ListenError extends SavoryknotError {}
@@ -11,7 +11,11 @@
 export async function listenAt (server: Server, address: NetworkAddress): Promise<void> {
   const { host, port } = splitAddress(address)
   await new Promise<void>((resolve, reject) => {
-    server.once('error', (error) => reject(new ListenError(error.message, { step: 'daemon.listen', peer: address, cause: error })))
-    server.listen(port, host, () => resolve())
+    const fail = (error: Error): void => reject(new ListenError(error.message, { step: 'daemon.listen', peer: address, cause: error }))
+    server.once('error', fail)
+    server.listen(port, host, () => {
+      server.off('error', fail)
+      resolve()
+    })
   })
 }
--- a/src/daemon/MetricsServer.ts
+++ b/src/daemon/MetricsServer.ts
@@ -3,7 +3,7 @@
 import { collectDefaultMetrics } from 'prom-client'
 import type { IMetricsService, IService } from '../common/Services.js'
 import type { NetworkAddress } from '../common/Types.js'
-import { listenAt } from './Listening.js'
+import { listenAt } from '../common/Listening.js'
 
 const REQUEST_TIMEOUT_MS = 5_000
 /** Each sample of the event loop's delay wakes the process; the default of 10 ms costs 0.6 % of a core at rest. */
--- a/src/gate/GateServer.ts
+++ b/src/gate/GateServer.ts
@@ -16,7 +16,7 @@
 import type { IGateService } from './Services.js'
 import { refusalAnswer } from './Refusals.js'
 import { HEADER, type CallOutcome } from './Types.js'
-import { splitAddress } from '../common/HostPort.js'
+import { listenAt } from '../common/Listening.js'
 
 /** What the server needs. */
 export interface IGateServerOptions {
@@ -86,15 +86,8 @@
   }
 
   /** Rejects if the address can't be listened at. */
-  public start (): Promise<void> {
-    const { host, port } = splitAddress(this._options.address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => {
-        this._server.off('error', reject)
-        resolve()
-      })
-    })
+  public async start (): Promise<void> {
+    await listenAt(this._server, this._options.address)
   }
 
   /** Stops accepting connections; resolves when every request in flight has been answered. */
--- a/src/gate/HeaderRules.ts
+++ b/src/gate/HeaderRules.ts
@@ -56,6 +56,18 @@
   return kept
 }
 
+/** Names and values in turn of the fields that `isKept` names; a field with several values stands once for each. */
+export function fieldsOf (headers: IncomingHttpHeaders, isKept: (name: string) => boolean): string[] {
+  const fields: string[] = []
+  for (const name in headers) {
+    if (!isKept(name)) continue
+    const value = headers[name]
+    if (typeof value === 'string') fields.push(name, value)
+    else value?.forEach((one) => fields.push(name, one))
+  }
+  return fields
+}
+
 /** Size of a message body by its `content-length`; undefined if there is no such field or it is not a number. */
 export function contentLength (headers: IncomingHttpHeaders): number | undefined {
   const text = headers['content-length']
--- a/src/gate/HttpAnswerSink.ts
+++ b/src/gate/HttpAnswerSink.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import { toDisposable } from '../common/Disposable.js'
 import type { IEvent } from '../common/Types.js'
-import { contentLength, isHopByHop, namesInConnection } from './HeaderRules.js'
+import { contentLength, fieldsOf, isHopByHop, namesInConnection } from './HeaderRules.js'
 import type { IAnswerSink } from './Types.js'
 
 /** What an answer sink needs. */
@@ -97,12 +97,8 @@
 /** Names and values in turn, without hop-by-hop fields; `additional` comes first and wins. */
 function flatten (headers: IncomingHttpHeaders, additional: readonly string[]): string[] {
   const listed = namesInConnection(headers.connection)
-  const flat: string[] = [...additional]
-  for (const name in headers) {
-    if (isHopByHop(name) || listed?.has(name) === true || isNamed(additional, name)) continue
-    appendField(flat, name, headers[name])
-  }
-  return flat
+  const isKept = (name: string): boolean => !isHopByHop(name) && listed?.has(name) !== true && !isNamed(additional, name)
+  return [...additional, ...fieldsOf(headers, isKept)]
 }
 
 /** Tells whether `fields` has a field called `name`. */
@@ -112,12 +108,3 @@
   }
   return false
 }
-
-/** Appends one field, or several of one name. */
-function appendField (flat: string[], name: string, value: string | string[] | undefined): void {
-  if (typeof value === 'string') {
-    flat.push(name, value)
-  } else if (value !== undefined) {
-    for (const one of value) flat.push(name, one)
-  }
-}
--- a/src/gate/UpstreamExchange.ts
+++ b/src/gate/UpstreamExchange.ts
@@ -5,7 +5,7 @@
 import type { IClockService } from '../common/Services.js'
 import type { IDisposable, Milliseconds } from '../common/Types.js'
 import { ExchangeAbortedError, StartRefusedError } from './GateErrors.js'
-import { contentLength } from './HeaderRules.js'
+import { contentLength, fieldsOf } from './HeaderRules.js'
 import { FINGERPRINT_BODY_BYTES } from './KeptBody.js'
 import { HEADER, type IAnswerSink, type ICall, type NotRunReason } from './Types.js'
 import type { UpstreamConnection } from './UpstreamConnections.js'
@@ -174,14 +174,8 @@
   private _headers (): string[] {
     const { call, clock } = this._options
     const remaining = Math.max(1, Math.floor(call.deadlineAt - clock.now()))
-    const fields = [HEADER.deadline, String(remaining), HEADER.requestId, call.requestId, HEADER.depth, String(call.depth + 1)]
-    for (const name in call.headers) {
-      if (isMeshField(name)) continue
-      const value = call.headers[name]
-      if (typeof value === 'string') fields.push(name, value)
-      else value?.forEach((one) => fields.push(name, one))
-    }
-    return fields
+    const own = [HEADER.deadline, String(remaining), HEADER.requestId, call.requestId, HEADER.depth, String(call.depth + 1)]
+    return [...own, ...fieldsOf(call.headers, (name) => !isMeshField(name))]
   }
 
   private _faultOfHead (status: number, headers: IncomingHttpHeaders): string | undefined {
--- a/src/membership/RedialBackoff.ts
+++ b/src/membership/RedialBackoff.ts
@@ -1,5 +1,6 @@
 /** When a peer, or a failure domain, that could not be reached may be dialled again. */
 import { addDuration } from '../common/Ids.js'
+import { drawUpperHalf } from '../common/Jitter.js'
 import type { IRandomService } from '../common/Services.js'
 import type { FailureDomain, Milliseconds, NodeId, Timestamp } from '../common/Types.js'
 
@@ -35,7 +36,7 @@
     if (this._failures.size >= MAXIMUM_PEERS) this._failures.clear()
     const count = (this._failures.get(id)?.count ?? 0) + 1
     const bound = Math.min(longestRedialDelay, redialDelay * 2 ** (count - 1))
-    const delay = bound * (1 + random.fraction()) / 2 as Milliseconds
+    const delay = drawUpperHalf(bound, random)
     this._failures.set(id, { count, notBefore: addDuration(now, delay) })
   }
 
--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -5,6 +5,7 @@
 import { createRequestId } from '../../common/Ids.js'
 import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { CALL_REPEATED } from '../Events.js'
+import { isServed } from '../exchange/Statuses.js'
 import type { AttemptOutcome, IMeshCall, IMeshRoute, IWholeAnswer } from '../Types.js'
 import type { EndpointDirectory } from './EndpointDirectory.js'
 import type { EndpointView } from './EndpointView.js'
@@ -46,7 +47,6 @@
   /** May have run. */
   | { readonly kind: 'unknown', readonly reason: string }
 
-const SERVER_ERROR = 500
 /** Multiple of the expected time after which an idempotent request is sent to a second endpoint as well. */
 const HEDGE_FACTOR = 2.2
 /** Shortest wait before that, so that requests of a few milliseconds are not doubled by chance. */
@@ -234,7 +234,7 @@
     let ended = 0
     const take = (outcome: AttemptOutcome): void => {
       ended++
-      if (ended === 2 || (outcome.kind === 'answered' && outcome.answer.status < SERVER_ERROR)) resolve(outcome)
+      if (ended === 2 || (outcome.kind === 'answered' && isServed(outcome.answer.status))) resolve(outcome)
     }
     const fail = (error: unknown): void => take({ kind: 'unknown', reason: String(error) })
     left.then(take, fail)
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -2,14 +2,14 @@
 import { Histogram } from 'prom-client'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { splitAddress } from '../../common/HostPort.js'
+import { listenAt } from '../../common/Listening.js'
 import type { ILogService, IMetricsService, IService } from '../../common/Services.js'
 import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { HeaderRules } from '../../gate/HeaderRules.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
 import { readBodyInTime } from '../../gate/KeptBody.js'
 import { CALL_FINISHED, CALLER_MALFORMED } from '../Events.js'
-import { BODILESS_STATUSES, MAXIMUM_ANSWER_BYTES } from '../exchange/HttpExchange.js'
+import { BODILESS_STATUSES, MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
 import type { IConfigurationService, IMessageFormat } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
 import { WeightedSplit } from '../configuration/WeightedSplit.js'
@@ -78,15 +78,8 @@
     return this._inFlight
   }
 
-  public start (): Promise<void> {
-    const { host, port } = splitAddress(this._options.address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => {
-        this._server.off('error', reject)
-        resolve()
-      })
-    })
+  public async start (): Promise<void> {
+    await listenAt(this._server, this._options.address)
   }
 
   /** Asks callers to close their connections with each answer from now on. */
@@ -137,7 +130,7 @@
     if (route === undefined) return this._refuse(message, response, STATUS.noRoute, requestId)
     const patience = Math.min(route.timeout, format.callerPatience(message.headers) ?? route.timeout)
     const deadlineAt = arrivedAt + patience as Timestamp
-    const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_ANSWER_BYTES)
+    const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_BODY_BYTES)
     const body = inbound.body === undefined ? EMPTY_BODY : await readBodyInTime(inbound.body, limit, deadlineAt, clock)
     if (inbound.isCancelled) return
     if (body === undefined) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
--- a/src/mesh/calls/RepeatRules.ts
+++ b/src/mesh/calls/RepeatRules.ts
@@ -1,5 +1,6 @@
 /** Decides whether a request may be sent to another endpoint. */
 import type { Timestamp } from '../../common/Types.js'
+import { isEndpointFailure } from '../exchange/Statuses.js'
 import type { AttemptOutcome, RepeatKind } from '../Types.js'
 
 /** A request as far as the decision needs it. */
@@ -26,8 +27,6 @@
 const MAXIMUM_TRIES = 6
 /** Time that must remain for another attempt. */
 const LEAST_TIME_MS = 15
-const SERVER_ERROR = 500
-const GATEWAY_TIMEOUT = 504
 
 /** True if the attempt reached an endpoint, or may have. */
 export function hasArrived (outcome: AttemptOutcome): boolean {
@@ -44,6 +43,5 @@
   if (outcome.kind === 'refused') return 'again-if-allowed'
   if (subject.repeat !== 'idempotent') return 'final'
   if (outcome.kind === 'unknown') return outcome.reason === 'deadline' ? 'final' : 'again-if-allowed'
-  const { status } = outcome.answer
-  return status >= SERVER_ERROR && status !== GATEWAY_TIMEOUT ? 'again-if-allowed' : 'final'
+  return isEndpointFailure(outcome.answer.status) ? 'again-if-allowed' : 'final'
 }
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -6,7 +6,8 @@
 import { ANSWER_SPOILT, ENDPOINT_REACHABLE, ENDPOINT_UNREACHABLE } from '../Events.js'
 import { answerFields } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
-import type { IConfigurationService, IMessageFormat } from '../Services.js'
+import { isEndpointFailure, isServed } from '../exchange/Statuses.js'
+import type { IConfigurationService, IEndpointAnswerHead, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointRecord, IMeshCall } from '../Types.js'
 import type { FailureShare } from './FailureShare.js'
 import type { GatedCall } from './GatedCall.js'
@@ -40,8 +41,6 @@
 const CONNECTION_TRIES = 3
 /** Time within which a reset, or the close of all connections of an endpoint that crashed, is seen. */
 const END_CHECK_MS = 10 as Milliseconds
-const SERVER_ERROR = 500
-const GATEWAY_TIMEOUT = 504
 
 /** One request at a time on each connection; a connection whose answer was not whole is never used again. */
 export class EndpointSender extends Disposable {
@@ -87,8 +86,8 @@
     for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
       const connection = await this._acquire()
       if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
-      const end = await this._exchange(gated, connection, mayStartNow)
-      if (end.kind !== 'not-sent') return this._interpret(gated.call, end)
+      const outcome = await this._exchange(gated, connection, mayStartNow)
+      if (outcome !== undefined) return outcome
       if (gated.isCancelled) return { kind: 'refused', reason: 'cancelled' }
       // The endpoint began to leave meanwhile, or the asking node has been told that the request will not run.
       if (isForbidden) return { kind: 'refused', reason: 'draining' }
@@ -101,7 +100,8 @@
     this._connections?.dispose()
   }
 
-  private async _exchange (gated: GatedCall, connection: UpstreamConnection, mayStart: () => boolean): Promise<ExchangeEnd> {
+  /** Undefined if not a byte was sent. */
+  private async _exchange (gated: GatedCall, connection: UpstreamConnection, mayStart: () => boolean): Promise<AttemptOutcome | undefined> {
     const { call } = gated
     const { clock, format } = this._options
     const startedAt = clock.now()
@@ -118,10 +118,9 @@
     const connections = this._connections
     const end = await this._checkEnd(await exchange.run(connection), connection)
     timer.dispose()
-    const isWhole = end.kind === 'answer' && this._faultOf(call, end) === undefined
-    connections?.release(connection, isWhole)
-    if (isWhole) this._noteWhole(call, startedAt, end)
-    return end
+    const outcome = end.kind === 'not-sent' ? undefined : this._judge(call, end, startedAt)
+    connections?.release(connection, outcome !== undefined && outcome.kind !== 'unknown')
+    return outcome
   }
 
   /**
@@ -139,41 +138,32 @@
     return end
   }
 
-  private _noteWhole (call: IMeshCall, startedAt: Timestamp, { status, headers }: Answer): void {
-    const { format, clock, times, failures, log } = this._options
-    const now = clock.now()
-    const { isNotExecuted } = format.readAnswerHead(status, headers)
-    if (!isNotExecuted && status < SERVER_ERROR) times.record(call.route, now - startedAt as Milliseconds)
-    failures.record(isNotExecuted || (status >= SERVER_ERROR && status !== GATEWAY_TIMEOUT), now)
-    if (this._unreachableUntil === 0) return
-    this._unreachableUntil = 0
-    log.log(ENDPOINT_REACHABLE, { step: 'gate.exchange', endpoint: this._record?.id })
-  }
-
-  private _interpret (call: IMeshCall, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>): AttemptOutcome {
+  private _judge (call: IMeshCall, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, startedAt: Timestamp): AttemptOutcome {
     const { clock, failures, log, format } = this._options
     if (end.kind === 'broken') {
       if (end.reason !== 'cancelled') failures.record(true, clock.now())
       return { kind: 'unknown', reason: end.reason }
     }
-    const fault = this._faultOf(call, end)
+    const head = format.readAnswerHead(end.status, end.headers)
+    const fault = faultOf(call, end, head)
     if (fault !== undefined) {
       failures.record(true, clock.now())
       log.log(ANSWER_SPOILT, { step: 'gate.answer', peer: this._record?.id, request: call.callerRequestId, status: end.status, reason: fault })
       return { kind: 'unknown', reason: fault }
     }
-    if (format.readAnswerHead(end.status, end.headers).isNotExecuted) return { kind: 'refused', reason: 'shed' }
+    this._noteWhole(call, end.status, head.isNotExecuted, startedAt)
+    if (head.isNotExecuted) return { kind: 'refused', reason: 'shed' }
     return { kind: 'answered', answer: { status: end.status, fields: answerFields(end.headers), body: end.body } }
   }
 
-  /** Why an answer is not that of the request; undefined if it is. */
-  private _faultOf (call: IMeshCall, { status, headers }: Answer): string | undefined {
-    const head = this._options.format.readAnswerHead(status, headers)
-    const isOther = head.requestId !== undefined && call.callerRequestId !== undefined && head.requestId !== call.callerRequestId
-    if (isOther) return 'answer of another request'
-    if (headers['content-encoding'] !== undefined) return 'encoded answer'
-    const isSuccess = status >= 200 && status < 300
-    return isSuccess && !head.isSigned ? 'success without signature' : undefined
+  private _noteWhole (call: IMeshCall, status: number, isNotExecuted: boolean, startedAt: Timestamp): void {
+    const { clock, times, failures, log } = this._options
+    const now = clock.now()
+    if (!isNotExecuted && isServed(status)) times.record(call.route, now - startedAt as Milliseconds)
+    failures.record(isNotExecuted || isEndpointFailure(status), now)
+    if (this._unreachableUntil === 0) return
+    this._unreachableUntil = 0
+    log.log(ENDPOINT_REACHABLE, { step: 'gate.exchange', endpoint: this._record?.id })
   }
 
   private async _acquire (): Promise<UpstreamConnection | undefined> {
@@ -191,3 +181,12 @@
     }
   }
 }
+
+/** Why an answer is not that of the request; undefined if it is. */
+function faultOf (call: IMeshCall, { status, headers }: Answer, head: IEndpointAnswerHead): string | undefined {
+  const isOther = head.requestId !== undefined && call.callerRequestId !== undefined && head.requestId !== call.callerRequestId
+  if (isOther) return 'answer of another request'
+  if (headers['content-encoding'] !== undefined) return 'encoded answer'
+  const isSuccess = status >= 200 && status < 300
+  return isSuccess && !head.isSigned ? 'success without signature' : undefined
+}
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server for calls and questions of other nodes. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Emitter } from '../../common/Emitter.js'
-import { splitAddress } from '../../common/HostPort.js'
+import { listenAt } from '../../common/Listening.js'
 import type { IClockService, ILogService, IService } from '../../common/Services.js'
 import type { IEvent, NetworkAddress, RequestId } from '../../common/Types.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
@@ -9,7 +9,7 @@
 import { CALLER_MALFORMED } from '../Events.js'
 import { decodeCall, encodeLoad, encodeOutcome, INNER_HEADER, type IInnerAnswer } from '../exchange/CallCodec.js'
 import { SETTLE_ANSWER, type SettleReply } from '../exchange/NodeQuestions.js'
-import { MAXIMUM_ANSWER_BYTES } from '../exchange/HttpExchange.js'
+import { MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
 import type { IMessageFormat } from '../Services.js'
 import type { IMeshCall } from '../Types.js'
 import type { EndpointGate } from './EndpointGate.js'
@@ -56,15 +56,8 @@
     return this._inFlight
   }
 
-  public start (): Promise<void> {
-    const { host, port } = splitAddress(this._options.address)
-    return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, () => {
-        this._server.off('error', reject)
-        resolve()
-      })
-    })
+  public async start (): Promise<void> {
+    await listenAt(this._server, this._options.address)
   }
 
   public stop (): void {
@@ -108,7 +101,7 @@
     }
     const head = decodeCall({ ...parts, body: undefined }, arrivedAt)
     if (head === undefined || inbound.body === undefined) return head
-    const start = await readBodyInTime(inbound.body, MAXIMUM_ANSWER_BYTES, head.deadlineAt, clock)
+    const start = await readBodyInTime(inbound.body, MAXIMUM_BODY_BYTES, head.deadlineAt, clock)
     return start?.isWhole === true ? { ...head, body: start.content } : undefined
   }
 
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -1,4 +1,5 @@
 /** Keeps this node's row in the table of nodes. */
+import { drawUpperHalf } from '../../common/Jitter.js'
 import type { IClockService, ILogService, IRandomService, IService } from '../../common/Services.js'
 import type { IDisposable, Milliseconds, NetworkAddress } from '../../common/Types.js'
 import type { ITableService } from '../../platform/Services.js'
@@ -153,7 +154,7 @@
 
   private _backoff (): Milliseconds {
     const bound = Math.min(LONGEST_BACKOFF_MS, SHORTEST_BACKOFF_MS * 2 ** Math.min(this._failures, 4))
-    return bound * (1 + this._options.random.fraction()) / 2 as Milliseconds
+    return drawUpperHalf(bound, this._options.random)
   }
 
   private _release (): void {
--- a/src/mesh/exchange/CallCodec.ts
+++ b/src/mesh/exchange/CallCodec.ts
@@ -1,6 +1,8 @@
 /** Calls and outcomes as header fields between nodes. */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { EndpointId, Milliseconds, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
+import { fieldsOf } from '../../gate/HeaderRules.js'
+import { singleHeader } from '../../routing/AnswerHeaders.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshCall, IWholeAnswer, RefusalReason } from '../Types.js'
 
 /** Fields between nodes. Durations in milliseconds. */
@@ -68,7 +70,7 @@
 /** Undefined if the fields of a call are missing or malformed. */
 export function decodeCall (parts: ICallParts, now: Timestamp): IMeshCall | undefined {
   const { headers, method, path, body, callerRequestId, fields } = parts
-  const requestId = textOf(headers, INNER_HEADER.requestId)
+  const requestId = singleHeader(headers, INNER_HEADER.requestId)
   const service = decodedText(headers, INNER_HEADER.service)
   const endpoint = decodedText(headers, INNER_HEADER.endpoint)
   const deadline = numberOf(headers, INNER_HEADER.deadline)
@@ -117,7 +119,7 @@
 
 /** Undefined if the answer is not one of a node. */
 export function decodeOutcome (status: number, headers: IncomingHttpHeaders, body: Buffer): AttemptOutcome | undefined {
-  const load = decodeLoad(textOf(headers, INNER_HEADER.load))
+  const load = decodeLoad(singleHeader(headers, INNER_HEADER.load))
   const reason = decodedText(headers, INNER_HEADER.reason) ?? ''
   switch (headers[INNER_HEADER.outcome]) {
     case 'answered': return { kind: 'answered', answer: { status, fields: answerFields(headers), body }, load }
@@ -132,14 +134,7 @@
 
 /** Fields of an answer that go on: neither those of one connection nor those between nodes. */
 export function answerFields (headers: IncomingHttpHeaders): IWholeAnswer['fields'] {
-  const fields: string[] = []
-  for (const name in headers) {
-    if (FRAMING_FIELDS.has(name) || name.startsWith(PREFIX)) continue
-    const value = headers[name]
-    if (typeof value === 'string') fields.push(name, value)
-    else value?.forEach((one) => fields.push(name, one))
-  }
-  return fields
+  return fieldsOf(headers, (name) => !FRAMING_FIELDS.has(name) && !name.startsWith(PREFIX))
 }
 
 export function encodeLoad (load: IEndpointLoad): string {
@@ -157,13 +152,8 @@
   return String(Math.max(0, Math.round(until - now)))
 }
 
-function textOf (headers: IncomingHttpHeaders, name: string): string | undefined {
-  const value = headers[name]
-  return typeof value === 'string' ? value : undefined
-}
-
 function decodedText (headers: IncomingHttpHeaders, name: string): string | undefined {
-  const text = textOf(headers, name)
+  const text = singleHeader(headers, name)
   if (text === undefined) return undefined
   try {
     return decodeURIComponent(text)
@@ -174,6 +164,6 @@
 }
 
 function numberOf (headers: IncomingHttpHeaders, name: string): number | undefined {
-  const text = textOf(headers, name)
+  const text = singleHeader(headers, name)
   return text !== undefined && NUMBER_PATTERN.test(text) ? Number(text) : undefined
 }
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -29,8 +29,8 @@
   /** The request was sent, at least in part, and its answer is lost. */
   | { readonly kind: 'broken', readonly reason: string }
 
-/** An answer above this size breaks the exchange; whole answers are held in memory. */
-export const MAXIMUM_ANSWER_BYTES = 16_777_216
+/** Largest body of a request or an answer; both are held whole in memory. An answer above it breaks its exchange. */
+export const MAXIMUM_BODY_BYTES = 16_777_216
 const FIRST_FINAL_STATUS = 200
 /** Answers that have no body by their status. */
 export const BODILESS_STATUSES: readonly number[] = [204, 304]
@@ -93,7 +93,7 @@
 
   public onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._bytes += chunk.byteLength
-    if (this._bytes > MAXIMUM_ANSWER_BYTES) this.abort('answer too large')
+    if (this._bytes > MAXIMUM_BODY_BYTES) this.abort('answer too large')
     else this._chunks.push(chunk)
   }
 
--- a/src/mesh/view/NodeTable.ts
+++ b/src/mesh/view/NodeTable.ts
@@ -13,6 +13,7 @@
   readonly log: ILogService
 }
 
+const NO_ROWS: readonly IChangedRow[] = Object.freeze([])
 const NO_ENDPOINTS: readonly IMeshEndpoint[] = Object.freeze([])
 
 /** Of two states of a row the one with the later position holds, in whatever order they arrive. */
@@ -54,6 +55,8 @@
 
   /** Rows that changed after `position`, deleted ones included. */
   public changedAfter (position: StorePosition): readonly IChangedRow[] {
+    // Most heartbeats to followers come here, and have nothing to tell.
+    if (position >= this._position) return NO_ROWS
     return [...this._rows.values()].filter((row) => row.position > position)
   }
 
--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -1,4 +1,5 @@
 /** Follows the changes of one table of the store. */
+import { drawUpperHalf } from '../../common/Jitter.js'
 import type { IClockService, ILogService, IRandomService } from '../../common/Services.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import { HistoryLostError } from '../../platform/PlatformErrors.js'
@@ -131,6 +132,6 @@
 
   private _backoff (): Milliseconds {
     const bound = Math.min(LONGEST_BACKOFF_MS, SHORTEST_BACKOFF_MS * 2 ** (this._failures - 1))
-    return bound * (1 + this._options.random.fraction()) / 2 as Milliseconds
+    return drawUpperHalf(bound, this._options.random)
   }
 }
