Start from compiled code, and serve a returned endpoint before its id is known everywhere

Connections between nodes were opened one after the other, a round trip each.

Up to 16 connections to a node are opened at once.

Ruled out: the store (down 0 ms then), the view (the table was whole before the first request).

--- a/deploy/Bundle.mjs
+++ b/deploy/Bundle.mjs
@@ -1,21 +1,70 @@
-/** Bundles savoryknotd into target/: a process that is restarted reads a few files in place of some hundreds. */
+/** Bundles savoryknotd into target/ and runs it once for its compiled code: a process that is restarted serves sooner. */
 import { build } from 'esbuild'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 
-/** Modules of the bundle may be CommonJS, which ask for the modules of Node.js by `require`. */
-const REQUIRE = "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);"
+/** `import.meta.url` of the bundle's modules, which a CommonJS file has not. */
+const MODULE_URL = "const bundleUrl = require('node:url').pathToFileURL(__filename).href;"
+const LAUNCHER_FILE = 'target/savoryknotd.cjs'
+/** Settings of the run for the compiled code; nothing answers at its store. */
+const TRIAL_SETTINGS_FILE = 'target/compile-trial.ini'
+const TRIAL_ADDRESSES = ['caller', 'gate', 'peer', 'ready', 'control', 'metrics']
+/** By then the node has opened its ports and begun to ask for its view. */
+const TRIAL_DURATION_MS = 1_500
 
 await build({
-  entryPoints: { savoryknotd: 'src/daemon/Main.ts' },
+  entryPoints: { 'savoryknotd-bundle': 'src/daemon/Main.ts' },
   outdir: 'target',
-  outExtension: { '.js': '.mjs' },
+  outExtension: { '.js': '.cjs' },
   bundle: true,
-  splitting: true,
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   target: 'node20',
+  alias: { undici: './deploy/HttpClientParts.cjs' },
   // Names stay, for stacks and the names of errors.
   minifyWhitespace: true,
   minifySyntax: true,
-  banner: { js: REQUIRE },
+  define: { 'import.meta.url': 'bundleUrl' },
+  banner: { js: MODULE_URL },
   logLevel: 'warning'
 })
+copyFileSync('deploy/Launcher.cjs', LAUNCHER_FILE)
+await writeCompileCache()
+
+/** Compiled code is valid only under the flags of the run that wrote it. */
+async function writeCompileCache () {
+  mkdirSync('target', { recursive: true })
+  writeFileSync(TRIAL_SETTINGS_FILE, await trialSettings())
+  const daemon = spawn(process.execPath, [...deployedFlags(), LAUNCHER_FILE, '--settings', TRIAL_SETTINGS_FILE], {
+    env: { ...process.env, SAVORYKNOT_WRITE_COMPILE_CACHE: '1' }, stdio: 'ignore'
+  })
+  const exited = once(daemon, 'exit')
+  await Promise.race([sleep(TRIAL_DURATION_MS), exited])
+  daemon.kill('SIGTERM')
+  await exited
+}
+
+/** Flags of Node.js with which deploy/system.toml runs the daemon. */
+function deployedFlags () {
+  const [, command] = /^run = "node (.*)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))
+  return command.split(' ').filter((word) => word.startsWith('--') && word !== '--settings')
+}
+
+async function trialSettings () {
+  const lines = ['[mesh]', 'node = trial', 'failure-domain = trial', 'region = trial']
+  for (const name of TRIAL_ADDRESSES) lines.push(`${name}-address = 127.0.0.1:${await freePort()}`)
+  lines.push('[store]', `address = 127.0.0.1:${await freePort()}`, '[bounds]', 'stop = 1 s', '')
+  return lines.join('\n')
+}
+
+async function freePort () {
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address()
+  server.close()
+  await once(server, 'close')
+  return port
+}
--- a/src/daemon/Main.ts
+++ b/src/daemon/Main.ts
@@ -83,4 +83,4 @@
   return EXIT_DONE
 }
 
-process.exit(await main())
+main().then((code) => process.exit(code))
--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -17,6 +17,8 @@
   readonly openInterval: Milliseconds
   /** An opening that takes longer has failed. */
   readonly openTimeout: Milliseconds
+  /** Most openings under way at once; one if not given. */
+  readonly parallelOpenings?: number
 }
 
 /** Idle time after which a connection is closed, unless the upstream asks for less. */
@@ -106,7 +108,7 @@
   private _waiters: IWaiter[] = []
   private _warm = 0
   private _limit = 0
-  private _opening: Socket | undefined
+  private readonly _opening = new Set<Socket>()
   private _pause: IDisposable | undefined
 
   constructor (options: IUpstreamConnectionsOptions) {
@@ -157,7 +159,7 @@
   public override dispose (): void {
     super.dispose()
     this._pause?.dispose()
-    this._opening?.destroy()
+    for (const socket of this._opening) socket.destroy()
     this._rejectWaiters('gate stopped')
     for (const connection of [...this._open]) connection.close()
   }
@@ -169,16 +171,18 @@
   }
 
   private _openMore (): void {
-    if (this.isDisposed || this._opening !== undefined || this._pause !== undefined) return
-    const wanted = Math.max(this._warm, this._open.size + this._waiters.length)
-    if (this._open.size >= Math.min(wanted, this._limit)) return
-    this._openOne()
+    const { parallelOpenings = 1 } = this._options
+    const wanted = Math.min(this._limit, Math.max(this._warm, this._open.size + this._waiters.length))
+    while (!this.isDisposed && this._pause === undefined && this._opening.size < parallelOpenings) {
+      if (this._open.size + this._opening.size >= wanted) return
+      this._openOne()
+    }
   }
 
   private _openOne (): void {
     const { host, port } = splitAddress(this._options.address)
     const socket = connect({ host, port, noDelay: true, keepAlive: true })
-    this._opening = socket
+    this._opening.add(socket)
     const timeout = this._options.clock.after(this._options.openTimeout, () => socket.destroy(new Error('connection attempt timed out')))
     const fail = (error?: Error): void => { this._onFailed(socket, error) }
     socket.once('error', fail)
@@ -193,7 +197,7 @@
   }
 
   private _onOpened (socket: Socket): void {
-    this._opening = undefined
+    this._opening.delete(socket)
     const connection = new UpstreamConnection(socket, `http://${this._options.address}`)
     this._open.add(connection)
     socket.once('close', () => { this._onClosed(connection) })
@@ -210,16 +214,17 @@
   }
 
   private _onFailed (socket: Socket, cause: Error | undefined): void {
-    if (this._opening !== socket) return
-    this._opening = undefined
+    if (!this._opening.delete(socket)) return
     socket.on('error', ignore)
-    const error = this._rejectWaiters(cause?.message ?? 'connection closed', cause)
     if (this.isDisposed) return
-    this._options.onUnreachable(error)
     this._pauseOpening(REOPEN_DELAY_MS)
+    // Openings that are still under way may serve those who wait.
+    if (this._opening.size > 0) return
+    this._options.onUnreachable(this._rejectWaiters(cause?.message ?? 'connection closed', cause))
   }
 
   private _pauseOpening (duration: Milliseconds = this._options.openInterval): void {
+    this._pause?.dispose()
     this._pause = this._options.clock.after(duration, () => {
       this._pause = undefined
       this._openMore()
--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -22,6 +22,8 @@
   readonly requestId: string | undefined
   /** True if the endpoint states that it did not run the request. */
   readonly isNotExecuted: boolean
+  /** True if another incarnation than the expected one answers; it did not run the request. */
+  readonly isOtherIncarnation: boolean
   /** True if the answer bears the mark of an endpoint, without which a success is none. */
   readonly isSigned: boolean
 }
@@ -34,8 +36,8 @@
   callerPatience (headers: IncomingHttpHeaders): Milliseconds | undefined
   /** The fields of a caller's request that go on to the endpoint, names and values in turn. */
   forwardedFields (headers: IncomingHttpHeaders): readonly string[]
-  /** The fields that the mesh itself adds for the endpoint. */
-  endpointFields (call: IMeshCall, remaining: Milliseconds): readonly string[]
+  /** The fields that the mesh itself adds for the endpoint. `expected`: the incarnation that is to run the request. */
+  endpointFields (call: IMeshCall, expected: EndpointId, remaining: Milliseconds): readonly string[]
   readAnswerHead (status: number, headers: IncomingHttpHeaders): IEndpointAnswerHead
   /** Fields of an answer that the mesh itself gives to a caller. */
   refusalFields (requestId: string | undefined, retryAfter: Milliseconds | undefined): readonly string[]
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -24,6 +24,8 @@
 const CONNECTION_LIMIT = 256
 /** Time between two openings of connections. */
 const OPEN_INTERVAL_MS = 1 as Milliseconds
+/** After a restart many requests need a connection at once, each opening takes a round trip. */
+const PARALLEL_OPENINGS = 16
 /** Well above a round trip between regions, well below the time that callers wait. */
 const OPEN_TIMEOUT_MS = 200 as Milliseconds
 /** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
@@ -47,7 +49,12 @@
     super()
     const { address, clock } = _options
     this._connections = this.register(new UpstreamConnections({
-      address, clock, openInterval: OPEN_INTERVAL_MS, openTimeout: OPEN_TIMEOUT_MS, onUnreachable: () => undefined
+      address,
+      clock,
+      openInterval: OPEN_INTERVAL_MS,
+      openTimeout: OPEN_TIMEOUT_MS,
+      parallelOpenings: PARALLEL_OPENINGS,
+      onUnreachable: () => undefined
     }))
     this._connections.resize(0, CONNECTION_LIMIT)
   }
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -48,6 +48,8 @@
   private _record: IEndpointRecord | undefined
   /** 0 while the endpoint can be reached. */
   private _unreachableUntil = 0
+  /** True once another incarnation has answered in place of the one in the record. */
+  private _isReplaced = false
 
   constructor (private readonly _options: IEndpointSenderOptions) {
     super()
@@ -58,11 +60,17 @@
     return now < this._unreachableUntil
   }
 
+  /** True while the address belongs to an incarnation that has not reported yet. */
+  public get isReplaced (): boolean {
+    return this._isReplaced
+  }
+
   /** A new incarnation gets new connections and begins without a past. */
   public renew (record: IEndpointRecord): void {
     this._record = record
     this._connections?.dispose()
     this._unreachableUntil = 0
+    this._isReplaced = false
     this._options.failures.reset()
     const connections = new UpstreamConnections({
       address: record.address,
@@ -84,7 +92,10 @@
       return !isForbidden
     }
     for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
+      const connections = this._connections
       const connection = await this._acquire()
+      // A new incarnation may have reported meanwhile; its connections are tried next.
+      if (connection === undefined && connections !== this._connections) continue
       if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
       const outcome = await this._exchange(gated, connection, mayStartNow)
       if (outcome !== undefined) return outcome
@@ -109,7 +120,7 @@
     const exchange = new HttpExchange({
       method: call.method,
       path: call.path,
-      fields: [...call.fields, ...format.endpointFields(call, remaining)],
+      fields: [...call.fields, ...format.endpointFields(call, this._record?.id ?? call.endpoint, remaining)],
       body: call.body,
       mayStart
     })
@@ -152,6 +163,7 @@
       return { kind: 'unknown', reason: fault }
     }
     this._noteWhole(call, end.status, head.isNotExecuted, startedAt)
+    if (head.isOtherIncarnation) this._isReplaced = true
     if (head.isNotExecuted) return { kind: 'refused', reason: 'shed' }
     return { kind: 'answered', answer: { status: end.status, fields: answerFields(end.headers), body: end.body } }
   }
@@ -168,9 +180,11 @@
 
   private async _acquire (): Promise<UpstreamConnection | undefined> {
     const { clock, log, failures } = this._options
+    const connections = this._connections
     try {
-      return await this._connections?.acquire()
+      return await connections?.acquire()
     } catch (error) {
+      if (connections !== this._connections) return undefined
       if (this._unreachableUntil === 0) {
         log.log(ENDPOINT_UNREACHABLE, { step: 'gate.connect', peer: this._record?.address, endpoint: this._record?.id, reason: String(error) })
       }
--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -22,12 +22,16 @@
   public mode: EndpointMode = 'well'
   /** Time that a request takes, in milliseconds. */
   public workTime = 0
+  /** Start of this incarnation, in milliseconds of its clock. */
+  public born = 1
   public readonly runs: IRunRequest[] = []
   /** Requests whose connection closed before their answer. */
   public abandoned = 0
+  /** Requests that were meant for another incarnation. */
+  public misdirected = 0
   private readonly _server: Server
 
-  constructor (public readonly id: string) {
+  constructor (public id: string) {
     this._server = createServer((request, response) => { this._serve(request, response).catch(() => response.destroy()) })
   }
 
@@ -49,7 +53,7 @@
   public heartbeat (service: string, sequence: number, state = 'ready'): string {
     return JSON.stringify({
       address: this.address,
-      born: 1,
+      born: this.born,
       nodeInfo: { service, version: 'v1', zone: 'z1', slots: 4 },
       status: { state, sequence, coldLeftMs: 0 }
     })
@@ -60,13 +64,18 @@
     for await (const chunk of request) chunks.push(chunk as Buffer)
     const id = String(request.headers['x-savoryknot-attempt-id'] ?? '')
     const echo = { 'x-savoryknot-attempt-id': this.mode === 'other-id' ? 'another' : id }
+    const expected = String(request.headers['x-savoryknot-expect-instance'] ?? '')
+    if (expected !== this.id) {
+      this.misdirected++
+      return write(response, 421, echo, '')
+    }
     if (this.mode === 'shed') return write(response, 503, { ...echo, 'x-savoryknot-not-executed': '1' }, '')
     this.runs.push({
       id,
       method: request.method ?? '',
       path: request.url ?? '',
       body: Buffer.concat(chunks).toString(),
-      expected: String(request.headers['x-savoryknot-expect-instance'] ?? ''),
+      expected,
       caller: String(request.headers['x-savoryknot-caller-service'] ?? ''),
       deadline: Number(request.headers['x-savoryknot-deadline-ms'])
     })
