--- /dev/null
+++ b/deploy/Bundle.test.ts
@@ -0,0 +1,58 @@
+/** What the deploy file runs: the bundle with its compiled code, as a process of its own. */
+import { expect } from 'chai'
+import { execFileSync, spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { findFreePorts } from '../testing/demonstration/FreePorts.js'
+import { StoreStandIn } from '../testing/mesh/StoreStandIn.js'
+import { until } from '../testing/mesh/MeshRig.js'
+
+const PORT_NAMES = ['caller', 'gate', 'peer', 'ready', 'control', 'metrics']
+
+/** Flags and file of the deploy file's command. */
+function deployedCommand (): readonly string[] {
+  const command = /^run = "node (.*) --settings/m.exec(readFileSync('deploy/system.toml', 'utf8'))?.[1]
+  return command?.split(' ') ?? []
+}
+
+describe('Bundle of the deploy file', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'savoryknot-bundle-'))
+  const store = new StoreStandIn()
+  let daemon: ChildProcess | undefined
+
+  before(async function () {
+    this.timeout(60_000)
+    execFileSync('npm', ['run', '--silent', 'build:deploy'])
+    await store.start()
+    store.put('op', 'config', JSON.stringify({
+      version: 'r1', routes: { columns: [], rows: [] }, services: { columns: [], rows: [] }, limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+    }))
+  })
+
+  after(() => {
+    daemon?.kill('SIGKILL')
+    store.stop()
+    rmSync(folder, { recursive: true })
+  })
+
+  it('starts from its compiled code, reads the store, says that it is ready, and stops with 0', async function () {
+    this.timeout(30_000)
+    const ports = await findFreePorts(PORT_NAMES.length)
+    const file = join(folder, 'node.ini')
+    writeFileSync(file, [
+      '[mesh]', 'node = n1', 'failure-domain = z1', 'region = r1', ...PORT_NAMES.map((name, index) => `${name}-address = 127.0.0.1:${ports[index] ?? 0}`),
+      '[store]', `address = ${store.address}`, '[bounds]', 'stop = 1 s', ''
+    ].join('\n'))
+    daemon = spawn(process.execPath, [...deployedCommand(), '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    let output = ''
+    let complaints = ''
+    daemon.stdout?.on('data', (chunk: Buffer) => { output += chunk.toString() })
+    daemon.stderr?.on('data', (chunk: Buffer) => { complaints += chunk.toString() })
+    await until(() => output.includes('"node-started"'))
+    const exited = once(daemon, 'exit')
+    daemon.kill('SIGTERM')
+    expect([(await exited)[0], complaints]).to.deep.equal([0, ''])
+  })
+})
