--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -102,7 +102,7 @@
     for (;;) {
       const now = clock.now()
       const view = this._choose(now)
-      if (view === undefined) return this._conclude({ kind: 'refused', reason: 'no-endpoint' })
+      if (view === undefined) return this._conclude({ kind: 'refused', reason: this._retryAfter === undefined ? 'no-endpoint' : 'overloaded' })
       const outcome = await this._attemptHedged(view, now)
       if (!this._mayGoOn(outcome, clock.now())) return this._conclude(outcome)
     }
@@ -154,9 +154,15 @@
 
   private _choose (now: Timestamp): EndpointView | undefined {
     const { directory, placement } = this._services
-    const { service, route } = this._request
-    const candidates = directory.candidates(service, now).filter((view) => !this._tried.has(view))
-    return placement.choose(candidates, route.objective, now)
+    const { service, route, arrivedAt } = this._request
+    const candidates: EndpointView[] = []
+    for (const view of directory.candidates(service, now)) {
+      if (this._tried.has(view)) continue
+      const roomAt = view.roomAt(route.rank, now)
+      if (roomAt === undefined) candidates.push(view)
+      else this._noteRetryAfter(roomAt - now as Milliseconds)
+    }
+    return placement.choose(candidates, { objective: route.objective, left: arrivedAt + route.objective - now as Milliseconds }, now)
   }
 
   private async _attempt (view: EndpointView, now: Timestamp, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
--- a/src/mesh/calls/Decisions.test.ts
+++ b/src/mesh/calls/Decisions.test.ts
@@ -40,13 +40,13 @@
 }
 
 /** Names by how often they were chosen of `count` times, each choice adding one request there. */
-function chooseMany (views: readonly EndpointView[], count: number): Record<string, number> {
+function chooseMany (views: readonly EndpointView[], count: number, left = OBJECTIVE): Record<string, number> {
   const placement = new Placement(new RandomService(1))
   const chosen: Record<string, number> = {}
   for (let time = 0; time < count; time++) {
-    const view = placement.choose(views, OBJECTIVE, NOW)
+    const view = placement.choose(views, { objective: OBJECTIVE, left }, NOW)
     if (view === undefined) break
-    view.outstanding++
+    view.begin(NOW)
     chosen[view.target.endpoint.id] = (chosen[view.target.endpoint.id] ?? 0) + 1
   }
   return chosen
@@ -68,6 +68,28 @@
     expect(Object.values(chooseMany([viewOf('a', 0, { failurePercent: 60 }), viewOf('b', 0, { failurePercent: 60 })], 10))).to.deep.equal([5, 5])
   })
 
+  it('goes abroad for an answer that would be late at home, and not for one that is late anyway', () => {
+    const views = (): EndpointView[] => [viewOf('own', 0, { serviceTime: 640 as Milliseconds }), viewOf('abroad', 2, { serviceTime: 360 as Milliseconds })]
+    expect([chooseMany(views(), 2), chooseMany(views(), 2, 0 as Milliseconds)]).to.deep.equal([{ abroad: 2 }, { own: 2 }])
+  })
+
+  it('takes requests that stay without an answer for a sign of a slow endpoint, and tries it again later', () => {
+    const silent = viewOf('silent', 0, {})
+    silent.begin(NOW)
+    const later = NOW + 900 as Timestamp
+    const placement = new Placement(new RandomService(1))
+    const reported = viewOf('reported', 0, { serviceTime: 2_000 as Milliseconds })
+    const times = [0, 4_000, 20_000].map((passed) => Math.round(reported.serviceTimeAt(200, NOW + passed as Timestamp) ?? 0))
+    expect([placement.expectedTime(silent, 200, later), times]).to.deep.equal([900, [2_000, 1_100, 256]])
+  })
+
+  it('asks an endpoint without room no more for a moment, but for more important requests', () => {
+    const view = viewOf('full', 0, {})
+    view.noteFull(1, 400 as Milliseconds, NOW)
+    const asked = [0, 1, 2].map((rank) => view.roomAt(rank, NOW + 100 as Timestamp))
+    expect([asked, view.roomAt(1, NOW + 200 as Timestamp)]).to.deep.equal([[undefined, NOW + 400, NOW + 400], undefined])
+  })
+
   it('tries an endpoint that it has never used', () => {
     expect(chooseMany([viewOf('known', 0, {}), viewOf('new', 0, undefined, 3_000)], 1)).to.deep.equal({ new: 1 })
   })
--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -20,6 +20,8 @@
   readonly log: ILogService
 }
 
+const NO_WAIT = 0 as Milliseconds
+
 /** Keeps observations across changes of the table of nodes. */
 export class EndpointDirectory extends Disposable {
   private readonly _remotes = new Map<NodeName, RemoteNode>()
@@ -61,12 +63,15 @@
   public async execute (view: EndpointView, call: IMeshCall, expected: Milliseconds, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
     const { clock, gate, self } = this._options
     const startedAt = clock.now()
-    view.outstanding++
+    const attempt = view.begin(startedAt)
     const isLocal = view.target.node.node === self.name
     const outcome = isLocal ? await gate.execute(call, onCancelled) : await this._remote(view.target).execute(call, expected, onCancelled)
-    view.outstanding--
+    view.end(attempt)
     const now = clock.now()
     view.observe(outcome, now - startedAt as Milliseconds, now)
+    const isFull = outcome.kind === 'refused' && outcome.reason === 'overloaded'
+    // One that is late already may be refused while others still find room.
+    if (isFull && now + (view.serviceTime ?? 0) <= call.objectiveAt) view.noteFull(call.rank, outcome.retryAfter ?? NO_WAIT, now)
     return outcome
   }
 
--- a/src/mesh/calls/EndpointView.ts
+++ b/src/mesh/calls/EndpointView.ts
@@ -13,15 +13,31 @@
 /** How long an endpoint gets no requests after a refusal that is not about one request, in milliseconds. */
 const PAUSE_MS: Readonly<Partial<Record<RefusalReason, number>>> = Object.freeze({ draining: 1_000, 'no-endpoint': 500, unreachable: 300 })
 
+/** An attempt that was sent from here and is not answered yet. */
+export interface IOutstandingAttempt { readonly startedAt: Timestamp }
+
+/** Time in which the distance of an endpoint's time from that of the others halves in the absence of news, so that it is tried again. */
+const SERVICE_TIME_HALF_LIFE_MS = 4_000
+
+/** Longest time for which a refusal for want of room keeps further requests away; the load changes within tens of milliseconds. */
+const LONGEST_FULL_MS = 150
+
+/** The endpoint had no room for a request of this rank. */
+interface IFullState {
+  readonly rank: number
+  readonly until: number
+  readonly roomAt: Timestamp
+}
+
 /** Own observation outweighs what is reported, and reports lose weight as they age. */
 export class EndpointView {
-  /** Attempts sent from here and not answered yet. */
-  public outstanding = 0
+  private readonly _outstanding = new Set<IOutstandingAttempt>()
   private _load: IEndpointLoad | undefined
   private _loadAt = 0
   private _outstandingAtLoad = 0
   private _roundTrip = 0
   private _pausedUntil = 0
+  private _full: IFullState | undefined
 
   constructor (public target: IMeshEndpoint, public readonly tier: LocalityTier) {}
 
@@ -30,11 +46,39 @@
     return this.target.endpoint.slots
   }
 
-  /** Usual time in a slot; undefined if not known yet. */
+  /** Attempts sent from here and not answered yet. */
+  public get outstanding (): number {
+    return this._outstanding.size
+  }
+
+  /** Start of each of them. */
+  public * startTimes (): Iterable<Timestamp> {
+    for (const { startedAt } of this._outstanding) yield startedAt
+  }
+
+  /** Notes an attempt that is sent now; give the result to `end` when it is over. */
+  public begin (now: Timestamp): IOutstandingAttempt {
+    const attempt = { startedAt: now }
+    this._outstanding.add(attempt)
+    return attempt
+  }
+
+  public end (attempt: IOutstandingAttempt): void {
+    this._outstanding.delete(attempt)
+  }
+
+  /** Usual time in a slot as it was reported last; undefined if not known yet. */
   public get serviceTime (): Milliseconds | undefined {
     return this._load === undefined || this._load.serviceTime === 0 ? undefined : this._load.serviceTime
   }
 
+  /** Usual time in a slot, the nearer to `typical` the older the report; undefined if not known yet. */
+  public serviceTimeAt (typical: number, now: Timestamp): number | undefined {
+    const reported = this.serviceTime
+    if (reported === undefined || reported < typical) return reported
+    return typical + (reported - typical) * 2 ** (-Math.max(0, now - this._loadAt) / SERVICE_TIME_HALF_LIFE_MS)
+  }
+
   /** Usual time on the way to the endpoint's node and back. */
   public get roundTrip (): Milliseconds {
     return this._roundTrip as Milliseconds
@@ -45,6 +89,18 @@
     return now < this._pausedUntil
   }
 
+  /** When room is expected, if the endpoint has just refused a request of this rank or a more important one for want of it. */
+  public roomAt (rank: number, now: Timestamp): Timestamp | undefined {
+    return this._full !== undefined && now < this._full.until && rank >= this._full.rank ? this._full.roomAt : undefined
+  }
+
+  /** Takes a refusal for want of room of a request that could still be on time. */
+  public noteFull (rank: number, retryAfter: Milliseconds, now: Timestamp): void {
+    const isKnownForMoreImportant = this._full !== undefined && now < this._full.until && this._full.rank < rank
+    if (isKnownForMoreImportant) return
+    this._full = { rank, until: now + Math.min(LONGEST_FULL_MS, retryAfter), roomAt: now + retryAfter as Timestamp }
+  }
+
   /** True for some seconds after the endpoint's start. */
   public isWarming (now: Timestamp): boolean {
     return now < this.target.node.learntAt + this.target.endpoint.warmUpLeft
@@ -63,7 +119,7 @@
     return (this._load?.failurePercent ?? 0) / 100 * 2 ** (-age / FAILURE_HALF_LIFE_MS)
   }
 
-  /** Takes the end of an attempt that took `duration`; call it after `outstanding` was lowered. */
+  /** Takes the end of an attempt that took `duration`; call it after `end`. */
   public observe (outcome: AttemptOutcome, duration: Milliseconds, now: Timestamp): void {
     if (outcome.load !== undefined) this.observeLoad(outcome.load, now)
     if (outcome.load !== undefined) this._observeRoundTrip(duration - outcome.load.handled)
--- a/src/mesh/calls/Placement.ts
+++ b/src/mesh/calls/Placement.ts
@@ -1,6 +1,7 @@
 /** Decides which endpoint gets a request. */
 import type { IRandomService } from '../../common/Services.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import { presentTime } from '../exchange/SlowAge.js'
 import type { EndpointView } from './EndpointView.js'
 
 /** What distance is worth, and how load is weighed. */
@@ -13,6 +14,8 @@
   readonly warmUpFactor: number
   /** Part of a request's objective that a sure failure costs. */
   readonly failureCost: number
+  /** Part of a request's objective that an answer costs which is sure to be late. */
+  readonly lateCost: number
   /** Random part of each estimate, so that nodes with the same view do not all choose alike. */
   readonly noise: number
 }
@@ -23,16 +26,30 @@
   crowdingShare: 0.3,
   warmUpFactor: 2,
   failureCost: 1.5,
+  lateCost: 1,
   noise: 0.04
 })
 
+/** Shares of the time that is left until the objective: up to the first an answer is never late, from the second on it is. */
+const SURELY_ON_TIME_SHARE = 0.6
+const SURELY_LATE_SHARE = 1.2
+
+/** What a request wants of its placement. */
+export interface IPlacementWish {
+  /** Time within which an answer is worth most, from the request's arrival. */
+  readonly objective: Milliseconds
+  /** Left of it; below 0 once it is over. */
+  readonly left: Milliseconds
+}
+
 /** Share of the typical time that is hoped for at an endpoint that was never tried, so that each one is tried soon. */
 const UNKNOWN_SHARE = 0.5
 /** Time taken for a request of a service of which nothing has been observed. */
 const UNKNOWN_SERVICE_TIME_MS = 100
 
 /**
- * Takes the endpoint at which the answer is expected first, distance counted as time. Answers endpoints of different
+ * Takes the endpoint at which the answer is expected first, distance and the risk of a late or failed answer counted as
+ * time. Answers endpoints of different
  * speed, bursts in one failure domain, endpoints that are slow, that start, or that fail a part of their requests:
  * all of them change the expected time, and none is ever shut out for good.
  */
@@ -43,13 +60,13 @@
     this._options = { ...DEFAULT_PLACEMENT_OPTIONS, ...options }
   }
 
-  /** Undefined if there is no candidate. `objective`: of the request's route. */
-  public choose (candidates: readonly EndpointView[], objective: Milliseconds, now: Timestamp): EndpointView | undefined {
+  /** Undefined if there is no candidate. */
+  public choose (candidates: readonly EndpointView[], wish: IPlacementWish, now: Timestamp): EndpointView | undefined {
     const typical = typicalServiceTime(candidates)
     let best: EndpointView | undefined
     let bestCost = Infinity
     for (const candidate of candidates) {
-      const cost = this._cost(candidate, typical, objective, now)
+      const cost = this._cost(candidate, typical, wish, now)
       if (cost >= bestCost) continue
       best = candidate
       bestCost = cost
@@ -61,19 +78,27 @@
   public expectedTime (view: EndpointView, typical: number, now: Timestamp): number {
     const { crowdingShare, warmUpFactor } = this._options
     const occupied = view.occupied(now)
-    const service = view.serviceTime === undefined ? typical * UNKNOWN_SHARE : view.serviceTime * (view.isWarming(now) ? warmUpFactor : 1)
+    const known = view.serviceTimeAt(typical, now)
+    const service = known === undefined ? typical * UNKNOWN_SHARE : known * (view.isWarming(now) ? warmUpFactor : 1)
     const wait = Math.max(0, occupied + 1 - view.slots) * service / view.slots
     const crowding = Math.min(1, occupied / view.slots) ** 2 * crowdingShare * service
-    return wait + service + crowding + view.roundTrip
+    return presentTime(wait + service + crowding + view.roundTrip, view.startTimes(), now)
   }
 
-  private _cost (view: EndpointView, typical: number, objective: Milliseconds, now: Timestamp): number {
-    const { distanceCost, failureCost, noise } = this._options
+  private _cost (view: EndpointView, typical: number, { objective, left }: IPlacementWish, now: Timestamp): number {
+    const { distanceCost, failureCost, lateCost, noise } = this._options
     const time = this.expectedTime(view, typical, now) * (1 + noise * this._random.fraction())
-    return time + distanceCost[view.tier] + view.failureShare(now) * failureCost * objective
+    const risk = view.failureShare(now) * failureCost + chanceOfLateness(time, left) * lateCost
+    return time + distanceCost[view.tier] + risk * objective
   }
 }
 
+/** Grows from 0 to 1 as the expected time nears what is left; 0 if nothing is, since all endpoints are alike then. */
+function chanceOfLateness (time: number, left: number): number {
+  if (left <= 0) return 0
+  return Math.min(1, Math.max(0, (time / left - SURELY_ON_TIME_SHARE) / (SURELY_LATE_SHARE - SURELY_ON_TIME_SHARE)))
+}
+
 /** Mean over the endpoints that have been observed. */
 export function typicalServiceTime (views: readonly EndpointView[]): number {
   let sum = 0
--- a/src/mesh/calls/RemoteNode.test.ts
+++ b/src/mesh/calls/RemoteNode.test.ts
@@ -7,7 +7,7 @@
 import type { EndpointId, Milliseconds, NetworkAddress, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import { INNER_HEADER } from '../exchange/CallCodec.js'
-import type { NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
+import type { ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
 import type { IMeshCall, NodeName, RepeatKind } from '../Types.js'
 import { RemoteNode } from './RemoteNode.js'
 
@@ -33,7 +33,8 @@
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
     const { port } = server.address() as AddressInfo
-    const questions = { settle: async () => reply, probe: async () => undefined } as unknown as NodeQuestions
+    const settle = async (): Promise<ISettleAnswer | undefined> => reply === undefined ? undefined : { reply, load: undefined }
+    const questions = { settle, probe: async () => undefined } as unknown as NodeQuestions
     node = new RemoteNode({
       name: 'n' as NodeName, address: `127.0.0.1:${port}` as NetworkAddress, questions, clock, log: new RecordingLog(), onLoad: () => undefined
     })
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -6,7 +6,7 @@
 import { CALL_SETTLED, NODE_SUSPECT, NODE_TRUSTED } from '../Events.js'
 import { decodeOutcome, encodeCall, INNER_HEADER } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
-import type { NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
+import type { ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshCall, NodeName } from '../Types.js'
 
 /** What a remote node needs. */
@@ -16,7 +16,7 @@
   readonly questions: NodeQuestions
   readonly clock: IClockService
   readonly log: ILogService
-  /** Called with the load that a probe brought. */
+  /** Called with the load that a probe or a question brought. */
   readonly onLoad: (load: IEndpointLoad, now: Timestamp) => void
 }
 
@@ -170,17 +170,21 @@
 
   /** What the node says of the request; undefined if it does not answer. */
   public async settle (): Promise<SettleReply | undefined> {
-    const { log, name } = this._options
-    const reply = await this._askNode()
+    const { clock, log, name, onLoad } = this._options
+    const answer = await this._askNode()
+    // An endpoint that keeps its requests tells nothing by answers.
+    if (answer?.load !== undefined) onLoad(answer.load, clock.now())
+    const reply = answer?.reply
     log.log(CALL_SETTLED, { step: 'calls.settle', peer: name, request: this._call.callerRequestId, reply: reply ?? 'no answer' })
     return reply
   }
 
   /** As long as no answer has told which process is there, the node can say nothing of a request, but that it lives. */
-  private async _askNode (): Promise<SettleReply | undefined> {
+  private async _askNode (): Promise<ISettleAnswer | undefined> {
     const { questions, address } = this._options
     if (this._processToken !== undefined) return await questions.settle(address, this._call.requestId, this._processToken)
-    return await questions.probe(address) === undefined ? undefined : 'running'
+    const probe = await questions.probe(address)
+    return probe === undefined ? undefined : { reply: 'running', load: probe.load }
   }
 
   private _askAfter (patience: Milliseconds): void {
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -5,6 +5,7 @@
 import type { IEvent, Milliseconds, RequestId, Timestamp } from '../../common/Types.js'
 import { StartedRequests } from '../../gate/StartedRequests.js'
 import { CALL_REFUSED_AT_GATE } from '../Events.js'
+import { presentTime } from '../exchange/SlowAge.js'
 import type { IConfigurationService, ILocalEndpoint, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointLoad, IEndpointRecord, IMeshCall, RefusalReason } from '../Types.js'
 import { EndpointSender } from './EndpointSender.js'
@@ -27,9 +28,6 @@
 /** What became of a request whose node was asked for it. */
 export type SettledState = 'never-will-be' | 'running' | 'finished'
 
-/** Requests in slots that have run this multiple of the usual time, on average, show that the endpoint has turned slow. */
-const SLOW_AGE_FACTOR = 1.8
-
 /** Admits calls by rank, objective and deadline, and runs them one to a connection. */
 export class EndpointGate extends Disposable {
   private readonly _sender: EndpointSender
@@ -97,24 +95,14 @@
 
   /** The usual time, or what the requests in slots have run already if that is far more. */
   private _presentServiceTime (now: Timestamp): Milliseconds {
-    const usual = this._times.overall
-    const age = this._meanAge(now)
-    return age > usual * SLOW_AGE_FACTOR ? Math.round(age) as Milliseconds : usual
-  }
-
-  /**
-   * Mean time that the requests in slots have run. At an endpoint whose times do not change it is about half of them;
-   * at one that has turned slow, or silent, it tells so before any request has ended.
-   */
-  private _meanAge (now: Timestamp): number {
-    let sum = 0
-    let count = 0
+    return Math.round(presentTime(this._times.overall, this._startTimes(), now)) as Milliseconds
+  }
+
+  /** When the requests in slots began to run. */
+  private * _startTimes (): Iterable<Timestamp> {
     for (const { startedAt } of this._inFlight.values()) {
-      if (startedAt === undefined) continue
-      sum += now - startedAt
-      count++
+      if (startedAt !== undefined) yield startedAt
     }
-    return count === 0 ? 0 : sum / count
   }
 
   private async _admit (gated: GatedCall, now: Timestamp): Promise<AttemptOutcome> {
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -150,9 +150,10 @@
   }
 
   private _judge (call: IMeshCall, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, startedAt: Timestamp): AttemptOutcome {
-    const { clock, failures, log, format } = this._options
+    const { clock, failures, log, format, times } = this._options
     if (end.kind === 'broken') {
       if (end.reason !== 'cancelled') failures.record(true, clock.now())
+      if (end.reason === 'cancelled' || end.reason === 'deadline') times.recordAtLeast(call.route, clock.now() - startedAt as Milliseconds)
       return { kind: 'unknown', reason: end.reason }
     }
     const head = format.readAnswerHead(end.status, end.headers)
@@ -171,7 +172,10 @@
   private _noteWhole (call: IMeshCall, status: number, isNotExecuted: boolean, startedAt: Timestamp): void {
     const { clock, times, failures, log } = this._options
     const now = clock.now()
-    if (!isNotExecuted && isServed(status)) times.record(call.route, now - startedAt as Milliseconds)
+    const duration = now - startedAt as Milliseconds
+    if (!isNotExecuted && isServed(status)) times.record(call.route, duration)
+    // An endpoint that is slow fails requests at their deadline, after more than the usual time.
+    else if (!isNotExecuted) times.recordAtLeast(call.route, duration)
     failures.record(isNotExecuted || isEndpointFailure(status), now)
     if (this._unreachableUntil === 0) return
     this._unreachableUntil = 0
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -115,8 +115,10 @@
     const { gate, clock, processToken } = this._options
     const requestId = message.headers[INNER_HEADER.requestId]
     const isThisProcess = message.headers[INNER_HEADER.processToken] === processToken
-    const state: SettleReply = isThisProcess && typeof requestId === 'string' ? gate.settle(requestId as RequestId, clock.now()) : 'other-process'
-    this._write(response, { status: 200, fields: [SETTLE_ANSWER, state], body: NO_BODY })
+    const now = clock.now()
+    const state: SettleReply = isThisProcess && typeof requestId === 'string' ? gate.settle(requestId as RequestId, now) : 'other-process'
+    const fields = [SETTLE_ANSWER, state, INNER_HEADER.load, encodeLoad(gate.load(now, now))]
+    this._write(response, { status: 200, fields, body: NO_BODY })
   }
 
   private _write (response: ServerResponse, answer: IInnerAnswer): void {
--- a/src/mesh/endpoint/ServiceTimes.ts
+++ b/src/mesh/endpoint/ServiceTimes.ts
@@ -32,6 +32,11 @@
     this._routes.set(route, average(known ?? 0, duration))
   }
 
+  /** Takes the time of a request that was given up unfinished. It tells something only if it is above the usual time. */
+  public recordAtLeast (route: RouteName, duration: Milliseconds): void {
+    if (duration > (this._routes.get(route) ?? this._overall)) this.record(route, duration)
+  }
+
   private _forgetOldest (): void {
     const oldest = this._routes.keys().next().value
     if (oldest !== undefined) this._routes.delete(oldest)
--- a/src/mesh/endpoint/WaitingLine.test.ts
+++ b/src/mesh/endpoint/WaitingLine.test.ts
@@ -59,6 +59,32 @@
     expect(line.expectedWait(request('high', 0), START)).to.be.below(line.expectedWait(request('low', 3), START) / 10)
   })
 
+  it('refuses late requests while more on-time ones than there is room for go on arriving, long before their deadline', () => {
+    const line = lineOf(4)
+    const ends: Array<{ at: number, request: INamedRequest }> = []
+    const refusedAfter: number[] = []
+    const start = (request: INamedRequest, now: number): void => { ends.push({ at: now + request.expected, request }) }
+    const drop = (requests: readonly INamedRequest[], now: number): void => {
+      for (const { objectiveAt } of requests) refusedAfter.push(now - (objectiveAt - 300))
+    }
+    for (let now = 0; now < 10_000; now++) {
+      for (const { request } of ends.filter(({ at }) => at === now)) {
+        line.release(request)
+        const { next, expired } = line.next(now as Timestamp)
+        drop(expired, now)
+        if (next !== undefined) start(next, now)
+      }
+      // A request of 100 ms each 20 ms needs five slots.
+      if (now % 20 !== 0) continue
+      const newest = request(`r${now}`, 1, { objective: now + 300, deadline: now + 2_000 })
+      const decision = line.offer(newest, now as Timestamp)
+      if (decision.kind === 'start') start(newest, now)
+      if (decision.kind === 'wait') drop(decision.displaced, now)
+      if (decision.kind === 'refuse') drop([newest], now)
+    }
+    expect([refusedAfter.length > 50, Math.max(...refusedAfter) < 700]).to.deep.equal([true, true])
+  })
+
   it('hands back what waited until its time had run out', () => {
     const line = lineOf(1)
     const running = request('running', 1)
--- a/src/mesh/endpoint/WaitingLine.ts
+++ b/src/mesh/endpoint/WaitingLine.ts
@@ -1,5 +1,6 @@
 /** Decides which request runs next at an endpoint, which waits, and which is turned away at once. */
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import { AcceptedWork } from './AcceptedWork.js'
 
 /** A request as far as the decision needs it. */
 export interface IWaitingRequest {
@@ -27,16 +28,18 @@
 
 /** Share of its usual time that a request must have left before its deadline to be started. */
 const NEEDED_SHARE = 0.6
-/** Share of a slot's usual time that a running request is thought to have left. */
-const RUNNING_LEFT_SHARE = 0.5
+/** Most of the slots that requests which overtake are thought to take, so that a wait stays finite. */
+const MAXIMUM_OVERTAKEN_SHARE = 0.9
 
 /**
  * Answers a load above what the endpoint can do: the most important requests first, among equals those that can still
- * be on time, by their objective, then the late ones. A request that cannot be served in time is refused when it
- * comes, with the time after which there should be room, and is not kept until its deadline.
+ * be on time, by their objective, then the late ones. A request that cannot be served in time is refused as soon as that
+ * shows, when it comes or while it waits, with the time after which there should be room. Under a steady overload the
+ * late ones are overtaken without end; what lately arrived ahead of them tells so long before their deadline.
  */
 export class WaitingLine<TRequest extends IWaitingRequest> {
   private readonly _running = new Set<TRequest>()
+  private readonly _accepted = new AcceptedWork()
   private _waiting: TRequest[] = []
   private _slots = 0
 
@@ -59,13 +62,14 @@
   public offer (request: TRequest, now: Timestamp): LineDecision<TRequest> {
     if (this._running.size < this._slots && this._waiting.length === 0) {
       if (!canFinish(request, now)) return { kind: 'refuse', retryAfter: 0 as Milliseconds }
+      this._accepted.record(request.rank, request.expected, now)
       this._running.add(request)
       return { kind: 'start' }
     }
-    const wait = this._waitBefore(request, now)
-    if (!canFinish(request, now + wait as Timestamp)) return { kind: 'refuse', retryAfter: wait }
+    if (this._isHopeless(request, now)) return { kind: 'refuse', retryAfter: this.expectedWait(request, now) }
+    this._accepted.record(request.rank, request.expected, now)
     this._waiting.push(request)
-    return { kind: 'wait', displaced: this._takeHopeless(request.rank, now) }
+    return { kind: 'wait', displaced: this._takeHopeless(now, request) }
   }
 
   /** Frees the slot of a request that ran. */
@@ -90,7 +94,7 @@
 
   /** The request to start now, if a slot is free; it occupies the slot until `release`. */
   public next (now: Timestamp): INextRequest<TRequest> {
-    const expired = this._takeExpired(now)
+    const expired = this._takeHopeless(now)
     if (this._running.size >= this._slots) return { next: undefined, expired }
     const next = this._first(now)
     if (next === undefined) return { next, expired }
@@ -99,18 +103,25 @@
     return { next, expired }
   }
 
-  /** When room for a request of this rank and length is expected. */
-  public expectedWait (request: Pick<TRequest, 'rank' | 'expected' | 'objectiveAt' | 'deadlineAt'>, now: Timestamp): Milliseconds {
-    return this._waitBefore(request as TRequest, now)
+  /** When room for the request is expected, by what runs and what waits before it now. */
+  public expectedWait (request: TRequest, now: Timestamp): Milliseconds {
+    let work = 0
+    let isBehind = false
+    for (const waiting of this._waiting) {
+      if (waiting === request) isBehind = true
+      // Of two that are alike the one that came first goes first.
+      else if (isBehind ? isBefore(waiting, request, now) : !isBefore(request, waiting, now)) work += waiting.expected
+    }
+    return Math.round(this._untilSlotIsFree() + work / Math.max(1, this._slots)) as Milliseconds
   }
 
-  private _takeExpired (now: Timestamp): readonly TRequest[] {
-    return this._takeOut((request) => !canFinish(request, now))
+  /** Requests that will not get a slot in time; `newest` was judged when it came. */
+  private _takeHopeless (now: Timestamp, newest?: TRequest): readonly TRequest[] {
+    return this._takeOut((request) => request !== newest && this._isHopeless(request, now))
   }
 
-  /** Requests below `rank` that will not get a slot in time, now that another one goes before them. */
-  private _takeHopeless (rank: number, now: Timestamp): readonly TRequest[] {
-    return this._takeOut((request) => request.rank > rank && !canFinish(request, now + this._waitBefore(request, now) as Timestamp))
+  private _isHopeless (request: TRequest, now: Timestamp): boolean {
+    return !canFinish(request, now + this._waitWithOvertaking(request, now) as Timestamp)
   }
 
   private _takeOut (isOut: (request: TRequest) => boolean): readonly TRequest[] {
@@ -127,25 +138,40 @@
     return best
   }
 
-  /** Time until a slot is free for the request, by what runs and what waits before it. */
-  private _waitBefore (request: TRequest, now: Timestamp): Milliseconds {
+  /** The expected wait, drawn out by requests that have yet to come and will go first. */
+  private _waitWithOvertaking (request: TRequest, now: Timestamp): number {
+    const wait = this.expectedWait(request, now)
+    const unlessLate = wait / this._shareLeft(request.rank, true, now)
+    return isOnTimeAt(request, now + unlessLate) ? unlessLate : wait / this._shareLeft(request.rank, false, now)
+  }
+
+  /** Time until the first of the running requests ends; they are at any point of their time. */
+  private _untilSlotIsFree (): number {
+    if (this._running.size < this._slots) return 0
     let work = 0
-    for (const running of this._running) work += running.expected * RUNNING_LEFT_SHARE
-    for (const waiting of this._waiting) {
-      if (waiting !== request && !isBefore(request, waiting, now)) work += waiting.expected
-    }
-    return Math.round(work / Math.max(1, this._slots)) as Milliseconds
+    for (const running of this._running) work += running.expected
+    return work / Math.max(1, this._running.size) / (this._slots + 1)
+  }
+
+  /** Share of the slots that is left by requests that overtake one of this rank. */
+  private _shareLeft (rank: number, isOnTime: boolean, now: Timestamp): number {
+    return 1 - Math.min(MAXIMUM_OVERTAKEN_SHARE, this._accepted.slotsBusy(rank, isOnTime, now) / Math.max(1, this._slots))
   }
 }
 
+/** Whether a request that starts then is answered while its answer is worth most. */
+function isOnTimeAt (request: IWaitingRequest, startAt: number): boolean {
+  return startAt + request.expected <= request.objectiveAt
+}
+
 function canFinish (request: IWaitingRequest, startAt: Timestamp): boolean {
   return startAt + request.expected * NEEDED_SHARE < request.deadlineAt
 }
 
 function isBefore (left: IWaitingRequest, right: IWaitingRequest, now: Timestamp): boolean {
   if (left.rank !== right.rank) return left.rank < right.rank
-  const isLeftOnTime = now + left.expected <= left.objectiveAt
-  const isRightOnTime = now + right.expected <= right.objectiveAt
+  const isLeftOnTime = isOnTimeAt(left, now)
+  const isRightOnTime = isOnTimeAt(right, now)
   if (isLeftOnTime !== isRightOnTime) return isLeftOnTime
   return left.objectiveAt < right.objectiveAt
 }
--- a/src/mesh/exchange/NodeQuestions.ts
+++ b/src/mesh/exchange/NodeQuestions.ts
@@ -1,9 +1,11 @@
 /** Questions that one node asks another beside calls, each on a connection of its own. */
+import type { IncomingHttpHeaders } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import { splitAddress } from '../../common/HostPort.js'
 import type { IClockService } from '../../common/Services.js'
 import type { Milliseconds, NetworkAddress, RequestId } from '../../common/Types.js'
 import { UpstreamConnection } from '../../gate/UpstreamConnections.js'
+import { singleHeader } from '../../routing/AnswerHeaders.js'
 import type { SettledState } from '../endpoint/EndpointGate.js'
 import { decodeLoad, INNER_HEADER } from './CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from './HttpExchange.js'
@@ -23,6 +25,12 @@
   readonly processToken: string | undefined
 }
 
+/** Answer to the question what became of a request. */
+export interface ISettleAnswer {
+  readonly reply: SettleReply
+  readonly load: IEndpointLoad | undefined
+}
+
 /** What the questions need. */
 export interface INodeQuestionsOptions {
   readonly clock: IClockService
@@ -42,16 +50,16 @@
     if (end.kind !== 'answer') return undefined
     const { headers } = end
     const token = headers[INNER_HEADER.processToken]
-    const load = headers[INNER_HEADER.load]
-    return { load: decodeLoad(typeof load === 'string' ? load : undefined), processToken: typeof token === 'string' ? token : undefined }
+    return { load: loadOf(headers), processToken: typeof token === 'string' ? token : undefined }
   }
 
   /** Undefined if there is no answer in time. */
-  public async settle (address: NetworkAddress, requestId: RequestId, processToken: string): Promise<SettleReply | undefined> {
+  public async settle (address: NetworkAddress, requestId: RequestId, processToken: string): Promise<ISettleAnswer | undefined> {
     const fields = [INNER_HEADER.purpose, 'settle', INNER_HEADER.requestId, requestId, INNER_HEADER.processToken, processToken]
     const end = await this._ask(address, fields)
-    const reply = end.kind === 'answer' ? end.headers[SETTLE_ANSWER] : undefined
-    return typeof reply === 'string' && REPLIES.has(reply) ? reply as SettleReply : undefined
+    if (end.kind !== 'answer') return undefined
+    const reply = end.headers[SETTLE_ANSWER]
+    return typeof reply === 'string' && REPLIES.has(reply) ? { reply: reply as SettleReply, load: loadOf(end.headers) } : undefined
   }
 
   private _ask (address: NetworkAddress, fields: readonly string[]): Promise<ExchangeEnd> {
@@ -76,3 +84,7 @@
     })
   }
 }
+
+function loadOf (headers: IncomingHttpHeaders): IEndpointLoad | undefined {
+  return decodeLoad(singleHeader(headers, INNER_HEADER.load))
+}
