End a planned stop by the platform's questions, ask the store first at a start, weigh lateness less

Now the second answer ends the stop, and a node without an endpoint serves callers for half of the time. A start asks the store before it loads the protocol between nodes. The weight of lateness is 0.5 of the objective, from 0.9 of the time left on.

--- a/src/membership/GrpcPeerTransport.ts
+++ b/src/membership/GrpcPeerTransport.ts
@@ -62,7 +62,6 @@
     this._options = { ...DEFAULT_GRPC_PEER_TRANSPORT_OPTIONS, ...options }
     this._metrics = new TransportMetrics(options.metrics)
     this._server = new Server(this._channelOptions())
-    this._addExchange()
   }
 
   /** Adds a further gRPC service, or a method of one, to the server. Call it before `bind` and `listen`. */
@@ -74,6 +73,8 @@
   public async bind (): Promise<NetworkAddress> {
     if (this._boundAddress !== undefined) return this._boundAddress
     const { address, serverCredentials } = this._options
+    // Not when it is made: reading the protocol takes a while, and nobody needs it before.
+    this._addExchange()
     const port = await new Promise<number>((resolve, reject) => {
       this._server.bindAsync(address, serverCredentials, (error, taken) => error === null ? resolve(taken) : reject(error))
     })
--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -100,6 +100,8 @@
 export interface INodeControl {
   /** True while the node should be given callers. */
   readonly isReady: boolean
+  /** The answer to the platform's question; a stop goes on once the platform knows of it. */
+  answerReadiness (): boolean
   /** Resolves when the report may be acknowledged. */
   report (report: IEndpointReport): Promise<void>
   /** Resolves when the end of the endpoint may be acknowledged. */
--- a/src/mesh/calls/Placement.ts
+++ b/src/mesh/calls/Placement.ts
@@ -26,13 +26,13 @@
   crowdingShare: 0.3,
   warmUpFactor: 2,
   failureCost: 1.5,
-  lateCost: 1,
+  lateCost: 0.5,
   noise: 0.04
 })
 
-/** Shares of the time that is left until the objective: up to the first an answer is never late, from the second on it is. */
-const SURELY_ON_TIME_SHARE = 0.6
-const SURELY_LATE_SHARE = 1.2
+/** Shares of the time that is left until the objective: up to the first an answer is seldom late, from the second on it is. */
+const LIKELY_ON_TIME_SHARE = 0.9
+const SURELY_LATE_SHARE = 1.5
 
 /** What a request wants of its placement. */
 export interface IPlacementWish {
@@ -96,7 +96,7 @@
 /** Grows from 0 to 1 as the expected time nears what is left; 0 if nothing is, since all endpoints are alike then. */
 function chanceOfLateness (time: number, left: number): number {
   if (left <= 0) return 0
-  return Math.min(1, Math.max(0, (time / left - SURELY_ON_TIME_SHARE) / (SURELY_LATE_SHARE - SURELY_ON_TIME_SHARE)))
+  return Math.min(1, Math.max(0, (time / left - LIKELY_ON_TIME_SHARE) / (SURELY_LATE_SHARE - LIKELY_ON_TIME_SHARE)))
 }
 
 /** Mean over the endpoints that have been observed. */
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -1,7 +1,7 @@
 /** One node of the mesh: its start, its graceful stop, and what the platform and the endpoint ask of it. */
 import { Kernel } from '../../common/Kernel.js'
 import { IClockService, type ILogService } from '../../common/Services.js'
-import type { EndpointId, Milliseconds } from '../../common/Types.js'
+import type { EndpointId, Milliseconds, Timestamp } from '../../common/Types.js'
 import type { RowKey, RowRevision } from '../../platform/Types.js'
 import { ENDPOINT_REPORT_IGNORED, NODE_STARTED, NODE_STARTING, NODE_STOPPED, NODE_STOPPING } from '../Events.js'
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl } from '../Services.js'
@@ -29,6 +29,8 @@
   private _settings: IMeshSettings
   private _isServing = false
   private _stopping: Promise<void> | undefined
+  /** When the platform was told of the stop for the first time. */
+  private _stopNoticedAt: Timestamp | undefined
 
   constructor ({ settings, adapter, log }: IMeshDaemonOptions) {
     this._settings = settings
@@ -40,6 +42,11 @@
     return this._isServing && this._stopping === undefined
   }
 
+  public answerReadiness (): boolean {
+    if (this._stopping !== undefined) this._stopNoticedAt ??= this._now
+    return this.isReady
+  }
+
   /** Resolves when the node serves. */
   public async start (): Promise<void> {
     this._log.log(NODE_STARTING, { step: 'daemon.start' })
@@ -79,11 +86,12 @@
   private async _stop (): Promise<void> {
     const clock = this._kernel.get(IClockService)
     const callerPort = this._kernel.get(MESH_KEY.callerPort)
-    const schedule = new StopSchedule(clock.now(), this._settings.bounds.stop)
-    this._log.log(NODE_STOPPING, { step: 'daemon.stop', inFlight: this._inFlight })
+    const kind = this._kernel.get(MESH_KEY.endpoint).record?.phase === 'serving' ? 'returning' : 'lonely'
+    const schedule = new StopSchedule(clock.now(), this._settings.bounds.stop, kind)
+    this._log.log(NODE_STOPPING, { step: 'daemon.stop', kind, inFlight: this._inFlight })
     callerPort.close()
     for (;;) {
-      const step = schedule.next(this._inFlight, clock.now())
+      const step = schedule.next({ inFlight: this._inFlight, noticedAt: this._stopNoticedAt }, clock.now())
       if (step === 'announce') await this._kernel.get(MESH_KEY.registration).leave()
       if (step === 'refuse-nodes') this._kernel.get(MESH_KEY.gate).close()
       if (step === 'refuse-callers') callerPort.refuseNew()
--- a/src/mesh/daemon/StopSchedule.ts
+++ b/src/mesh/daemon/StopSchedule.ts
@@ -4,47 +4,90 @@
 /** What to do now; `announce`, `refuse-nodes` and `refuse-callers` are given once each. */
 export type StopStep = 'wait' | 'announce' | 'refuse-nodes' | 'refuse-callers' | 'end'
 
+/** How far the stop has come. */
+export interface IStopProgress {
+  /** Requests without a whole answer. */
+  readonly inFlight: number
+  /** When the platform was told for the first time that the node is not ready; undefined if it has not asked yet. */
+  readonly noticedAt: Timestamp | undefined
+}
+
 /** Parts of a stop. */
 export interface IStopScheduleOptions {
   /** Callers notice within this time that the node is not ready; their requests are served until then. */
   readonly callersGone: Milliseconds
-  /** When the other nodes are told, so that they are without the endpoint as shortly as possible. */
+  /** Time between two questions of the platform; callers go elsewhere after the second one that was answered with no. */
+  readonly questionInterval: Milliseconds
+  /** Time for callers to go once the platform knows, and for requests that were on their way. */
+  readonly departure: Milliseconds
+  /** When the other nodes are told at the latest, so that they are without the endpoint as shortly as possible. */
   readonly announceAt: Milliseconds
-  /** When requests of other nodes that have not heard of it yet are refused as not run. */
-  readonly refuseAt: Milliseconds
+  /** Time between that and the moment from which requests of nodes that have not heard of it are refused as not run. */
+  readonly announcement: Milliseconds
   /** Left of the time for the stop when requests that still run are cut. */
   readonly reserve: Milliseconds
+  /** Without an endpoint: callers are served for this part of the time for the stop, since nobody waits for the node's return. */
+  readonly lonelyShare: number
 }
 
 /** Defaults of `StopSchedule`. The platform asks once a second and takes a node out after two misses. */
 export const DEFAULT_STOP_SCHEDULE_OPTIONS: IStopScheduleOptions = Object.freeze({
-  callersGone: 2_400 as Milliseconds, announceAt: 1_300 as Milliseconds, refuseAt: 2_100 as Milliseconds, reserve: 900 as Milliseconds
+  callersGone: 2_400 as Milliseconds,
+  questionInterval: 1_000 as Milliseconds,
+  departure: 200 as Milliseconds,
+  announceAt: 1_300 as Milliseconds,
+  announcement: 800 as Milliseconds,
+  reserve: 900 as Milliseconds,
+  lonelyShare: 0.5
 })
 
-/** Answers planned stops of nodes in turn: no request is cut, and the endpoint is away as shortly as possible. */
+/** Whether an endpoint that goes on running waits for the node's return, or has ended for good. */
+export type StopKind = 'returning' | 'lonely'
+
+/**
+ * Answers planned stops of nodes in turn: no request is cut, and the endpoint is away as shortly as possible. A node whose
+ * endpoint has ended stays longer: in a failure domain with few ready nodes callers are sent to all of them, ready or not.
+ */
 export class StopSchedule {
   private readonly _options: IStopScheduleOptions
-  private readonly _steps: Array<{ readonly step: StopStep, readonly at: number }>
+  private readonly _given = new Set<StopStep>()
 
-  constructor (private readonly _startedAt: Timestamp, private readonly _limit: Milliseconds, options: Partial<IStopScheduleOptions> = {}) {
+  constructor (
+    private readonly _startedAt: Timestamp, private readonly _limit: Milliseconds, private readonly _kind: StopKind,
+    options: Partial<IStopScheduleOptions> = {}
+  ) {
     this._options = { ...DEFAULT_STOP_SCHEDULE_OPTIONS, ...options }
-    const { announceAt, refuseAt, callersGone } = this._options
-    this._steps = [
-      { step: 'announce', at: Math.min(announceAt, _limit / 4) },
-      { step: 'refuse-nodes', at: Math.min(refuseAt, _limit / 2) },
-      // Callers that have not gone by then are told to, or their requests would be cut at the end.
-      { step: 'refuse-callers', at: Math.min(callersGone, _limit / 2) }
-    ]
   }
 
-  public next (inFlight: number, now: Timestamp): StopStep {
+  public next (progress: IStopProgress, now: Timestamp): StopStep {
     const elapsed = now - this._startedAt
-    const [due] = this._steps
-    if (due !== undefined && elapsed >= due.at) {
-      this._steps.shift()
-      return due.step
+    const noticed = progress.noticedAt === undefined ? Infinity : progress.noticedAt - this._startedAt
+    const due: ReadonlyArray<readonly [StopStep, number]> = [
+      ['announce', this._announceAt(noticed)],
+      ['refuse-nodes', this._refuseNodesAt(noticed)],
+      // Callers that have not gone by then are told to, or their requests would be cut at the end.
+      ['refuse-callers', this._refuseCallersAt(noticed)]
+    ]
+    const step = due.find(([name, at]) => !this._given.has(name) && elapsed >= at)?.[0]
+    if (step !== undefined) {
+      this._given.add(step)
+      return step
     }
     if (elapsed >= this._limit - this._options.reserve) return 'end'
-    return due === undefined && inFlight === 0 && elapsed >= Math.min(this._options.callersGone, this._limit / 2) ? 'end' : 'wait'
+    return this._kind === 'returning' && this._given.size === due.length && progress.inFlight === 0 ? 'end' : 'wait'
+  }
+
+  private _announceAt (noticed: number): number {
+    return Math.min(noticed, this._options.announceAt, this._limit / 4)
+  }
+
+  private _refuseNodesAt (noticed: number): number {
+    return Math.min(this._announceAt(noticed) + this._options.announcement, this._limit / 2)
+  }
+
+  private _refuseCallersAt (noticed: number): number {
+    const { callersGone, questionInterval, departure, lonelyShare } = this._options
+    if (this._kind === 'lonely') return this._limit * lonelyShare
+    return Math.min(noticed + questionInterval + departure, callersGone, this._limit / 2)
   }
 }
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -101,11 +101,12 @@
   }
 
   public async start (): Promise<void> {
-    await this._options.transport.listen((channel) => { this._server.accept(channel) })
+    // The store is asked first, so that the transport opens its port while the answers are on their way.
     this._run().catch((error: unknown) => {
       this._options.log.log(VIEW_LINK_LOST, { step: 'view.run', reason: String(error) })
       this._startReading('task failed')
     })
+    await this._options.transport.listen((channel) => { this._server.accept(channel) })
   }
 
   public async stop (): Promise<void> {
