Explain a request from the logs; calls between nodes in one field; give up after three refusals for want of room

savoryknotctl explain reads the logs of any number of nodes and tells a request's way, the ages of what decided it, why it ended as it did, and what the logs lack. call-finished now holds each attempt with its times, the position and age of the view; call-not-repeated tells when the allowance of repeats barred one.

--- a/src/cli/CommandLine.ts
+++ b/src/cli/CommandLine.ts
@@ -55,7 +55,8 @@
     added.example(`  ${command.example}`)
     return added.action((...given: unknown[]) => {
       const options = given.at(-1) as Record<string, unknown>
-      const values = given.slice(0, -1).filter((value) => value !== undefined).map(String)
+      // A parameter that takes several values comes as a list.
+      const values = given.slice(0, -1).flat().filter((value) => value !== undefined).map(String)
       this._result = this._runCommand(command, values, options)
       return this._result
     })
--- a/src/cli/Commands.ts
+++ b/src/cli/Commands.ts
@@ -7,6 +7,7 @@
 import { DeleteCommand } from './commands/DeleteCommand.js'
 import { DiffCommand } from './commands/DiffCommand.js'
 import { EndpointsCommand } from './commands/EndpointsCommand.js'
+import { ExplainCommand } from './commands/ExplainCommand.js'
 import { HelpCommand } from './commands/HelpCommand.js'
 import { HistoryCommand } from './commands/HistoryCommand.js'
 import { KeysCommand } from './commands/KeysCommand.js'
@@ -35,6 +36,7 @@
     new EndpointsCommand(),
     new BurnCommand(options.clock),
     new NodesCommand(),
+    new ExplainCommand(),
     new KeysCommand(options.clock)
   ]
   return [...commands, new CompletionCommand(commands), new HelpCommand(commands)]
--- /dev/null
+++ b/src/cli/explain/RequestStory.test.ts
@@ -0,0 +1,53 @@
+/** What the logs of several nodes say of one request. */
+import { expect } from 'chai'
+import { readLogs } from './LogReader.js'
+import { tellStory } from './RequestStory.js'
+
+const START = Date.parse('2026-12-04T10:00:00.000Z')
+
+function line (node: string, afterMs: number, message: string, fields: object): string {
+  return JSON.stringify({ event: 1, level: 'info', message, node, timestamp: new Date(START + afterMs).toISOString(), ...fields })
+}
+
+function finished (request: string, afterMs: number, fields: object): string {
+  const common = { request, route: 'r', configuration: 12, viewPosition: 40, viewAgeMs: 90, durationMs: 300, tries: 1, endpoint: 'i-1' }
+  return line('n1', afterMs, 'call-finished', { ...common, ...fields })
+}
+
+const REFUSED = [
+  finished('refused', 300, {
+    outcome: 'refused',
+    reason: 'overloaded',
+    retryAfter: 250,
+    tries: 2,
+    attempts: [
+      { node: 'n2', endpoint: 'i-1', afterMs: 1, expectedMs: 80, tookMs: 4, handledMs: 1, outcome: 'refused: overloaded' },
+      { node: 'n3', endpoint: 'i-2', afterMs: 6, expectedMs: 90 }
+    ]
+  }),
+  line('n2', 3, 'call-refused-at-gate', { request: 'refused', endpoint: 'i-1', phase: 'serving', reason: 'overloaded', running: 6, slots: 6, waiting: 9, rank: 2 }),
+  line('n1', 5, 'call-repeated', { request: 'refused', endpoint: 'i-1', outcome: 'refused', reason: 'overloaded', tries: 1 }),
+  line('n2', 900, 'events-left-out', { kind: 'call-finished', count: 17 })
+]
+
+const UNKNOWN = [
+  '  12.5 machine-1 ' + finished('unknown', 300, { outcome: 'unknown', reason: 'answer of another request', attempts: [] }),
+  line('n2', 200, 'answer-spoilt', { request: 'unknown', peer: 'i-1', reason: 'answer of another request' }),
+  finished('unknown.a', 250, { outcome: 'answered', status: 200, durationMs: 40 }),
+  'no event'
+]
+
+describe('RequestStory', () => {
+  it('tells the way of a refused request in order, why it was refused, and what the logs lack', () => {
+    expect(tellStory('refused', readLogs(REFUSED))).toMatchSnapshot()
+  })
+
+  it('tells an answer that was not taken, and the calls that the endpoint made', () => {
+    expect(tellStory('unknown', readLogs([UNKNOWN.join('\n')]))).toMatchSnapshot()
+  })
+
+  it('says that the end is missing, and nothing of a request that no line names', () => {
+    const story = tellStory('refused', readLogs(REFUSED.slice(1)))
+    expect([story?.ending, story?.gaps, tellStory('other', readLogs(REFUSED))]).toMatchSnapshot()
+  })
+})
--- a/src/common/Services.ts
+++ b/src/common/Services.ts
@@ -75,11 +75,14 @@
   readonly meaning: string
 }
 
+/** One of several like parts of an event, for example an attempt of a request. */
+export type EventPart = Readonly<Record<string, string | number | undefined>>
+
 /** Values logged with an event. `step` and `peer` are given where they exist. */
 export interface IEventFields {
   readonly step?: string
   readonly peer?: string
-  readonly [field: string]: string | number | boolean | undefined
+  readonly [field: string]: string | number | boolean | undefined | readonly EventPart[]
 }
 
 /** Writes numbered events. */
--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -41,6 +41,7 @@
 export const CALLER_MALFORMED = define(9406, 'caller-malformed', 'warn', 'A request of a caller broke the protocol or its limits and was refused.')
 export const NODE_SUSPECT = define(9407, 'node-suspect', 'warn', 'Another node does not answer; requests go elsewhere until it does.')
 export const NODE_TRUSTED = define(9408, 'node-trusted', 'info', 'A node that was suspect answers again.')
+export const CALL_NOT_REPEATED = define(9409, 'call-not-repeated', 'info', 'A request that the rules would let go to a further endpoint did not: the field reason tells whether the allowance of repeats was spent or no endpoint was left.')
 
 export const MESH_EVENTS: readonly IEventDefinition[] = Object.freeze([
   NODE_STARTED, NODE_STARTING, NODE_STOPPING, NODE_STOPPED, SETTINGS_RELOADED, SETTINGS_REJECTED,
@@ -48,5 +49,6 @@
   VIEW_READING_STARTED, VIEW_READING_STOPPED, VIEW_READING_FAILED, VIEW_READING_RECOVERED, VIEW_HISTORY_LOST,
   VIEW_LINK_OPENED, VIEW_LINK_LOST, VIEW_BODY_REJECTED, NODE_ROW_IGNORED, NODE_ROW_CHANGED,
   ENDPOINT_CHANGED, ENDPOINT_REPORT_IGNORED, ENDPOINT_UNREACHABLE, ENDPOINT_REACHABLE, REGISTRATION_STORED, REGISTRATION_FAILED,
-  CALL_FINISHED, CALL_REPEATED, CALL_SETTLED, CALL_REFUSED_AT_GATE, ANSWER_SPOILT, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED
+  CALL_FINISHED, CALL_REPEATED, CALL_SETTLED, CALL_REFUSED_AT_GATE, ANSWER_SPOILT, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED,
+  CALL_NOT_REPEATED
 ])
--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -70,6 +70,8 @@
 export interface IViewService {
   /** True if the view was confirmed a moment ago. */
   readonly isCurrent: boolean
+  /** When it was confirmed last. */
+  readonly confirmedAt: Timestamp
   /** Resolves once configuration and nodes are known. */
   readonly completed: Promise<void>
   /** Address of a node that may be asked for its view if nothing else answers. */
--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -4,13 +4,13 @@
 import { Emitter } from '../../common/Emitter.js'
 import { createRequestId } from '../../common/Ids.js'
 import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
-import { CALL_REPEATED } from '../Events.js'
+import { CALL_NOT_REPEATED, CALL_REPEATED } from '../Events.js'
 import { isServed } from '../exchange/Statuses.js'
 import type { AttemptOutcome, IMeshCall, IMeshRoute, IWholeAnswer } from '../Types.js'
 import type { EndpointDirectory } from './EndpointDirectory.js'
 import type { EndpointView } from './EndpointView.js'
 import { typicalServiceTime, type Placement } from './Placement.js'
-import { hasArrived, judgeRepeat } from './RepeatRules.js'
+import { hasArrived, judgeRepeat, type IRepeatHistory } from './RepeatRules.js'
 import type { RetryAllowance } from './RetryAllowance.js'
 
 /** What calls use of the node. */
@@ -47,6 +47,20 @@
   /** May have run. */
   | { readonly kind: 'unknown', readonly reason: string }
 
+/** One attempt as the log tells it. Times in milliseconds. */
+export type AttemptRecord = {
+  readonly node: string
+  readonly endpoint: string
+  /** From the arrival of the request to the start of the attempt. */
+  readonly afterMs: number
+  readonly expectedMs: number
+  /** Undefined while the attempt runs, as for one that lost against another. */
+  tookMs?: number
+  /** Part of that at the node beside the endpoint. */
+  handledMs?: number
+  outcome?: string
+}
+
 /** Multiple of the expected time after which an idempotent request is sent to a second endpoint as well. */
 const HEDGE_FACTOR = 2.2
 /** Shortest wait before that, so that requests of a few milliseconds are not doubled by chance. */
@@ -77,11 +91,13 @@
   private readonly _tried = new Set<EndpointView>()
   private _tries = 0
   private _arrivals = 0
+  private _refusalsForRoom = 0
   private _mayHaveRun = false
   /** Answer of an endpoint that failed, for want of a better one. */
   private _failedAnswer: IWholeAnswer | undefined
   private _retryAfter: Milliseconds | undefined
   private _lastEndpoint = ''
+  private readonly _records: AttemptRecord[] = []
 
   constructor (private readonly _services: ICallServices, private readonly _request: IRoutedRequest) {}
 
@@ -90,6 +106,11 @@
     return this._tries
   }
 
+  /** Attempts in the order of their start. */
+  public get records (): readonly AttemptRecord[] {
+    return this._records
+  }
+
   /** Endpoint of the last attempt; empty if there was none. */
   public get lastEndpoint (): string {
     return this._lastEndpoint
@@ -145,7 +166,10 @@
     if (view === undefined) return undefined
     const answerAt = now + this._services.placement.expectedTime(view, typicalServiceTime([view]), now)
     if (answerAt >= deadlineAt) return undefined
-    if (!allowance.take(service, directory.nodes, now)) return undefined
+    if (!allowance.take(service, directory.nodes, now)) {
+      this._logNotRepeated('allowance')
+      return undefined
+    }
     log.log(CALL_REPEATED, {
       step: 'calls.hedge', request: callerRequestId, route: route.name, endpoint: this._lastEndpoint, outcome: 'late', tries: this._tries
     })
@@ -166,15 +190,23 @@
   }
 
   private async _attempt (view: EndpointView, now: Timestamp, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
-    const { directory, placement } = this._services
+    const { clock, directory, placement } = this._services
     const expected = placement.expectedTime(view, typicalServiceTime([view]), now) as Milliseconds
     this._tries++
     this._tried.add(view)
     this._lastEndpoint = view.target.endpoint.id
+    const record: AttemptRecord = {
+      node: view.target.node.node, endpoint: this._lastEndpoint, afterMs: now - this._request.arrivedAt, expectedMs: Math.round(expected)
+    }
+    this._records.push(record)
     const outcome = await directory.execute(view, this._callTo(view), expected, onCancelled)
+    record.tookMs = clock.now() - now
+    record.handledMs = outcome.load?.handled
+    record.outcome = describeOutcome(outcome)
     if (hasArrived(outcome)) this._arrivals++
     if (outcome.kind === 'unknown') this._mayHaveRun = true
     if (outcome.kind === 'answered') this._failedAnswer = outcome.answer
+    if (outcome.kind === 'refused' && outcome.reason === 'overloaded') this._refusalsForRoom++
     if (outcome.kind === 'refused' && outcome.retryAfter !== undefined) this._noteRetryAfter(outcome.retryAfter)
     return outcome
   }
@@ -200,13 +232,12 @@
   }
 
   private _mayGoOn (outcome: AttemptOutcome, now: Timestamp): boolean {
-    const { allowance, directory, log } = this._services
-    const { route, service, deadlineAt, isCancelled, callerRequestId } = this._request
+    const { log } = this._services
+    const { route, deadlineAt, isCancelled, callerRequestId } = this._request
     const subject = { repeat: route.repeat, attempts: route.attempts, deadlineAt, isCancelled: isCancelled() }
-    const verdict = judgeRepeat(subject, outcome, { arrivals: this._arrivals, tries: this._tries }, now)
+    const verdict = judgeRepeat(subject, outcome, this._history, now)
     if (verdict === 'final') return false
-    // An answer is worth more than a refusal for want of another endpoint.
-    if (verdict === 'again-if-allowed' && (this._choose(now) === undefined || !allowance.take(service, directory.nodes, now))) return false
+    if (verdict === 'again-if-allowed' && this._isBarred(now)) return false
     log.log(CALL_REPEATED, {
       step: 'calls.repeat',
       request: callerRequestId,
@@ -220,6 +251,26 @@
     return true
   }
 
+  /** An answer is worth more than a refusal for want of another endpoint, which therefore is looked for first. */
+  private _isBarred (now: Timestamp): boolean {
+    const { allowance, directory } = this._services
+    const hasOther = this._choose(now) !== undefined
+    if (hasOther && allowance.take(this._request.service, directory.nodes, now)) return false
+    this._logNotRepeated(hasOther ? 'allowance' : 'no other endpoint')
+    return true
+  }
+
+  private _logNotRepeated (reason: string): void {
+    const { callerRequestId, route } = this._request
+    this._services.log.log(CALL_NOT_REPEATED, {
+      step: 'calls.repeat', request: callerRequestId, route: route.name, endpoint: this._lastEndpoint, reason, tries: this._tries
+    })
+  }
+
+  private get _history (): IRepeatHistory {
+    return { arrivals: this._arrivals, tries: this._tries, refusalsForRoom: this._refusalsForRoom }
+  }
+
   private _noteRetryAfter (wait: Milliseconds): void {
     this._retryAfter = Math.min(this._retryAfter ?? Infinity, wait) as Milliseconds
   }
@@ -234,6 +285,10 @@
   }
 }
 
+function describeOutcome (outcome: AttemptOutcome): string {
+  return outcome.kind === 'answered' ? `answered ${outcome.answer.status}` : `${outcome.kind}: ${outcome.reason}`
+}
+
 /** The first of two outcomes that is an answer other than a failure; if neither is, the second to end. */
 function firstUseful (left: Promise<AttemptOutcome>, right: Promise<AttemptOutcome>): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -22,6 +22,8 @@
   readonly format: IMessageFormat
   /** False until the node knows configuration and nodes. */
   readonly isReady: () => boolean
+  /** When the view was confirmed last by the store or by a node that reads it. */
+  readonly viewConfirmedAt: () => Timestamp
   /** Service that runs on this VM. */
   readonly callerService: () => string
   readonly log: ILogService
@@ -207,8 +209,9 @@
   private _logResult (
     route: IMeshRoute, requestId: string | undefined, task: CallTask, result: CallResult, arrivedAt: Timestamp, isCancelled: boolean
   ): void {
-    const { clock, configuration, log } = this._options
-    const duration = clock.now() - arrivedAt
+    const { clock, configuration, directory, log, viewConfirmedAt } = this._options
+    const now = clock.now()
+    const duration = now - arrivedAt
     const outcome = isCancelled ? 'cancelled' : result.kind
     this._latency.observe({ outcome, rank: String(route.rank) }, duration / MILLISECONDS_PER_SECOND)
     log.log(CALL_FINISHED, {
@@ -216,12 +219,15 @@
       request: requestId,
       route: route.name,
       configuration: configuration.version,
+      viewPosition: directory.position,
+      viewAgeMs: now - viewConfirmedAt(),
       outcome,
       status: result.kind === 'answered' ? result.answer.status : undefined,
       reason: result.kind === 'answered' ? undefined : result.reason,
       retryAfter: result.kind === 'refused' ? result.retryAfter : undefined,
       endpoint: task.lastEndpoint,
       tries: task.tries,
+      attempts: task.records,
       durationMs: duration
     })
   }
--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -3,6 +3,7 @@
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { localityTier } from '../../routing/LocalityTiers.js'
+import type { StorePosition } from '../../platform/Types.js'
 import type { EndpointGate } from '../endpoint/EndpointGate.js'
 import type { NodeQuestions } from '../exchange/NodeQuestions.js'
 import type { INodeIdentity, INodeTable } from '../Services.js'
@@ -38,6 +39,11 @@
     this.dispose()
   }
 
+  /** Position of the store up to which the table of nodes is known. */
+  public get position (): StorePosition {
+    return this._options.nodes.position
+  }
+
   /** Nodes that are known. */
   public get nodes (): number {
     return this._options.nodes.nodes.size
--- a/src/mesh/calls/RepeatRules.ts
+++ b/src/mesh/calls/RepeatRules.ts
@@ -18,6 +18,8 @@
   readonly arrivals: number
   /** All attempts. */
   readonly tries: number
+  /** Attempts that were refused for want of room. */
+  readonly refusalsForRoom: number
 }
 
 /** Whether to go on, and whether that needs a place in the shared allowance of repeats. */
@@ -25,6 +27,8 @@
 
 /** Nodes that are asked for one request, where none of them took it to its endpoint. */
 const MAXIMUM_TRIES = 6
+/** Endpoints that refuse a request for want of room before it is given up: the best ones were asked first, and each costs a way. */
+const MAXIMUM_REFUSALS_FOR_ROOM = 3
 /** Time that must remain for another attempt. */
 const LEAST_TIME_MS = 15
 
@@ -36,6 +40,7 @@
 /** A request that must not run twice goes on only after an attempt that proves not to have run. */
 export function judgeRepeat (subject: IRepeatSubject, outcome: AttemptOutcome, history: IRepeatHistory, now: Timestamp): RepeatVerdict {
   if (subject.isCancelled || now + LEAST_TIME_MS >= subject.deadlineAt || history.tries >= MAXIMUM_TRIES) return 'final'
+  if (history.refusalsForRoom >= MAXIMUM_REFUSALS_FOR_ROOM) return 'final'
   if (outcome.kind === 'refused' && outcome.reason !== 'shed') {
     return outcome.reason === 'deadline' || outcome.reason === 'cancelled' ? 'final' : 'again'
   }
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -176,6 +176,7 @@
       placement: new Placement(kernel.get(IRandomService)),
       allowance: new RetryAllowance({ ratio: bounds['retry-share'], slack: bounds['retry-slack'], window: bounds['retry-window'] }),
       isReady: isServing,
+      viewConfirmedAt: () => kernel.get(IViewService).confirmedAt,
       callerService: () => kernel.get(MESH_KEY.endpoint).record?.service ?? settings().mesh.service
     })
   })
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -123,6 +123,7 @@
 
   private _write (response: ServerResponse, answer: IInnerAnswer): void {
     if (response.destroyed) return
+    response.sendDate = false
     response.writeHead(answer.status, [
       ...answer.fields, INNER_HEADER.processToken, this._options.processToken, 'content-length', String(answer.body.byteLength)
     ])
--- /dev/null
+++ b/src/mesh/exchange/CallCodec.test.ts
@@ -0,0 +1,74 @@
+/** Calls and outcomes survive the way between nodes, whatever their names hold. */
+import { expect } from 'chai'
+import fc from 'fast-check'
+import type { EndpointId, Milliseconds, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
+import type { AttemptOutcome, IMeshCall } from '../Types.js'
+import { decodeCall, decodeOutcome, encodeCall, encodeOutcome, INNER_HEADER } from './CallCodec.js'
+
+const NOW = 50_000 as Timestamp
+const SEED = 20261204
+const BODY = Buffer.from('body')
+
+/** Fields as Node.js gives them to the receiver. */
+function toHeaders (fields: readonly string[]): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (let index = 0; index < fields.length; index += 2) headers[fields[index] ?? ''] = fields[index + 1] ?? ''
+  return headers
+}
+
+function callOf (name: string, rank: number, left: number, repeat: IMeshCall['repeat']): IMeshCall {
+  return {
+    requestId: 'id' as RequestId,
+    callerRequestId: undefined,
+    route: name as RouteName,
+    service: `${name};` as ServiceName,
+    endpoint: `${name}%` as EndpointId,
+    callerService: name,
+    repeat,
+    rank,
+    objectiveAt: NOW + left as Timestamp,
+    deadlineAt: NOW + 2 * left as Timestamp,
+    method: 'GET',
+    path: '/a',
+    fields: [],
+    body: BODY
+  }
+}
+
+describe('CallCodec', () => {
+  it('gives a call back as it was', () => {
+    const names = fc.string({ unit: 'grapheme', maxLength: 20 })
+    const kinds = fc.constantFrom<IMeshCall['repeat']>('idempotent', 'non-idempotent')
+    fc.assert(fc.property(names, fc.nat(9), fc.nat(60_000), kinds, (name, rank, left, repeat) => {
+      const call = callOf(name, rank, left, repeat)
+      const headers = toHeaders(encodeCall(call, NOW))
+      const parts = { method: call.method, path: call.path, headers, body: BODY, callerRequestId: undefined, fields: [] }
+      expect(decodeCall(parts, NOW)).to.deep.equal(call)
+    }), { seed: SEED })
+  })
+
+  it('takes no call of which a part is missing or no number', () => {
+    const text = toHeaders(encodeCall(callOf('n', 1, 100, 'idempotent'), NOW))[INNER_HEADER.call] ?? ''
+    const broken = ['', text.replace(/;[^;]*$/, ''), `${text};1`, text.replace(/;1;/, ';x;'), text.replace(/^id/, ''), text.replace('n;', '%;')]
+    const calls = broken.map((value) => decodeCall({
+      method: 'GET', path: '/', headers: { [INNER_HEADER.call]: value }, body: undefined, callerRequestId: undefined, fields: []
+    }, NOW))
+    expect(calls.every((call) => call === undefined)).to.equal(true)
+  })
+
+  it('gives outcomes back as they were, and takes none that names no known reason', () => {
+    const load = { occupied: 3, slots: 9, serviceTime: 120 as Milliseconds, failurePercent: 4, handled: 88 as Milliseconds }
+    const outcomes: readonly AttemptOutcome[] = [
+      { kind: 'answered', answer: { status: 201, fields: ['x-a', 'b'], body: BODY }, load },
+      { kind: 'refused', reason: 'overloaded', retryAfter: 250 as Milliseconds, load },
+      { kind: 'refused', reason: 'draining', retryAfter: undefined, load: undefined },
+      { kind: 'unknown', reason: 'broke; 100 %', load: undefined }
+    ]
+    for (const outcome of outcomes) {
+      const { status, fields, body } = encodeOutcome(outcome)
+      const expected = outcome.kind === 'answered' ? { load: undefined, ...outcome } : outcome
+      expect(decodeOutcome(status, toHeaders(fields), body)).to.deep.equal(expected)
+    }
+    expect(decodeOutcome(503, { [INNER_HEADER.outcome]: 'refused;whim' }, BODY)).to.equal(undefined)
+  })
+})
--- a/src/mesh/exchange/CallCodec.ts
+++ b/src/mesh/exchange/CallCodec.ts
@@ -5,32 +5,29 @@
 import { singleHeader } from '../../routing/AnswerHeaders.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshCall, IWholeAnswer, RefusalReason } from '../Types.js'
 
-/** Fields between nodes. Durations in milliseconds. */
+/** Fields between nodes. A call and an outcome take one field each: between regions every byte is paid for. */
 export const INNER_HEADER = Object.freeze({
-  requestId: 'savoryknot-request-id',
-  route: 'savoryknot-route',
-  service: 'savoryknot-service',
-  endpoint: 'savoryknot-endpoint',
-  callerService: 'savoryknot-caller',
-  repeat: 'savoryknot-repeat',
-  rank: 'savoryknot-rank',
-  /** Until the answer stops to be worth most; 0 if it has. */
-  objective: 'savoryknot-objective-ms',
-  deadline: 'savoryknot-deadline-ms',
-  /** `answered`, `refused` or `unknown`. */
+  /** The parts of a call, see `encodeCall`. */
+  call: 'savoryknot-call',
+  /** Kind, reason and time to return, in milliseconds; the kind is `answered`, `refused` or `unknown`. */
   outcome: 'savoryknot-outcome',
-  reason: 'savoryknot-reason',
-  retryAfter: 'savoryknot-retry-after-ms',
   /** Occupied, slots, service time, failure percent and time at the node, separated by slashes. */
   load: 'savoryknot-load',
   /** `probe` or `settle`, on requests that are no calls. */
   purpose: 'savoryknot-purpose',
+  /** The request that a question is about. */
+  requestId: 'savoryknot-request-id',
   /** Identity of the process that answers, or that was sent the request in question. */
   processToken: 'savoryknot-process',
   /** RPC address of the node that asks. */
   peer: 'savoryknot-peer'
 } as const)
 
+const SEPARATOR = ';'
+/** Parts of the field of a call. */
+const CALL_PARTS = 9
+/** Short names of the kinds of requests. */
+const REPEAT_CODE = Object.freeze({ idempotent: 'i', 'non-idempotent': 'n' })
 const PREFIX = 'savoryknot-'
 const NUMBER_PATTERN = /^\d{1,12}$/
 const REASONS: ReadonlySet<string> = new Set<RefusalReason>([
@@ -40,20 +37,14 @@
 const FRAMING_FIELDS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding', 'connection', 'keep-alive', 'trailer', 'upgrade', 'te'])
 const STATUS_BY_KIND = Object.freeze({ refused: 503, unknown: 502 })
 
-/** Fields of a call for the node beside its endpoint. */
+/**
+ * Fields of a call for the node beside its endpoint. The call's own field holds id, route, service, endpoint, calling
+ * service, kind, rank, and the milliseconds that remain until the objective and until the deadline.
+ */
 export function encodeCall (call: IMeshCall, now: Timestamp): readonly string[] {
-  return [
-    ...call.fields,
-    INNER_HEADER.requestId, call.requestId,
-    INNER_HEADER.route, encodeURIComponent(call.route),
-    INNER_HEADER.service, encodeURIComponent(call.service),
-    INNER_HEADER.endpoint, encodeURIComponent(call.endpoint),
-    INNER_HEADER.callerService, encodeURIComponent(call.callerService),
-    INNER_HEADER.repeat, call.repeat,
-    INNER_HEADER.rank, String(call.rank),
-    INNER_HEADER.objective, durationText(call.objectiveAt, now),
-    INNER_HEADER.deadline, durationText(call.deadlineAt, now)
-  ]
+  const names = [call.requestId, call.route, call.service, call.endpoint, call.callerService].map(encodeURIComponent)
+  const times = [durationText(call.objectiveAt, now), durationText(call.deadlineAt, now)]
+  return [...call.fields, INNER_HEADER.call, [...names, REPEAT_CODE[call.repeat], call.rank, ...times].join(SEPARATOR)]
 }
 
 /** What a call is made of beside its fields. */
@@ -70,22 +61,19 @@
 /** Undefined if the fields of a call are missing or malformed. */
 export function decodeCall (parts: ICallParts, now: Timestamp): IMeshCall | undefined {
   const { headers, method, path, body, callerRequestId, fields } = parts
-  const requestId = singleHeader(headers, INNER_HEADER.requestId)
-  const service = decodedText(headers, INNER_HEADER.service)
-  const endpoint = decodedText(headers, INNER_HEADER.endpoint)
-  const deadline = numberOf(headers, INNER_HEADER.deadline)
-  const objective = numberOf(headers, INNER_HEADER.objective)
-  const rank = numberOf(headers, INNER_HEADER.rank)
-  if (requestId === undefined || service === undefined || endpoint === undefined) return undefined
-  if (deadline === undefined || objective === undefined || rank === undefined) return undefined
+  const texts = decodedParts(headers, INNER_HEADER.call)
+  if (texts?.length !== CALL_PARTS) return undefined
+  const [requestId, route, service, endpoint, callerService, repeat, ...numbers] = texts as [string, string, string, string, string, string]
+  const [rank, objective, deadline] = numbers.map(parseNumber)
+  if (requestId === '' || rank === undefined || objective === undefined || deadline === undefined) return undefined
   return {
     requestId: requestId as RequestId,
     callerRequestId,
-    route: (decodedText(headers, INNER_HEADER.route) ?? '') as RouteName,
+    route: route as RouteName,
     service: service as ServiceName,
     endpoint: endpoint as EndpointId,
-    callerService: decodedText(headers, INNER_HEADER.callerService) ?? '',
-    repeat: headers[INNER_HEADER.repeat] === 'idempotent' ? 'idempotent' : 'non-idempotent',
+    callerService,
+    repeat: repeat === REPEAT_CODE.idempotent ? 'idempotent' : 'non-idempotent',
     rank,
     objectiveAt: now + objective as Timestamp,
     deadlineAt: now + deadline as Timestamp,
@@ -112,22 +100,22 @@
     const { status, fields, body } = outcome.answer
     return { status, fields: [INNER_HEADER.outcome, outcome.kind, ...load, ...fields], body }
   }
-  const fields: string[] = [INNER_HEADER.outcome, outcome.kind, ...load, INNER_HEADER.reason, encodeURIComponent(outcome.reason)]
-  if (outcome.kind === 'refused' && outcome.retryAfter !== undefined) fields.push(INNER_HEADER.retryAfter, String(Math.round(outcome.retryAfter)))
-  return { status: STATUS_BY_KIND[outcome.kind], fields, body: NO_BODY }
+  const parts = [outcome.kind, encodeURIComponent(outcome.reason)]
+  if (outcome.kind === 'refused' && outcome.retryAfter !== undefined) parts.push(String(Math.round(outcome.retryAfter)))
+  return { status: STATUS_BY_KIND[outcome.kind], fields: [INNER_HEADER.outcome, parts.join(SEPARATOR), ...load], body: NO_BODY }
 }
 
 /** Undefined if the answer is not one of a node. */
 export function decodeOutcome (status: number, headers: IncomingHttpHeaders, body: Buffer): AttemptOutcome | undefined {
   const load = decodeLoad(singleHeader(headers, INNER_HEADER.load))
-  const reason = decodedText(headers, INNER_HEADER.reason) ?? ''
-  switch (headers[INNER_HEADER.outcome]) {
-    case 'answered': return { kind: 'answered', answer: { status, fields: answerFields(headers), body }, load }
+  const [kind, reason = '', retryAfter = ''] = decodedParts(headers, INNER_HEADER.outcome) ?? []
+  switch (kind) {
+    case 'answered': return { kind, answer: { status, fields: answerFields(headers), body }, load }
     case 'refused': {
       if (!REASONS.has(reason)) return undefined
-      return { kind: 'refused', reason: reason as RefusalReason, retryAfter: numberOf(headers, INNER_HEADER.retryAfter) as Milliseconds | undefined, load }
+      return { kind, reason: reason as RefusalReason, retryAfter: parseNumber(retryAfter) as Milliseconds | undefined, load }
     }
-    case 'unknown': return { kind: 'unknown', reason, load }
+    case 'unknown': return { kind, reason, load }
     default: return undefined
   }
 }
@@ -152,18 +140,16 @@
   return String(Math.max(0, Math.round(until - now)))
 }
 
-function decodedText (headers: IncomingHttpHeaders, name: string): string | undefined {
+/** Undefined if the field is missing or has a broken escape, which another node never sends. */
+function decodedParts (headers: IncomingHttpHeaders, name: string): readonly string[] | undefined {
   const text = singleHeader(headers, name)
-  if (text === undefined) return undefined
   try {
-    return decodeURIComponent(text)
+    return text?.split(SEPARATOR).map(decodeURIComponent)
   } catch {
-    // Another node never sends a broken escape; the call is then refused as malformed.
     return undefined
   }
 }
 
-function numberOf (headers: IncomingHttpHeaders, name: string): number | undefined {
-  const text = singleHeader(headers, name)
-  return text !== undefined && NUMBER_PATTERN.test(text) ? Number(text) : undefined
+function parseNumber (text: string): number | undefined {
+  return NUMBER_PATTERN.test(text) ? Number(text) : undefined
 }
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -100,6 +100,10 @@
     return this._isReadingCurrent || this._sourceHops !== undefined
   }
 
+  public get confirmedAt (): Timestamp {
+    return this._lastCurrentAt
+  }
+
   public async start (): Promise<void> {
     // The store is asked first, so that the transport opens its port while the answers are on their way.
     this._run().catch((error: unknown) => {
