Take an endpoint whose birth lies before that of a silent one

Births are read from a clock; the deployments set clocks back by seconds. An endpoint that restarted during such a step was taken for a late reporter for good and got no requests.

--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -53,6 +53,17 @@
     expect(endpoint.record).to.include({ id: 'b', phase: 'serving', service: 'other' })
   })
 
+  it('takes an incarnation of an earlier birth once the present one is silent, since a clock may have been set back', () => {
+    endpoint.report(report('b', 20, 1), NOW)
+    const outcomes = [1_500, 3_000, 4_500, 6_000].map((passed, index) => endpoint.report(report('a', 10, index + 1), NOW + passed as Timestamp))
+    expect([outcomes, endpoint.record?.id]).to.deep.equal([['outdated', 'outdated', 'outdated', 'accepted'], 'a'])
+  })
+
+  it('does not take a single late report for that', () => {
+    endpoint.report(report('b', 20, 1), NOW)
+    expect([endpoint.report(report('a', 10, 9), NOW + 9_000 as Timestamp), endpoint.record?.id]).to.deep.equal(['outdated', 'b'])
+  })
+
   it('is gone for good once it has deregistered, also if it goes on reporting', () => {
     endpoint.report(report('a', 1, 1), NOW)
     endpoint.leave('a' as EndpointId, 0, NOW)
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -9,6 +9,9 @@
 /** Sequence of an endpoint that is known only from the row that an earlier process wrote. */
 const NO_SEQUENCE = -1
 
+/** Silence after which an endpoint gives way to one whose birth is earlier; longer than three heartbeats. */
+const SUPERSEDED_AFTER_MS = 5_000
+
 /** One incarnation. */
 interface IIncarnation {
   readonly record: IEndpointRecord
@@ -22,6 +25,8 @@
   private _incarnation: IIncarnation | undefined
   /** Endpoint that deregistered before this process knew of it, so that an earlier process's record does not revive it. */
   private _leftBefore: EndpointId | undefined
+  /** Last report of an endpoint that was taken for an earlier incarnation. */
+  private _outdated: IEndpointReport | undefined
 
   constructor (private readonly _log: ILogService) {}
 
@@ -51,7 +56,8 @@
     const present = this._incarnation
     if (present !== undefined) {
       const order = compareIncarnations(report, present.record)
-      if (order < 0 || (order === 0 && report.sequence <= present.sequence)) return 'outdated'
+      if (order < 0 && !this._supersedes(report, present, now)) return 'outdated'
+      if (order === 0 && report.sequence <= present.sequence) return 'outdated'
       if (order === 0) return this._continue(present, report, now)
     }
     this._replace({ record: toRecord(report, report.phase), sequence: report.sequence, heardAt: now }, 'reported')
@@ -66,6 +72,17 @@
     return 'accepted'
   }
 
+  /**
+   * Whether an incarnation of an earlier birth has taken the place of the present one all the same: births are read from a
+   * clock that may have been set back between two starts. A late report comes alone, or while the present one reports.
+   */
+  private _supersedes (report: IEndpointReport, present: IIncarnation, now: Timestamp): boolean {
+    const before = this._outdated
+    this._outdated = report
+    const isRepeated = before !== undefined && compareIncarnations(before, report) === 0 && before.sequence < report.sequence
+    return isRepeated && now - present.heardAt >= SUPERSEDED_AFTER_MS
+  }
+
   /** A later report of the same incarnation. */
   private _continue (present: IIncarnation, report: IEndpointReport, now: Timestamp): ReportOutcome {
     const phase = furtherPhase(present.record.phase, report.phase)
