--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -1,14 +1,13 @@
 /** One request of a caller, from its route to its final answer. */
 import type { IClockService, ILogService } from '../../common/Services.js'
-import { toDisposable } from '../../common/Disposable.js'
-import { Emitter } from '../../common/Emitter.js'
 import { createRequestId } from '../../common/Ids.js'
 import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { CALL_NOT_REPEATED, CALL_REPEATED } from '../Events.js'
-import { isServed } from '../exchange/Statuses.js'
 import type { AttemptOutcome, IMeshCall, IMeshRoute, IWholeAnswer } from '../Types.js'
+import { describeOutcome, type AttemptRecord } from './AttemptRecord.js'
 import type { EndpointDirectory } from './EndpointDirectory.js'
 import type { EndpointView } from './EndpointView.js'
+import { AbortableAttempt, firstUseful } from './ParallelAttempts.js'
 import { typicalServiceTime, type Placement } from './Placement.js'
 import { hasArrived, judgeRepeat, type IRepeatHistory } from './RepeatRules.js'
 import type { RetryAllowance } from './RetryAllowance.js'
@@ -47,20 +46,6 @@
   /** May have run. */
   | { readonly kind: 'unknown', readonly reason: string }
 
-/** One attempt as the log tells it. Times in milliseconds. */
-export type AttemptRecord = {
-  readonly node: string
-  readonly endpoint: string
-  /** From the arrival of the request to the start of the attempt. */
-  readonly afterMs: number
-  readonly expectedMs: number
-  /** Undefined while the attempt runs, as for one that lost against another. */
-  tookMs?: number
-  /** Part of that at the node beside the endpoint. */
-  handledMs?: number
-  outcome?: string
-}
-
 /** Multiple of the expected time after which an idempotent request is sent to a second endpoint as well. */
 const HEDGE_FACTOR = 2.2
 /** Shortest wait before that, so that requests of a few milliseconds are not doubled by chance. */
@@ -70,22 +55,6 @@
 /** Time after which a caller is asked to come again where no endpoint can be reached. */
 const NO_ENDPOINT_RETRY_AFTER_MS = 300
 
-/** Lets one attempt be cancelled by the caller or by the end of the other one. */
-class AbortableAttempt {
-  private readonly _aborted = new Emitter<void>()
-
-  constructor (private readonly _onCancelled: IEvent<void>) {}
-
-  public readonly onCancelled: IEvent<void> = (listener) => {
-    const subscriptions = [this._onCancelled(listener), this._aborted.event(listener)]
-    return toDisposable(() => { for (const subscription of subscriptions) subscription.dispose() })
-  }
-
-  public abort (): void {
-    this._aborted.fire()
-  }
-}
-
 /** Sends the request to one endpoint after the other until there is a final answer. */
 export class CallTask {
   private readonly _tried = new Set<EndpointView>()
@@ -284,21 +253,3 @@
     return { kind: 'refused', reason: outcome.reason, retryAfter: Math.max(LEAST_RETRY_AFTER_MS, wait) as Milliseconds }
   }
 }
-
-function describeOutcome (outcome: AttemptOutcome): string {
-  return outcome.kind === 'answered' ? `answered ${outcome.answer.status}` : `${outcome.kind}: ${outcome.reason}`
-}
-
-/** The first of two outcomes that is an answer other than a failure; if neither is, the second to end. */
-function firstUseful (left: Promise<AttemptOutcome>, right: Promise<AttemptOutcome>): Promise<AttemptOutcome> {
-  return new Promise((resolve) => {
-    let ended = 0
-    const take = (outcome: AttemptOutcome): void => {
-      ended++
-      if (ended === 2 || (outcome.kind === 'answered' && isServed(outcome.answer.status))) resolve(outcome)
-    }
-    const fail = (error: unknown): void => take({ kind: 'unknown', reason: String(error) })
-    left.then(take, fail)
-    right.then(take, fail)
-  })
-}
--- /dev/null
+++ b/src/mesh/calls/ParallelAttempts.ts
@@ -0,0 +1,36 @@
+/** Two attempts of one request under way at once. */
+import { toDisposable } from '../../common/Disposable.js'
+import { Emitter } from '../../common/Emitter.js'
+import type { IEvent } from '../../common/Types.js'
+import { isServed } from '../exchange/Statuses.js'
+import type { AttemptOutcome } from '../Types.js'
+
+/** Lets one attempt be cancelled by the caller or by the end of the other one. */
+export class AbortableAttempt {
+  private readonly _aborted = new Emitter<void>()
+
+  constructor (private readonly _onCancelled: IEvent<void>) {}
+
+  public readonly onCancelled: IEvent<void> = (listener) => {
+    const subscriptions = [this._onCancelled(listener), this._aborted.event(listener)]
+    return toDisposable(() => { for (const subscription of subscriptions) subscription.dispose() })
+  }
+
+  public abort (): void {
+    this._aborted.fire()
+  }
+}
+
+/** The first of two outcomes that is an answer other than a failure; if neither is, the second to end. */
+export function firstUseful (left: Promise<AttemptOutcome>, right: Promise<AttemptOutcome>): Promise<AttemptOutcome> {
+  return new Promise((resolve) => {
+    let ended = 0
+    const take = (outcome: AttemptOutcome): void => {
+      ended++
+      if (ended === 2 || (outcome.kind === 'answered' && isServed(outcome.answer.status))) resolve(outcome)
+    }
+    const fail = (error: unknown): void => take({ kind: 'unknown', reason: String(error) })
+    left.then(take, fail)
+    right.then(take, fail)
+  })
+}
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -86,7 +86,7 @@
   private async _stop (): Promise<void> {
     const clock = this._kernel.get(IClockService)
     const callerPort = this._kernel.get(MESH_KEY.callerPort)
-    const kind = this._kernel.get(MESH_KEY.endpoint).record?.phase === 'serving' ? 'returning' : 'lonely'
+    const kind = this._kernel.get(MESH_KEY.endpoint).record?.phase === 'serving' ? 'returning' : 'without-endpoint'
     const schedule = new StopSchedule(clock.now(), this._settings.bounds.stop, kind)
     this._log.log(NODE_STOPPING, { step: 'daemon.stop', kind, inFlight: this._inFlight })
     callerPort.close()
--- a/src/mesh/daemon/StopSchedule.test.ts
+++ b/src/mesh/daemon/StopSchedule.test.ts
@@ -44,7 +44,7 @@
   })
 
   it('goes on serving callers for longer where no endpoint waits for its return', () => {
-    const steps = stepsOf({ limit: 6_000, askedAt: 300, kind: 'lonely' })
+    const steps = stepsOf({ limit: 6_000, askedAt: 300, kind: 'without-endpoint' })
     expect(steps).to.deep.equal(['announce 300', 'refuse-nodes 1100', 'refuse-callers 3000', 'end 5100'])
   })
 })
--- a/src/mesh/daemon/StopSchedule.ts
+++ b/src/mesh/daemon/StopSchedule.ts
@@ -26,8 +26,8 @@
   readonly announcement: Milliseconds
   /** Left of the time for the stop when requests that still run are cut. */
   readonly reserve: Milliseconds
-  /** Without an endpoint: callers are served for this part of the time for the stop, since nobody waits for the node's return. */
-  readonly lonelyShare: number
+  /** Part of the time for the stop in which a node without an endpoint serves callers; nobody waits for its return. */
+  readonly servingShare: number
 }
 
 /** Defaults of `StopSchedule`. The platform asks once a second and takes a node out after two misses. */
@@ -38,11 +38,11 @@
   announceAt: 1_300 as Milliseconds,
   announcement: 800 as Milliseconds,
   reserve: 900 as Milliseconds,
-  lonelyShare: 0.5
+  servingShare: 0.5
 })
 
 /** Whether an endpoint that goes on running waits for the node's return, or has ended for good. */
-export type StopKind = 'returning' | 'lonely'
+export type StopKind = 'returning' | 'without-endpoint'
 
 /**
  * Answers planned stops of nodes in turn: no request is cut, and the endpoint is away as shortly as possible. A node whose
@@ -86,8 +86,8 @@
   }
 
   private _refuseCallersAt (noticed: number): number {
-    const { callersGone, questionInterval, departure, lonelyShare } = this._options
-    if (this._kind === 'lonely') return this._limit * lonelyShare
+    const { callersGone, questionInterval, departure, servingShare } = this._options
+    if (this._kind === 'without-endpoint') return this._limit * servingShare
     return Math.min(noticed + questionInterval + departure, callersGone, this._limit / 2)
   }
 }
