--- a/bench/replay/Replay.ts
+++ b/bench/replay/Replay.ts
@@ -5,6 +5,7 @@
 } from '../../src/common/Types.js'
 import { EndpointView } from '../../src/mesh/calls/EndpointView.js'
 import { Placement } from '../../src/mesh/calls/Placement.js'
+import { MAXIMUM_REFUSALS_FOR_ROOM } from '../../src/mesh/calls/RepeatRules.js'
 import { ServiceTimes } from '../../src/mesh/endpoint/ServiceTimes.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshEndpoint, NodeName } from '../../src/mesh/Types.js'
 import type { LocalityTier } from '../../src/routing/Types.js'
@@ -20,7 +21,6 @@
 const ROUND_TRIPS_MS: readonly [number, number, number] = [0, 1, 16]
 /** Speeds of the endpoints; a larger number is slower. */
 const SPEEDS = [1, 0.7, 1, 1.5, 1, 0.8]
-const REFUSALS_FOR_ROOM = 3
 /** Most parts by which the work of a request differs from the mean, to either side. */
 const SPREAD = 0.6
 const PERCENT = 100
@@ -89,7 +89,7 @@
     const views = known.filter((view) => !request.tried.has(view) && view.roomAt(request.rank, now) === undefined)
     const wish = { objective: request.kind.objective as Milliseconds, left: request.objectiveAt - now as Milliseconds }
     const view = this._placement.choose(views, wish, now)
-    if (view === undefined || request.refusalsForRoom >= REFUSALS_FOR_ROOM) return this._finish(request, 'refused')
+    if (view === undefined || request.refusalsForRoom >= MAXIMUM_REFUSALS_FOR_ROOM) return this._finish(request, 'refused')
     if (request.tries++ > 0) this._repeats++
     if (view.tier === 2) this._abroad++
     request.tried.add(view)
@@ -151,8 +151,7 @@
       view.observe({ ...outcome, load }, now - attempt.startedAt as Milliseconds, now)
       if (outcome.kind === 'answered') return this._finish(request, this._judge(request, outcome.answer.status))
       request.refusalsForRoom++
-      const isFresh = now + load.serviceTime <= request.objectiveAt
-      if (outcome.kind === 'refused' && isFresh) view.noteFull(request.rank, outcome.retryAfter ?? NO_WAIT, now)
+      if (outcome.kind === 'refused') view.noteFull(request, outcome.retryAfter ?? NO_WAIT, now)
       this._send(request)
     })
   }
--- a/src/gate/ServiceTimeEstimate.ts
+++ b/src/gate/ServiceTimeEstimate.ts
@@ -1,4 +1,5 @@
 /** Running estimate of how long an endpoint takes for a request. */
+import { remainingWeight } from '../common/Decay.js'
 import type { Milliseconds, Timestamp } from '../common/Types.js'
 
 /** Weight of a new observation. */
@@ -19,7 +20,6 @@
 
   /** Expected service time; 0 if nothing is known. */
   public value (now: Timestamp): Milliseconds {
-    const silence = Math.max(0, now - this._observedAt - HALF_LIFE_MS)
-    return this._mean * 2 ** (-silence / HALF_LIFE_MS) as Milliseconds
+    return this._mean * remainingWeight(now - this._observedAt - HALF_LIFE_MS, HALF_LIFE_MS) as Milliseconds
   }
 }
--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -58,21 +58,19 @@
 /** Sends the request to one endpoint after the other until there is a final answer. */
 export class CallTask {
   private readonly _tried = new Set<EndpointView>()
-  private _tries = 0
   private _arrivals = 0
   private _refusalsForRoom = 0
   private _mayHaveRun = false
   /** Answer of an endpoint that failed, for want of a better one. */
   private _failedAnswer: IWholeAnswer | undefined
   private _retryAfter: Milliseconds | undefined
-  private _lastEndpoint = ''
   private readonly _records: AttemptRecord[] = []
 
   constructor (private readonly _services: ICallServices, private readonly _request: IRoutedRequest) {}
 
   /** Attempts made. */
   public get tries (): number {
-    return this._tries
+    return this._records.length
   }
 
   /** Attempts in the order of their start. */
@@ -82,7 +80,7 @@
 
   /** Endpoint of the last attempt; empty if there was none. */
   public get lastEndpoint (): string {
-    return this._lastEndpoint
+    return this._records.at(-1)?.endpoint ?? ''
   }
 
   /** Runs the request to its final answer. Never rejects. */
@@ -140,7 +138,7 @@
       return undefined
     }
     log.log(CALL_REPEATED, {
-      step: 'calls.hedge', request: callerRequestId, route: route.name, endpoint: this._lastEndpoint, outcome: 'late', tries: this._tries
+      step: 'calls.hedge', request: callerRequestId, route: route.name, endpoint: this.lastEndpoint, outcome: 'late', tries: this.tries
     })
     return view
   }
@@ -161,11 +159,12 @@
   private async _attempt (view: EndpointView, now: Timestamp, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
     const { clock, directory, placement } = this._services
     const expected = placement.expectedTime(view, typicalServiceTime([view]), now) as Milliseconds
-    this._tries++
     this._tried.add(view)
-    this._lastEndpoint = view.target.endpoint.id
     const record: AttemptRecord = {
-      node: view.target.node.node, endpoint: this._lastEndpoint, afterMs: now - this._request.arrivedAt, expectedMs: Math.round(expected)
+      node: view.target.node.node,
+      endpoint: view.target.endpoint.id,
+      afterMs: now - this._request.arrivedAt,
+      expectedMs: Math.round(expected)
     }
     this._records.push(record)
     const outcome = await directory.execute(view, this._callTo(view), expected, onCancelled)
@@ -211,11 +210,11 @@
       step: 'calls.repeat',
       request: callerRequestId,
       route: route.name,
-      endpoint: this._lastEndpoint,
+      endpoint: this.lastEndpoint,
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? String(outcome.answer.status) : outcome.reason,
       arrivals: this._arrivals,
-      tries: this._tries
+      tries: this.tries
     })
     return true
   }
@@ -232,12 +231,12 @@
   private _logNotRepeated (reason: string): void {
     const { callerRequestId, route } = this._request
     this._services.log.log(CALL_NOT_REPEATED, {
-      step: 'calls.repeat', request: callerRequestId, route: route.name, endpoint: this._lastEndpoint, reason, tries: this._tries
+      step: 'calls.repeat', request: callerRequestId, route: route.name, endpoint: this.lastEndpoint, reason, tries: this.tries
     })
   }
 
   private get _history (): IRepeatHistory {
-    return { arrivals: this._arrivals, tries: this._tries, refusalsForRoom: this._refusalsForRoom }
+    return { arrivals: this._arrivals, tries: this.tries, refusalsForRoom: this._refusalsForRoom }
   }
 
   private _noteRetryAfter (wait: Milliseconds): void {
--- a/src/mesh/calls/Decisions.test.ts
+++ b/src/mesh/calls/Decisions.test.ts
@@ -85,7 +85,7 @@
 
   it('asks an endpoint without room no more for a moment, but for more important requests', () => {
     const view = viewOf('full', 0, {})
-    view.noteFull(1, 400 as Milliseconds, NOW)
+    view.noteFull({ rank: 1, objectiveAt: NOW + OBJECTIVE as Timestamp }, 400 as Milliseconds, NOW)
     const asked = [0, 1, 2].map((rank) => view.roomAt(rank, NOW + 100 as Timestamp))
     expect([asked, view.roomAt(1, NOW + 200 as Timestamp)]).to.deep.equal([[undefined, NOW + 400, NOW + 400], undefined])
   })
--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -75,9 +75,7 @@
     view.end(attempt)
     const now = clock.now()
     view.observe(outcome, now - startedAt as Milliseconds, now)
-    const isFull = outcome.kind === 'refused' && outcome.reason === 'overloaded'
-    // One that is late already may be refused while others still find room.
-    if (isFull && now + (view.serviceTime ?? 0) <= call.objectiveAt) view.noteFull(call.rank, outcome.retryAfter ?? NO_WAIT, now)
+    if (outcome.kind === 'refused' && outcome.reason === 'overloaded') view.noteFull(call, outcome.retryAfter ?? NO_WAIT, now)
     return outcome
   }
 
--- a/src/mesh/calls/EndpointView.ts
+++ b/src/mesh/calls/EndpointView.ts
@@ -1,7 +1,8 @@
 /** What this node has observed of one endpoint. */
+import { remainingWeight } from '../../common/Decay.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import type { LocalityTier } from '../../routing/Types.js'
-import type { AttemptOutcome, IEndpointLoad, IMeshEndpoint, RefusalReason } from '../Types.js'
+import type { AttemptOutcome, IEndpointLoad, IMeshCall, IMeshEndpoint, RefusalReason } from '../Types.js'
 
 /** Time in which the weight of a reported occupancy halves. */
 const OCCUPANCY_HALF_LIFE_MS = 1_000
@@ -76,7 +77,7 @@
   public serviceTimeAt (typical: number, now: Timestamp): number | undefined {
     const reported = this.serviceTime
     if (reported === undefined || reported < typical) return reported
-    return typical + (reported - typical) * 2 ** (-Math.max(0, now - this._loadAt) / SERVICE_TIME_HALF_LIFE_MS)
+    return typical + (reported - typical) * remainingWeight(now - this._loadAt, SERVICE_TIME_HALF_LIFE_MS)
   }
 
   /** Usual time on the way to the endpoint's node and back. */
@@ -94,8 +95,9 @@
     return this._full !== undefined && now < this._full.until && rank >= this._full.rank ? this._full.roomAt : undefined
   }
 
-  /** Takes a refusal for want of room of a request that could still be on time. */
-  public noteFull (rank: number, retryAfter: Milliseconds, now: Timestamp): void {
+  /** Takes a refusal for want of room. One that is late already may be refused while others still find room, and says nothing. */
+  public noteFull ({ rank, objectiveAt }: Pick<IMeshCall, 'rank' | 'objectiveAt'>, retryAfter: Milliseconds, now: Timestamp): void {
+    if (now + (this.serviceTime ?? 0) > objectiveAt) return
     const isKnownForMoreImportant = this._full !== undefined && now < this._full.until && this._full.rank < rank
     if (isKnownForMoreImportant) return
     this._full = { rank, until: now + Math.min(LONGEST_FULL_MS, retryAfter), roomAt: now + retryAfter as Timestamp }
@@ -108,15 +110,13 @@
 
   /** Requests that run or wait there, never fewer than this node sent. */
   public occupied (now: Timestamp): number {
-    const age = Math.max(0, now - this._loadAt)
-    const reported = (this._load?.occupied ?? 0) * 2 ** (-age / OCCUPANCY_HALF_LIFE_MS)
+    const reported = (this._load?.occupied ?? 0) * remainingWeight(now - this._loadAt, OCCUPANCY_HALF_LIFE_MS)
     return Math.max(this.outstanding, reported + Math.max(0, this.outstanding - this._outstandingAtLoad))
   }
 
   /** Share of requests that the endpoint fails, 0 to 1. */
   public failureShare (now: Timestamp): number {
-    const age = Math.max(0, now - this._loadAt)
-    return (this._load?.failurePercent ?? 0) / 100 * 2 ** (-age / FAILURE_HALF_LIFE_MS)
+    return (this._load?.failurePercent ?? 0) / 100 * remainingWeight(now - this._loadAt, FAILURE_HALF_LIFE_MS)
   }
 
   /** Takes the end of an attempt that took `duration`; call it after `end`. */
--- a/src/mesh/calls/RepeatRules.ts
+++ b/src/mesh/calls/RepeatRules.ts
@@ -28,7 +28,7 @@
 /** Nodes that are asked for one request, where none of them took it to its endpoint. */
 const MAXIMUM_TRIES = 6
 /** Endpoints that refuse a request for want of room before it is given up: the best ones were asked first, and each costs a way. */
-const MAXIMUM_REFUSALS_FOR_ROOM = 3
+export const MAXIMUM_REFUSALS_FOR_ROOM = 3
 /** Time that must remain for another attempt. */
 const LEAST_TIME_MS = 15
 
--- a/src/mesh/endpoint/AcceptedWork.ts
+++ b/src/mesh/endpoint/AcceptedWork.ts
@@ -1,4 +1,5 @@
 /** How much work of each rank an endpoint has been given lately. */
+import { remainingWeight } from '../../common/Decay.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 
 /** Time in which the weight of accepted work halves: long enough for some requests a slot, short enough to follow a burst. */
@@ -38,5 +39,5 @@
 }
 
 function faded ({ work, at }: IDecayingWork, now: Timestamp): number {
-  return work * 2 ** (-Math.max(0, now - at) / HALF_LIFE_MS)
+  return work * remainingWeight(now - at, HALF_LIFE_MS)
 }
--- a/src/mesh/endpoint/FailureShare.ts
+++ b/src/mesh/endpoint/FailureShare.ts
@@ -1,4 +1,5 @@
 /** Share of recent requests that an endpoint failed or turned away. */
+import { remainingWeight } from '../../common/Decay.js'
 import type { Timestamp } from '../../common/Types.js'
 
 /** Weight of the newest request in the moving average. */
@@ -29,6 +30,6 @@
   }
 
   private _faded (now: Timestamp): number {
-    return this._share * 2 ** (-Math.max(0, now - this._recordedAt) / HALF_LIFE_MS)
+    return this._share * remainingWeight(now - this._recordedAt, HALF_LIFE_MS)
   }
 }
--- a/src/mesh/endpoint/WaitingLine.ts
+++ b/src/mesh/endpoint/WaitingLine.ts
@@ -16,7 +16,7 @@
 /** What is done with a request that arrives. */
 export type LineDecision<TRequest> =
   | { readonly kind: 'start' }
-  /** `displaced`: requests of lower rank that have no chance any more. */
+  /** `displaced`: other requests that have no chance any more. */
   | { readonly kind: 'wait', readonly displaced: readonly TRequest[] }
   | { readonly kind: 'refuse', readonly retryAfter: Milliseconds }
 
@@ -60,14 +60,12 @@
 
   /** Decides about a request that arrives; `start` occupies a slot until `release`. */
   public offer (request: TRequest, now: Timestamp): LineDecision<TRequest> {
+    if (this._isHopeless(request, now)) return { kind: 'refuse', retryAfter: this.expectedWait(request, now) }
+    this._accepted.record(request.rank, request.expected, now)
     if (this._running.size < this._slots && this._waiting.length === 0) {
-      if (!canFinish(request, now)) return { kind: 'refuse', retryAfter: 0 as Milliseconds }
-      this._accepted.record(request.rank, request.expected, now)
       this._running.add(request)
       return { kind: 'start' }
     }
-    if (this._isHopeless(request, now)) return { kind: 'refuse', retryAfter: this.expectedWait(request, now) }
-    this._accepted.record(request.rank, request.expected, now)
     this._waiting.push(request)
     return { kind: 'wait', displaced: this._takeHopeless(now, request) }
   }
--- a/src/routing/EndpointStatistics.ts
+++ b/src/routing/EndpointStatistics.ts
@@ -1,4 +1,5 @@
 /** What this process has observed of one endpoint. */
+import { remainingWeight } from '../common/Decay.js'
 import type { Timestamp } from '../common/Types.js'
 import type { IRoutableEndpoint } from '../membership/Types.js'
 import type { LocalityTier } from './Types.js'
@@ -99,9 +100,8 @@
 
   /** Calls that the endpoint is thought to run: never fewer than this process sent it. A report loses weight as it ages. */
   public estimatedLoad (now: Timestamp): number {
-    const age = Math.max(0, now - this._reportedAt)
     // Whole calls only: an old report must not decide between endpoints that are otherwise alike.
-    const reported = Math.round(this._reportedUsed * 2 ** (-age / this._options.occupancyHalfLifeMs))
+    const reported = Math.round(this._reportedUsed * remainingWeight(now - this._reportedAt, this._options.occupancyHalfLifeMs))
     const sentSince = Math.max(0, this.outstanding - this._outstandingAtReport)
     return Math.max(this.outstanding, reported + sentSince)
   }
