Log where a configuration came from, how long its reading and sending took, and requests without a route

New: the source and size in configuration-applied, view-batch-read, view-configuration-sent (followers, bytes, bytes waiting, time taken), call-unrouted with the age of the view. All are bounded by the log like the others.

--- a/src/membership/GrpcPeerChannel.ts
+++ b/src/membership/GrpcPeerChannel.ts
@@ -46,6 +46,10 @@
     stream.on('cancelled', () => this.dispose())
   }
 
+  public get waitingBytes (): number {
+    return this._waitingBytes
+  }
+
   public get onMessage (): IEvent<ReceivedPeerMessage> {
     return this._onMessage.event
   }
--- a/src/membership/Services.ts
+++ b/src/membership/Services.ts
@@ -10,6 +10,8 @@
 export interface IPeerChannel extends IDisposable {
   /** Address of the other side, for logs and errors. */
   readonly remoteAddress: NetworkAddress
+  /** Bytes that were queued and have not been handed to the network yet. */
+  readonly waitingBytes: number
   /** Queues a message. Returns false if the channel is closed or its send buffer is full; the message is then dropped. */
   send (message: PeerMessage): boolean
   readonly onMessage: IEvent<ReceivedPeerMessage>
--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -12,7 +12,7 @@
 export const SETTINGS_RELOADED = define(9005, 'settings-reloaded', 'info', 'The settings file was read again after SIGHUP. Values that belong to the start of a process keep their old value.')
 export const SETTINGS_REJECTED = define(9006, 'settings-rejected', 'error', 'The settings file could not be read after SIGHUP; the earlier settings stay in use. Correct the file and send SIGHUP again.')
 
-export const CONFIGURATION_APPLIED = define(9101, 'configuration-applied', 'info', 'A newer configuration is in force; new requests are routed by it.')
+export const CONFIGURATION_APPLIED = define(9101, 'configuration-applied', 'info', 'A newer configuration is in force; new requests are routed by it. The field source names the node that sent it, or the store; learntAt is when it arrived.')
 export const CONFIGURATION_REJECTED = define(9102, 'configuration-rejected', 'error', 'A configuration could not be read or contradicts itself; the one before stays in force.')
 
 export const VIEW_READING_STARTED = define(9201, 'view-reading-started', 'info', 'This node follows the store itself, since it ranks first in its region or no other node gives it a current view.')
@@ -25,6 +25,8 @@
 export const VIEW_BODY_REJECTED = define(9208, 'view-body-rejected', 'warn', 'A configuration sent by another node could not be restored; it is asked for anew.')
 export const NODE_ROW_IGNORED = define(9209, 'node-row-ignored', 'warn', 'A row of the table of nodes could not be read. It names no endpoint; the other rows hold.')
 export const NODE_ROW_CHANGED = define(9210, 'node-row-changed', 'info', 'What this node believes of another node and its endpoint has changed. The field position is the place of the change in the store.')
+export const VIEW_BATCH_READ = define(9211, 'view-batch-read', 'info', 'The store gave changes of a table. The fields tell how long the answer took and how many rows it had.')
+export const VIEW_CONFIGURATION_SENT = define(9212, 'view-configuration-sent', 'info', 'A newer configuration was sent to the nodes that follow this one. The fields tell to how many, with how many bytes, how long that took and how many bytes wait at the slowest of them.')
 
 export const ENDPOINT_CHANGED = define(9301, 'endpoint-changed', 'info', 'The endpoint beside this node began, drains or has gone, by its own report.')
 export const ENDPOINT_REPORT_IGNORED = define(9302, 'endpoint-report-ignored', 'warn', 'A heartbeat or deregistration was malformed, or belongs to an earlier incarnation; the field reason tells which. Nothing changed.')
@@ -42,13 +44,15 @@
 export const NODE_SUSPECT = define(9407, 'node-suspect', 'warn', 'Another node does not answer; requests go elsewhere until it does.')
 export const NODE_TRUSTED = define(9408, 'node-trusted', 'info', 'A node that was suspect answers again.')
 export const CALL_NOT_REPEATED = define(9409, 'call-not-repeated', 'info', 'A request that the rules would let go to a further endpoint did not: the field reason tells whether the allowance of repeats was spent or no endpoint was left.')
+export const CALL_UNROUTED = define(9410, 'call-unrouted', 'info', 'No route of the configuration in force fits a request, and it got 404. The field viewAgeMs tells how long ago that configuration was confirmed to be the newest.')
 
 export const MESH_EVENTS: readonly IEventDefinition[] = Object.freeze([
   NODE_STARTED, NODE_STARTING, NODE_STOPPING, NODE_STOPPED, SETTINGS_RELOADED, SETTINGS_REJECTED,
   CONFIGURATION_APPLIED, CONFIGURATION_REJECTED,
   VIEW_READING_STARTED, VIEW_READING_STOPPED, VIEW_READING_FAILED, VIEW_READING_RECOVERED, VIEW_HISTORY_LOST,
   VIEW_LINK_OPENED, VIEW_LINK_LOST, VIEW_BODY_REJECTED, NODE_ROW_IGNORED, NODE_ROW_CHANGED,
+  VIEW_BATCH_READ, VIEW_CONFIGURATION_SENT,
   ENDPOINT_CHANGED, ENDPOINT_REPORT_IGNORED, ENDPOINT_UNREACHABLE, ENDPOINT_REACHABLE, REGISTRATION_STORED, REGISTRATION_FAILED,
   CALL_FINISHED, CALL_REPEATED, CALL_SETTLED, CALL_REFUSED_AT_GATE, ANSWER_SPOILT, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED,
-  CALL_NOT_REPEATED
+  CALL_NOT_REPEATED, CALL_UNROUTED
 ])
--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -50,8 +50,11 @@
   /** Text of the configuration in force; empty before the first one. */
   readonly text: string
   readonly version: ConfigurationVersion
-  /** Applies the configuration if it is newer, whole or not at all. Returns true if it is in force now. */
-  offer (text: string, now: Timestamp): boolean
+  /**
+   * Applies the configuration if it is newer, whole or not at all. Returns true if it is in force now. `source`: the node that
+   * sent it, or the store.
+   */
+  offer (text: string, source: string, now: Timestamp): boolean
   readonly onReplaced: IEvent<RouteIndex>
 }
 
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -8,7 +8,7 @@
 import { HeaderRules } from '../../gate/HeaderRules.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
 import { readBodyInTime } from '../../gate/KeptBody.js'
-import { CALL_FINISHED, CALLER_MALFORMED } from '../Events.js'
+import { CALL_FINISHED, CALL_UNROUTED, CALLER_MALFORMED } from '../Events.js'
 import { BODILESS_STATUSES, MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
 import type { IConfigurationService, IMessageFormat } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
@@ -129,7 +129,7 @@
     if (!isServing) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
     const inbound = new HttpInbound(message, response)
     const route = index.match(message.headers.host ?? '', inbound.path)
-    if (route === undefined) return this._refuse(message, response, STATUS.noRoute, requestId)
+    if (route === undefined) return this._refuseUnrouted(message, response, requestId, arrivedAt)
     const patience = Math.min(route.timeout, format.callerPatience(message.headers) ?? route.timeout)
     const deadlineAt = arrivedAt + patience as Timestamp
     const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_BODY_BYTES)
@@ -183,6 +183,19 @@
     response.end()
   }
 
+  private _refuseUnrouted (message: IncomingMessage, response: ServerResponse, requestId: string | undefined, now: Timestamp): void {
+    const { configuration, log, viewConfirmedAt } = this._options
+    log.log(CALL_UNROUTED, {
+      step: 'caller.route',
+      request: requestId,
+      host: message.headers.host,
+      path: message.url,
+      configuration: configuration.version,
+      viewAgeMs: now - viewConfirmedAt()
+    })
+    this._refuse(message, response, STATUS.noRoute, requestId)
+  }
+
   private _refuseMalformed (message: IncomingMessage, response: ServerResponse, fault: string): void {
     this._options.log.log(CALLER_MALFORMED, { step: 'caller.request', peer: message.socket.remoteAddress, reason: fault })
     this._refuse(message, response, STATUS.malformed, undefined)
--- a/src/mesh/configuration/ConfigurationService.ts
+++ b/src/mesh/configuration/ConfigurationService.ts
@@ -49,10 +49,9 @@
     return this._onReplaced.event
   }
 
-  public offer (text: string, now: Timestamp): boolean {
+  public offer (text: string, source: string, now: Timestamp): boolean {
     if (text === this._text) return true
     const { log } = this._options
-    const startedAt = now
     try {
       const configuration = this._options.decoder.decode(text)
       // An older version arrives late from a peer or from a reading that another one overtook.
@@ -60,11 +59,16 @@
       this._checkRoutes(configuration)
       this._replace(new RouteIndex(configuration), text)
     } catch (error) {
-      log.log(CONFIGURATION_REJECTED, { step: 'configuration.apply', inForce: this.version, reason: String(error) })
+      log.log(CONFIGURATION_REJECTED, { step: 'configuration.apply', peer: source, inForce: this.version, reason: String(error) })
       return false
     }
     log.log(CONFIGURATION_APPLIED, {
-      step: 'configuration.apply', version: this.version, routes: this._current?.configuration.routes.length, learntAt: startedAt
+      step: 'configuration.apply',
+      source,
+      version: this.version,
+      routes: this._current?.configuration.routes.length,
+      characters: text.length,
+      learntAt: now
     })
     return true
   }
--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -5,7 +5,7 @@
 import { HistoryLostError } from '../../platform/PlatformErrors.js'
 import type { IChangeFeed } from '../../platform/Services.js'
 import type { IChangeBatch, StorePosition, TableName } from '../../platform/Types.js'
-import { VIEW_HISTORY_LOST, VIEW_READING_FAILED, VIEW_READING_RECOVERED } from '../Events.js'
+import { VIEW_BATCH_READ, VIEW_HISTORY_LOST, VIEW_READING_FAILED, VIEW_READING_RECOVERED } from '../Events.js'
 import { ReadingPatience } from './ReadingPatience.js'
 
 /** What a follower needs and how it reads. */
@@ -117,6 +117,9 @@
     this._currentUntil = now + wait + gather + this._patience.value
     if (this._failures > 0) log.log(VIEW_READING_RECOVERED, { step: 'view.read', table, failures: this._failures })
     this._failures = 0
+    if (batch.rows.length > 0) {
+      log.log(VIEW_BATCH_READ, { step: 'view.read', table, rows: batch.rows.length, position: batch.position, tookMs: now - startedAt })
+    }
   }
 
   private _noteFailure (error: unknown): void {
--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -89,7 +89,7 @@
     const { state, channel, log } = this._options
     try {
       const text = decodeConfiguration(update, state.configuration, channel.remoteAddress)
-      if (text !== undefined) state.configuration.offer(text, now)
+      if (text !== undefined) state.configuration.offer(text, update.node, now)
       if (update.isCurrent) state.advanceConfiguration(update.configurationPosition as StorePosition)
       return true
     } catch (error) {
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -1,11 +1,12 @@
 /** Sends this node's view to the nodes that asked for it. */
 import { Disposable, toDisposable } from '../../common/Disposable.js'
-import type { IClockService } from '../../common/Services.js'
+import type { IClockService, ILogService } from '../../common/Services.js'
 import type { IDisposable, Milliseconds } from '../../common/Types.js'
 import type { ReceivedViewRequest } from '../../generated/savoryknot/ViewRequest.js'
 import type { ViewUpdate } from '../../generated/savoryknot/ViewUpdate.js'
 import type { IPeerChannel } from '../../membership/Services.js'
 import type { StorePosition } from '../../platform/Types.js'
+import { VIEW_CONFIGURATION_SENT } from '../Events.js'
 import type { INodeIdentity } from '../Services.js'
 import type { ConfigurationVersion } from '../Types.js'
 import type { ViewState } from './ViewState.js'
@@ -22,6 +23,7 @@
   /** Nodes between this one and the store. */
   readonly hops: () => number
   readonly clock: IClockService
+  readonly log: ILogService
 }
 
 /** One node that follows. */
@@ -38,7 +40,7 @@
   constructor (private readonly _options: IViewServerOptions) {
     super()
     const { state, clock } = _options
-    this.register(state.configuration.onReplaced(() => this.notify()))
+    this.register(state.configuration.onReplaced(() => this._sendConfiguration()))
     this.register(state.nodes.onChanged(() => this.notify()))
     this.register(clock.every(VIEW_HEARTBEAT_MS, () => this.notify()))
     this.register(toDisposable(() => { for (const { channel } of this._followers) channel.dispose() }))
@@ -62,9 +64,27 @@
     })
   }
 
-  /** Sends every follower what it lacks. */
-  public notify (): void {
-    for (const follower of this._followers) this._send(follower)
+  /** Sends every follower what it lacks. Returns the bytes of configurations in it. */
+  public notify (): number {
+    let bytes = 0
+    for (const follower of this._followers) bytes += this._send(follower)
+    return bytes
+  }
+
+  private _sendConfiguration (): void {
+    const { clock, log, state } = this._options
+    if (this._followers.size === 0) return
+    const startedAt = clock.now()
+    const bytes = this.notify()
+    const waiting = Math.max(...[...this._followers].map(({ channel }) => channel.waitingBytes))
+    log.log(VIEW_CONFIGURATION_SENT, {
+      step: 'view.send',
+      version: state.configuration.version,
+      followers: this._followers.size,
+      bytes,
+      waitingBytes: waiting,
+      tookMs: clock.now() - startedAt
+    })
   }
 
   private _followerOf (channel: IPeerChannel, request: ReceivedViewRequest): IFollower {
@@ -77,7 +97,8 @@
     }
   }
 
-  private _send (follower: IFollower): void {
+  /** Returns the bytes of the configuration that was sent. */
+  private _send (follower: IFollower): number {
     const { state, isCurrent, hops, self } = this._options
     const update: ViewUpdate = {
       node: self.name,
@@ -89,9 +110,10 @@
       ...this._configurationFor(follower)
     }
     // A full send buffer drops the message; the next one then carries the same again.
-    if (!follower.channel.send({ viewUpdate: update })) return
+    if (!follower.channel.send({ viewUpdate: update })) return 0
     follower.position = state.nodes.position
     follower.sent = { version: state.configuration.version, text: state.configuration.text }
+    return update.configuration?.length ?? 0
   }
 
   private _configurationFor (follower: IFollower): Partial<ViewUpdate> {
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -85,7 +85,7 @@
     this._lastCurrentAt = clock.now()
     this._state = new ViewState(_options)
     this._policy = new ReadingPolicy(self, random)
-    this._server = new ViewServer({ self, state: this._state, clock, isCurrent: () => this.isCurrent, hops: () => this._hops })
+    this._server = new ViewServer({ ..._options, state: this._state, isCurrent: () => this.isCurrent, hops: () => this._hops })
     this._followers = [this._createConfigurationFollower(), this._createNodesFollower()]
     this.completed = new Promise((resolve) => { this._complete = resolve })
     this._readings = new Counter({
--- a/src/mesh/view/ViewState.ts
+++ b/src/mesh/view/ViewState.ts
@@ -12,6 +12,9 @@
   readonly configurationRow: IRowReference
 }
 
+/** Name of the store as a source of configurations, in the log. */
+const STORE = 'store'
+
 /** Takes batches of the store and updates of other nodes alike. */
 export class ViewState {
   public readonly configuration: IConfigurationService
@@ -36,7 +39,7 @@
   /** Takes changes of the table that holds the configuration. */
   public applyConfigurationBatch (batch: IChangeBatch, now: Timestamp): void {
     const row = batch.rows.findLast((candidate) => candidate.key === this._options.configurationRow.key)
-    if (row?.value !== undefined) this.configuration.offer(row.value, now)
+    if (row?.value !== undefined) this.configuration.offer(row.value, STORE, now)
     this.advanceConfiguration(batch.position)
   }
 
--- a/testing/fleet/FleetTransport.ts
+++ b/testing/fleet/FleetTransport.ts
@@ -61,6 +61,10 @@
     return this._inner.remoteAddress
   }
 
+  public get waitingBytes (): number {
+    return this._inner.waitingBytes
+  }
+
   public get onMessage (): IEvent<ReceivedPeerMessage> {
     return (listener) => this._inner.onMessage((message) => {
       if (message.hello?.self != null) this._remoteRegion = message.hello.self.region as Region
--- a/testing/membership/MemoryTransport.ts
+++ b/testing/membership/MemoryTransport.ts
@@ -120,6 +120,7 @@
 export class MemoryChannel implements IPeerChannel {
   public other: MemoryChannel | undefined
   public readonly remoteAddress: NetworkAddress
+  public readonly waitingBytes = 0
   private readonly _onMessage = new Emitter<ReceivedPeerMessage>()
   private readonly _onClosed = new Emitter<void>()
   private _isClosed = false
--- a/testing/membership/ShapedTransport.ts
+++ b/testing/membership/ShapedTransport.ts
@@ -64,6 +64,10 @@
     this.onClosed = _inner.onClosed
   }
 
+  public get waitingBytes (): number {
+    return this._inner.waitingBytes
+  }
+
   public get onMessage (): IEvent<ReceivedPeerMessage> {
     return (listener) => this._inner.onMessage((message) => {
       if (message.hello?.self != null) this._remote = message.hello.self.failureDomain as FailureDomain
