--- a/testing/membership/MemoryTransport.ts
+++ b/testing/membership/MemoryTransport.ts
@@ -16,6 +16,8 @@
   readonly dialTimeout: Milliseconds
 }
 
+const MILLISECONDS_PER_SECOND = 1_000
+
 /** Joins the memory transports of all nodes of a test. */
 export class MemoryNetwork {
   public readonly transports = new Map<NetworkAddress, MemoryTransport>()
@@ -67,7 +69,10 @@
 export class MemoryTransport implements IPeerTransport {
   public readonly channels = new Set<MemoryChannel>()
   private _accept: ((channel: IPeerChannel) => void) | undefined
+  /** Bytes a second that this node can send, over all its channels together. */
+  public sendRate = Infinity
   private _held: Array<() => void> = []
+  private _sendingUntil = 0
 
   constructor (
     public readonly network: MemoryNetwork,
@@ -103,6 +108,13 @@
     for (const channel of [...this.channels]) channel.dispose()
   }
 
+  /** Time at which the last of `bytes` has left this node, behind everything that it sends before. */
+  public reserve (bytes: number): number {
+    const startsAt = Math.max(this.network.options.clock.now(), this._sendingUntil)
+    this._sendingUntil = startsAt + bytes / this.sendRate * MILLISECONDS_PER_SECOND
+    return this._sendingUntil
+  }
+
   /** Runs at once, or when the node resumes. */
   public run (action: () => void): void {
     if (this.network.paused.has(this.address)) this._held.push(action)
@@ -149,7 +161,7 @@
 
   /** Sends what need not be a message. */
   public sendBytes (bytes: Buffer): void {
-    this._transfer((other) => other._receive(bytes))
+    this._transfer((other) => other._receive(bytes), bytes.length)
   }
 
   public dispose (): void {
@@ -158,12 +170,12 @@
     this._end()
   }
 
-  private _transfer (action: (other: MemoryChannel) => void): void {
+  private _transfer (action: (other: MemoryChannel) => void, bytes = 0): void {
     const { network } = this._from
     if (!network.isOpen(this._from, this._to) || network.paused.has(this._from.address)) return
     const { clock } = network.options
     // Arrivals keep the order of sending, as on a stream.
-    this._lastArrival = Math.max(clock.now() + network.drawLatency(), this._lastArrival)
+    this._lastArrival = Math.max(this._from.reserve(bytes) + network.drawLatency(), this._lastArrival)
     clock.after(this._lastArrival - clock.now() as Milliseconds, () => {
       const { other } = this
       if (other !== undefined && network.isOpen(this._from, this._to)) this._to.run(() => action(other))
--- /dev/null
+++ b/testing/mesh/ConfigurationText.ts
@@ -0,0 +1,24 @@
+/** Configurations as the users' operator writes them. */
+
+/** One route of a configuration. */
+export interface IRigRoute { readonly prefix: string, readonly service: string, readonly kind?: string, readonly timeout?: number }
+
+/** Text of a configuration with one version of these routes. */
+export function configurationText (version: number, routes: readonly IRigRoute[]): string {
+  const services = [...new Set(routes.map((route) => route.service))]
+  return JSON.stringify({
+    version: `r${version}`,
+    routes: {
+      columns: ['name', 'hostname', 'prefix', 'kind', 'timeoutMs', 'targetLatencyMs', 'priority', 'maxAttempts', 'service', 'weightedSplit'],
+      rows: routes.map(({ prefix, service, kind, timeout }) => [`r-${prefix}`, 'mesh.example', prefix, kind ?? 'idempotent', timeout ?? 2_000, 500, 1, 2, service, null])
+    },
+    services: { columns: ['name', 'healthPath', 'maxConns', 'protocol', 'tls'], rows: services.map((name) => [name, '/health', 20, 'h1', false]) },
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  })
+}
+
+/** Routes that nobody calls, with prefixes that do not compress well, as hashes do not. */
+export function idleRoutes (count: number, random: { integer: (limit: number) => number }): IRigRoute[] {
+  const word = (): string => random.integer(2 ** 31).toString(36).padStart(6, '0')
+  return Array.from({ length: count }, () => ({ prefix: `/${word()}/${word()}/`, service: 'idle' }))
+}
--- a/testing/mesh/MeshRig.ts
+++ b/testing/mesh/MeshRig.ts
@@ -5,6 +5,7 @@
 import { MeshDaemon } from '../../src/mesh/daemon/MeshDaemon.js'
 import { findFreePorts } from '../demonstration/FreePorts.js'
 import { RecordingLog } from '../RecordingLog.js'
+import { configurationText, type IRigRoute } from './ConfigurationText.js'
 import { EndpointStandIn } from './EndpointStandIn.js'
 import { StoreStandIn } from './StoreStandIn.js'
 
@@ -37,9 +38,6 @@
   readonly deadline?: number
 }
 
-/** One route of a configuration. */
-export interface IRigRoute { readonly prefix: string, readonly service: string, readonly kind?: string, readonly timeout?: number }
-
 const CHECK_INTERVAL_MS = 10
 const CHECKS = 500
 
@@ -56,16 +54,7 @@
 
   /** Writes a version of the configuration. */
   public configure (version: number, routes: readonly IRigRoute[]): void {
-    const services = [...new Set(routes.map((route) => route.service))]
-    this.store.put('op', 'config', JSON.stringify({
-      version: `r${version}`,
-      routes: {
-        columns: ['name', 'hostname', 'prefix', 'kind', 'timeoutMs', 'targetLatencyMs', 'priority', 'maxAttempts', 'service', 'weightedSplit'],
-        rows: routes.map(({ prefix, service, kind, timeout }) => [`r-${prefix}`, 'mesh.example', prefix, kind ?? 'idempotent', timeout ?? 2_000, 500, 1, 2, service, null])
-      },
-      services: { columns: ['name', 'healthPath', 'maxConns', 'protocol', 'tls'], rows: services.map((name) => [name, '/health', 20, 'h1', false]) },
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
-    }))
+    this.store.put('op', 'config', configurationText(version, routes))
   }
 
   /** Starts a node; it serves once `started` has resolved. */
--- /dev/null
+++ b/testing/mesh/ViewRegion.ts
@@ -0,0 +1,174 @@
+/** The views of all nodes of one region in simulated time, on a store in memory and links of limited rate. */
+import { ConfigurationDecoder } from '../../platform/ConfigurationDecoder.js'
+import { InvariantService } from '../../src/common/InvariantService.js'
+import { MetricsService } from '../../src/common/MetricsService.js'
+import { RandomService } from '../../src/common/RandomService.js'
+import type { FailureDomain, Milliseconds, NetworkAddress, Region, Timestamp } from '../../src/common/Types.js'
+import { ConfigurationService } from '../../src/mesh/configuration/ConfigurationService.js'
+import type { NodeName } from '../../src/mesh/Types.js'
+import { encodeNodeRow } from '../../src/mesh/view/NodeRowCodec.js'
+import { NodeTable } from '../../src/mesh/view/NodeTable.js'
+import { NODE_TABLE, ViewService } from '../../src/mesh/view/ViewService.js'
+import { PlatformUnavailableError } from '../../src/platform/PlatformErrors.js'
+import type { IChangeFeed } from '../../src/platform/Services.js'
+import type { IChangeBatch, IChangedRow, IRowReference, RowKey, StorePosition, TableName } from '../../src/platform/Types.js'
+import { ManualClock } from '../ManualClock.js'
+import { MemoryNetwork, type MemoryTransport } from '../membership/MemoryTransport.js'
+import { RecordingLog } from '../RecordingLog.js'
+
+/** Shape of a region. */
+export interface IViewRegionOptions {
+  readonly seed: number
+  readonly nodes: number
+  /** Bytes a second that each node can send, and as many that it can receive from the store. */
+  readonly linkRate: number
+}
+
+/** One node of the region. */
+export interface IRegionNode {
+  readonly name: NodeName
+  readonly view: ViewService
+  readonly configuration: ConfigurationService
+  readonly transport: MemoryTransport
+  readonly feed: MemoryFeed
+  readonly log: RecordingLog
+  /** When each version came into force here. */
+  readonly applied: Map<number, Timestamp>
+}
+
+const CONFIGURATION_ROW: IRowReference = { table: 'op' as TableName, key: 'config' as RowKey }
+const REGION = 'r1' as Region
+const DOMAINS = 3
+/** Time of one call of the store, both ways. */
+const STORE_ROUND_TRIP_MS = 20 as Milliseconds
+/** Bytes on the wire for each of a row. */
+const ENCODING_FACTOR = 4 / 3
+const MILLISECONDS_PER_SECOND = 1_000
+const LATENCY = Object.freeze({ least: 0.5, most: 1 })
+
+/** Rows of a store that never fails. */
+class MemoryStore {
+  public position = 0
+  private readonly _rows = new Map<string, IChangedRow & { readonly table: TableName }>()
+  private _waiters: Array<() => void> = []
+
+  public put (table: TableName, key: RowKey, value: string): void {
+    this.position++
+    this._rows.set(`${table} ${key}`, { table, key, value, position: this.position as StorePosition })
+    const waiters = this._waiters
+    this._waiters = []
+    for (const waiter of waiters) waiter()
+  }
+
+  public changesAfter (table: TableName, position: StorePosition): IChangedRow[] {
+    return [...this._rows.values()].filter((row) => row.table === table && row.position > position)
+  }
+
+  public onNextChange (action: () => void): void {
+    this._waiters.push(action)
+  }
+}
+
+/** The way of one node to the store. */
+export class MemoryFeed implements IChangeFeed {
+  /** False while the node cannot reach the store. */
+  public isReachable = true
+  public calls = 0
+  private _receivingUntil = 0
+
+  constructor (private readonly _store: MemoryStore, private readonly _clock: ManualClock, public rate: number) {}
+
+  public async readAll (table: TableName): Promise<IChangeBatch> {
+    return { ...await this.changesAfter(table, 0 as StorePosition, 0 as Milliseconds), isWhole: true }
+  }
+
+  public async changesAfter (table: TableName, position: StorePosition, wait: Milliseconds): Promise<IChangeBatch> {
+    this.calls++
+    await this._clock.sleep(STORE_ROUND_TRIP_MS / 2 as Milliseconds)
+    if (!this.isReachable) throw new PlatformUnavailableError('store cannot be reached', { step: 'test' })
+    const until = this._clock.now() + wait
+    while (this._store.changesAfter(table, position).length === 0 && this._clock.now() < until) await this._nextChange(until)
+    const batch = { rows: this._store.changesAfter(table, position), position: this._store.position as StorePosition, isWhole: false }
+    await this._receive(batch.rows)
+    return batch
+  }
+
+  private _nextChange (until: number): Promise<void> {
+    return new Promise((resolve) => {
+      this._clock.after(until - this._clock.now() as Milliseconds, resolve)
+      this._store.onNextChange(resolve)
+    })
+  }
+
+  private async _receive (rows: readonly IChangedRow[]): Promise<void> {
+    const bytes = rows.reduce((sum, { value }) => sum + (value?.length ?? 0) * ENCODING_FACTOR, 0)
+    this._receivingUntil = Math.max(this._clock.now(), this._receivingUntil) + bytes / this.rate * MILLISECONDS_PER_SECOND
+    await this._clock.sleep(this._receivingUntil - this._clock.now() + STORE_ROUND_TRIP_MS / 2 as Milliseconds)
+  }
+}
+
+/** Starts all nodes at once, as after a loss of power. */
+export class ViewRegion {
+  public readonly clock = new ManualClock()
+  public readonly nodes: IRegionNode[]
+  private readonly _store = new MemoryStore()
+  private readonly _network: MemoryNetwork
+  private readonly _random: RandomService
+
+  constructor (private readonly _options: IViewRegionOptions) {
+    this._random = new RandomService(_options.seed)
+    this._network = new MemoryNetwork({ clock: this.clock, random: this._random, latency: LATENCY, dialTimeout: 1_000 as Milliseconds })
+    this.nodes = Array.from({ length: _options.nodes }, (_, number) => this._createNode(number))
+  }
+
+  /** Writes a configuration; returns when it was confirmed. */
+  public configure (text: string): Timestamp {
+    this._store.put(CONFIGURATION_ROW.table, CONFIGURATION_ROW.key, text)
+    return this.clock.now()
+  }
+
+  /** Starts every node, and waits until all know the configuration and each other. */
+  public async start (settle: Milliseconds): Promise<void> {
+    await Promise.all(this.nodes.map(({ view }) => view.start()))
+    await this.clock.advance(settle)
+  }
+
+  /** The node that the others follow. */
+  public get reader (): IRegionNode {
+    const peers = this.nodes.flatMap(({ log }) => log.events.filter(({ name }) => name === 'view-link-opened').map(({ fields }) => fields.peer))
+    const first = this.nodes.find(({ name }) => name === peers.at(-1))
+    if (first === undefined) throw new Error('no node is followed')
+    return first
+  }
+
+  private _createNode (number: number): IRegionNode {
+    const name = `node-${number}` as NodeName
+    const failureDomain = `z${number % DOMAINS}` as FailureDomain
+    const address = `10.0.0.${number}:2` as NetworkAddress
+    const row = { node: name, failureDomain, region: REGION, gateAddress: `10.0.0.${number}:1` as NetworkAddress, peerAddress: address, isLeaving: false }
+    this._store.put(NODE_TABLE, name as string as RowKey, encodeNodeRow(row))
+    const transport = this._network.createTransport(address, failureDomain)
+    transport.sendRate = this._options.linkRate
+    const log = new RecordingLog()
+    const metrics = new MetricsService()
+    const configuration = new ConfigurationService({
+      decoder: new ConfigurationDecoder(), log, metrics, invariants: new InvariantService({ log, metrics })
+    })
+    const applied = new Map<number, Timestamp>()
+    configuration.onReplaced(({ configuration: { version } }) => applied.set(version, this.clock.now()))
+    const feed = new MemoryFeed(this._store, this.clock, this._options.linkRate)
+    const view = new ViewService({
+      self: { name, failureDomain, region: REGION },
+      configuration,
+      nodes: new NodeTable({ log }),
+      feed,
+      configurationRow: CONFIGURATION_ROW,
+      transport,
+      clock: this.clock,
+      random: this._random,
+      log,
+      metrics
+    })
+    return { name, view, configuration, transport, feed, log, applied }
+  }
+}
