Log when a process could not run, to tell a busy processor from a full link

From 20.1 s on every connection that it opened timed out after 200 ms, and so did three readings of the store, while other nodes were well: its processor or its link was full, and the log could not tell which. process-delayed gives the lateness of a timer with the processor time used meanwhile.

--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -11,6 +11,7 @@
 export const NODE_STOPPED = define(9004, 'node-stopped', 'info', 'The planned stop has ended. The field unfinished counts the requests that were cut.')
 export const SETTINGS_RELOADED = define(9005, 'settings-reloaded', 'info', 'The settings file was read again after SIGHUP. Values that belong to the start of a process keep their old value.')
 export const SETTINGS_REJECTED = define(9006, 'settings-rejected', 'error', 'The settings file could not be read after SIGHUP; the earlier settings stay in use. Correct the file and send SIGHUP again.')
+export const PROCESS_DELAYED = define(9007, 'process-delayed', 'warn', 'The process could not run for the time in the field lateMs. If processorMs is as long, one step of its own took that time; if it is short, the processor was busy elsewhere or taken away.')
 
 export const CONFIGURATION_APPLIED = define(9101, 'configuration-applied', 'info', 'A newer configuration is in force; new requests are routed by it. The field source names the node that sent it, or the store; learntAt is when it arrived.')
 export const CONFIGURATION_REJECTED = define(9102, 'configuration-rejected', 'error', 'A configuration could not be read or contradicts itself; the one before stays in force.')
@@ -47,7 +48,7 @@
 export const CALL_UNROUTED = define(9410, 'call-unrouted', 'info', 'No route of the configuration in force fits a request, and it got 404. The field viewAgeMs tells how long ago that configuration was confirmed to be the newest.')
 
 export const MESH_EVENTS: readonly IEventDefinition[] = Object.freeze([
-  NODE_STARTED, NODE_STARTING, NODE_STOPPING, NODE_STOPPED, SETTINGS_RELOADED, SETTINGS_REJECTED,
+  NODE_STARTED, NODE_STARTING, NODE_STOPPING, NODE_STOPPED, SETTINGS_RELOADED, SETTINGS_REJECTED, PROCESS_DELAYED,
   CONFIGURATION_APPLIED, CONFIGURATION_REJECTED,
   VIEW_READING_STARTED, VIEW_READING_STOPPED, VIEW_READING_FAILED, VIEW_READING_RECOVERED, VIEW_HISTORY_LOST,
   VIEW_LINK_OPENED, VIEW_LINK_LOST, VIEW_BODY_REJECTED, NODE_ROW_IGNORED, NODE_ROW_CHANGED,
--- /dev/null
+++ b/src/mesh/daemon/EventLoopWatch.test.ts
@@ -0,0 +1,30 @@
+/** A process that could not run says so. */
+import { expect } from 'chai'
+import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import { RecordingLog } from '../../../testing/RecordingLog.js'
+import { EventLoopWatch } from './EventLoopWatch.js'
+
+describe('EventLoopWatch', () => {
+  it('logs by how much its timer was late, and the processor time used meanwhile', () => {
+    const log = new RecordingLog()
+    let now = 0
+    let used = 0
+    let tick = (): void => undefined
+    const clock = {
+      now: () => now as Timestamp,
+      every: (_interval: Milliseconds, action: () => void) => {
+        tick = action
+        return { dispose: () => undefined }
+      },
+      after: () => ({ dispose: () => undefined }),
+      sleep: async () => undefined
+    }
+    new EventLoopWatch({ clock, log, processorTime: () => used as Milliseconds }).start()
+    for (const [at, time] of [[100, 5], [205, 10], [905, 200]] as const) {
+      now = at
+      used = time
+      tick()
+    }
+    expect(log.events).to.deep.equal([{ name: 'process-delayed', fields: { step: 'process.watch', lateMs: 600, processorMs: 190 } }])
+  })
+})
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -24,6 +24,7 @@
 import { NodeTable } from '../view/NodeTable.js'
 import { ViewService } from '../view/ViewService.js'
 import type { IMeshSettings } from './MeshSettings.js'
+import { EventLoopWatch } from './EventLoopWatch.js'
 import { MESH_KEY } from './ServiceKeys.js'
 
 /** What the parts need of the daemon. */
@@ -44,10 +45,12 @@
 const QUESTION_TIMEOUT_MS = 350 as Milliseconds
 const STORE_TIMEOUT_MS = 2_000 as Milliseconds
 const STORE_CONNECTIONS = 4
+const MICROSECONDS_PER_MILLISECOND = 1_000
 
 /** Registers everything; the kernel makes and starts it in the order of dependencies, ports before the view. */
 export function registerMesh (kernel: IKernel, options: IMeshServicesOptions): void {
   registerFoundation(kernel, options)
+  registerWatch(kernel)
   registerView(kernel, options)
   registerEndpoint(kernel, options)
   registerCalls(kernel, options)
@@ -66,6 +69,19 @@
   })
 }
 
+function registerWatch (kernel: IKernel): void {
+  kernel.register({
+    key: MESH_KEY.eventLoopWatch,
+    dependsOn: FOUNDATION,
+    create: () => new EventLoopWatch({ ...foundationOf(kernel), processorTime })
+  })
+}
+
+function processorTime (): Milliseconds {
+  const { user, system } = process.cpuUsage()
+  return Math.round((user + system) / MICROSECONDS_PER_MILLISECOND) as Milliseconds
+}
+
 function registerView (kernel: IKernel, { adapter, settings }: IMeshServicesOptions): void {
   const { mesh, store } = settings()
   kernel.register({
--- a/src/mesh/daemon/ServiceKeys.ts
+++ b/src/mesh/daemon/ServiceKeys.ts
@@ -24,5 +24,6 @@
   directory: createServiceKey<EndpointDirectory>('mesh.directory'),
   callerPort: createServiceKey<CallerPort>('mesh.caller-port'),
   controlPort: createServiceKey<IService>('mesh.control-port'),
-  metricsServer: createServiceKey<IService>('mesh.metrics-server')
+  metricsServer: createServiceKey<IService>('mesh.metrics-server'),
+  eventLoopWatch: createServiceKey<IService>('mesh.event-loop-watch')
 })
