Send a small change of a long text as a small delta, wherever it lies

Cause: a delta was DEFLATE with the earlier text as dictionary, and DEFLATE refers back 32 KB at most. Of a text of 107 KB only the last third could be referred to, so that the node that reads the store for its region sent each follower nearly the whole text, deflated, for every version: 26,040 bytes of 26,237 (measured on a made-up configuration of 1,140 routes). To 22 followers that is 0.57 MB a version; on the link of 7 Mbit/s of sidecar-rochester-a-7 0.65 s, during which the next version waits. Ruled out for this fault: the store's own time (the same for both kinds of nodes), handing over (the test has none).

Class of fault: the cost of a change grew with the size of the whole, once for each receiver.

Fix: against a base beyond the reach of DEFLATE the differences are found first (fossil-delta, a library), then deflated. The same delta: 310 bytes. Bodies of documents use the same codec, so long documents gain as well. Shorter bases are encoded as before.

--- /dev/null
+++ b/src/distribution/BodyCodec.test.ts
@@ -0,0 +1,53 @@
+/** Bodies cost bytes in proportion to what changed, and nothing but a whole text is ever restored. */
+import { expect } from 'chai'
+import fastCheck from 'fast-check'
+import { hashContent } from '../common/Ids.js'
+import { BodyError, decodeBody, encodeBody } from './BodyCodec.js'
+
+const SEED = 18
+/** Far beyond what DEFLATE can refer back to. */
+const LONG_LINES = 2_000
+
+/** Lines without repetition, as of routes with random names. */
+function linesOf (count: number): string[] {
+  return Array.from({ length: count }, (_, number) => `route ${hashContent(`line ${number}`).slice(0, 40)}`)
+}
+
+function roundTrip (text: string, base: string | undefined): string {
+  return decodeBody(encodeBody(text, base), base, hashContent(text), 'peer')
+}
+
+describe('BodyCodec', () => {
+  it('sends a small change anywhere in a long text as a small delta', () => {
+    const lines = linesOf(LONG_LINES)
+    const base = lines.join('\n')
+    const sizes = [0, 0.25, 0.5, 0.75, 1].map((part) => {
+      const changed = [...lines]
+      changed.splice(Math.floor(part * (LONG_LINES - 1)), 1, 'route changed', 'route added')
+      return encodeBody(['version 2', ...changed].join('\n'), base).length
+    })
+    expect(Math.max(...sizes)).to.be.below(200)
+  })
+
+  it('gives every text back as it was, with any base', () => {
+    const line = fastCheck.integer({ min: 0, max: 40 }).map((number) => `${hashContent(String(number))} ö\n`)
+    const text = fastCheck.array(line, { maxLength: 1_200 }).map((lines) => lines.join(''))
+    fastCheck.assert(fastCheck.property(text, text, (first, second) => {
+      expect(roundTrip(first, second)).to.equal(first)
+      expect(roundTrip(second, undefined)).to.equal(second)
+    }), { seed: SEED, numRuns: 60 })
+  })
+
+  it('restores nothing from a delta against another base, or from bytes that were changed', () => {
+    const base = linesOf(LONG_LINES).join('\n')
+    const text = `${base}\nroute added`
+    const content = encodeBody(text, base)
+    const hash = hashContent(text)
+    expect(() => decodeBody(content, base.replaceAll('a', 'b'), hash, 'peer')).to.throw(BodyError)
+    for (let position = 0; position < content.length; position++) {
+      const changed = Buffer.from(content)
+      changed[position] = (changed[position] ?? 0) ^ 0xff
+      expect(() => decodeBody(changed, base, hash, 'peer')).to.throw(BodyError)
+    }
+  })
+})
--- a/src/distribution/BodyCodec.ts
+++ b/src/distribution/BodyCodec.ts
@@ -1,4 +1,5 @@
 /** Compresses texts for the network, against an earlier version where the receiver has one. */
+import { applyDelta, createDelta, getDeltaTargetSize } from 'fossil-delta'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { hashContent } from '../common/Ids.js'
 import { SavoryknotError } from '../common/SavoryknotError.js'
@@ -7,35 +8,47 @@
 /** A body could not be inflated within its limit, or is not what its hash says. */
 export class BodyError extends SavoryknotError {}
 
-/** Largest text that is inflated, in bytes. */
+/** Largest text that is restored, in bytes. */
 export const MAXIMUM_TEXT_BYTES = 256 * 1024
 
 /** DEFLATE can refer back no further than this. */
 const WINDOW_BYTES = 32 * 1024
 
-/** Compresses `text`; with `base` it becomes a delta that only a holder of `base` can read. */
+/**
+ * Compresses `text`; with `base` it becomes a delta that only a holder of `base` can read. A base within reach of DEFLATE
+ * is its dictionary; against a longer one the differences are found first, wherever they are, and then deflated.
+ */
 export function encodeBody (text: string, base: string | undefined): Buffer {
-  return deflateRawSync(text, { dictionary: dictionaryOf(base) })
+  if (base === undefined || base.length === 0) return deflateRawSync(text)
+  const dictionary = Buffer.from(base)
+  if (dictionary.length <= WINDOW_BYTES) return deflateRawSync(text, { dictionary })
+  return deflateRawSync(createDelta(dictionary, Buffer.from(text)))
 }
 
 /** Restores a text and checks it. Throws `BodyError`. */
 export function decodeBody (content: Uint8Array, base: string | undefined, hash: ContentHash, peer: string): string {
-  const text = inflate(content, base, peer)
+  const text = restore(content, base, peer)
   if (hashContent(text) !== hash) throw new BodyError('content differs from its hash', { step: 'body.verify', peer })
-  return text.toString('utf8')
+  return Buffer.from(text.buffer, text.byteOffset, text.byteLength).toString('utf8')
 }
 
-/** Inflates with a bounded output. */
-function inflate (content: Uint8Array, base: string | undefined, peer: string): Buffer {
+/** Restores with a bounded output. */
+function restore (content: Uint8Array, base: string | undefined, peer: string): Uint8Array {
   try {
-    return inflateRawSync(content, { dictionary: dictionaryOf(base), maxOutputLength: MAXIMUM_TEXT_BYTES })
+    if (base === undefined || base.length === 0) return inflate(content)
+    const dictionary = Buffer.from(base)
+    return dictionary.length <= WINDOW_BYTES ? inflate(content, dictionary) : apply(dictionary, inflate(content))
   } catch (cause) {
-    throw new BodyError('content cannot be inflated', { step: 'body.inflate', peer, cause })
+    throw new BodyError('content cannot be restored', { step: 'body.restore', peer, cause })
   }
 }
 
-/** The part of the base that a delta may refer to. */
-function dictionaryOf (base: string | undefined): Buffer | undefined {
-  if (base === undefined || base.length === 0) return undefined
-  return Buffer.from(base).subarray(-WINDOW_BYTES)
+function inflate (content: Uint8Array, dictionary?: Buffer): Buffer {
+  return inflateRawSync(content, { dictionary, maxOutputLength: MAXIMUM_TEXT_BYTES })
+}
+
+function apply (base: Buffer, delta: Buffer): Uint8Array {
+  const size = getDeltaTargetSize(delta)
+  if (size > MAXIMUM_TEXT_BYTES) throw new RangeError(`text of ${size} bytes is above the limit`)
+  return applyDelta(base, delta)
 }
