Pass configurations above 256 KiB between nodes, and leave a source whose body cannot be restored

What callers can see: a configuration that grows above 256 KiB while nodes follow another one is never in force at them; a route that was added is answered with 404 for good.

Cause: bodies between nodes were restored only up to the limit of one document. The link took the failure for a wrong base, asked for the whole again with every update, and stayed, since messages went on coming: its node neither followed nor read the store. Ruled out: a limit of the stream, which is 1 MB of deflated bytes.

Class of fault: a limit for one kind of content applied to another, and a repair that is repeated without end.

Fix: the limit belongs to the content; configurations may have 2 MiB. A link asks anew against the version in force, then for the whole, and then ends; its node reads the store itself.

--- a/bench/DistributionCost.ts
+++ b/bench/DistributionCost.ts
@@ -6,7 +6,7 @@
 import { createNodeId } from '../src/common/Ids.js'
 import { RandomService } from '../src/common/RandomService.js'
 import type { Timestamp } from '../src/common/Types.js'
-import { decodeBody, encodeBody } from '../src/distribution/BodyCodec.js'
+import { decodeBody, encodeBody, MAXIMUM_DOCUMENT_BYTES } from '../src/distribution/BodyCodec.js'
 import { HeldDocuments } from '../src/distribution/HeldDocuments.js'
 import { ReportCollector } from '../src/distribution/reports/ReportCollector.js'
 import type { IInForceReport } from '../src/distribution/reports/Types.js'
@@ -78,7 +78,7 @@
 function applyChange (change: IVersionedText, held: HeldDocuments, snapshots: SnapshotService): void {
   const base = held.newest(change.service)?.text
   const content = encodeBody(change.text, base)
-  const text = decodeBody(content, base, change.hash, 'bench')
+  const text = decodeBody(content, base, change.hash, { peer: 'bench', maximumBytes: MAXIMUM_DOCUMENT_BYTES })
   snapshots.offer([{ ...change, text }], 0 as Timestamp)
 }
 
--- a/src/distribution/BodyCodec.ts
+++ b/src/distribution/BodyCodec.ts
@@ -8,8 +8,15 @@
 /** A body could not be inflated within its limit, or is not what its hash says. */
 export class BodyError extends SavoryknotError {}
 
-/** Largest text that is restored, in bytes. */
-export const MAXIMUM_TEXT_BYTES = 256 * 1024
+/** Where a body came from and how large its text may be. */
+export interface IBodySource {
+  readonly peer: string
+  /** Largest text that is restored, in bytes. */
+  readonly maximumBytes: number
+}
+
+/** Largest text of a document, in bytes. */
+export const MAXIMUM_DOCUMENT_BYTES = 256 * 1024
 
 /** DEFLATE can refer back no further than this. */
 const WINDOW_BYTES = 32 * 1024
@@ -26,29 +33,30 @@
 }
 
 /** Restores a text and checks it. Throws `BodyError`. */
-export function decodeBody (content: Uint8Array, base: string | undefined, hash: ContentHash, peer: string): string {
-  const text = restore(content, base, peer)
-  if (hashContent(text) !== hash) throw new BodyError('content differs from its hash', { step: 'body.verify', peer })
+export function decodeBody (content: Uint8Array, base: string | undefined, hash: ContentHash, source: IBodySource): string {
+  const text = restore(content, base, source)
+  if (hashContent(text) !== hash) throw new BodyError('content differs from its hash', { step: 'body.verify', peer: source.peer })
   return Buffer.from(text.buffer, text.byteOffset, text.byteLength).toString('utf8')
 }
 
 /** Restores with a bounded output. */
-function restore (content: Uint8Array, base: string | undefined, peer: string): Uint8Array {
+function restore (content: Uint8Array, base: string | undefined, { peer, maximumBytes }: IBodySource): Uint8Array {
   try {
-    if (base === undefined || base.length === 0) return inflate(content)
+    if (base === undefined || base.length === 0) return inflate(content, maximumBytes)
     const dictionary = Buffer.from(base)
-    return dictionary.length <= WINDOW_BYTES ? inflate(content, dictionary) : apply(dictionary, inflate(content))
+    if (dictionary.length <= WINDOW_BYTES) return inflate(content, maximumBytes, dictionary)
+    return apply(dictionary, inflate(content, maximumBytes), maximumBytes)
   } catch (cause) {
     throw new BodyError('content cannot be restored', { step: 'body.restore', peer, cause })
   }
 }
 
-function inflate (content: Uint8Array, dictionary?: Buffer): Buffer {
-  return inflateRawSync(content, { dictionary, maxOutputLength: MAXIMUM_TEXT_BYTES })
+function inflate (content: Uint8Array, maximumBytes: number, dictionary?: Buffer): Buffer {
+  return inflateRawSync(content, { dictionary, maxOutputLength: maximumBytes })
 }
 
-function apply (base: Buffer, delta: Buffer): Uint8Array {
+function apply (base: Buffer, delta: Buffer, maximumBytes: number): Uint8Array {
   const size = getDeltaTargetSize(delta)
-  if (size > MAXIMUM_TEXT_BYTES) throw new RangeError(`text of ${size} bytes is above the limit`)
+  if (size > maximumBytes) throw new RangeError(`text of ${size} bytes is above the limit`)
   return applyDelta(base, delta)
 }
--- a/src/distribution/PullTask.ts
+++ b/src/distribution/PullTask.ts
@@ -4,7 +4,7 @@
 import type { DocumentVersion, Milliseconds, ServiceName, Timestamp } from '../common/Types.js'
 import type { IVersionedText } from '../documents/Types.js'
 import type { ReceivedBody } from '../generated/savoryknot/Body.js'
-import { BodyError, decodeBody } from './BodyCodec.js'
+import { BodyError, decodeBody, MAXIMUM_DOCUMENT_BYTES } from './BodyCodec.js'
 import { BODY_REFUSED, PULL_GIVEN_UP } from './Events.js'
 import type { HeldDocuments } from './HeldDocuments.js'
 import type { ISnapshotService } from './Services.js'
@@ -190,7 +190,7 @@
     if (entry.version < request.wanted) throw new BodyError('version is older than asked for', { step: 'pull.receive', peer })
     if (entry.isTombstone) return { ...entry, text: '' }
     const base = this._baseOf(request, body, peer)
-    return { ...entry, text: decodeBody(body.content, base, entry.hash, peer) }
+    return { ...entry, text: decodeBody(body.content, base, entry.hash, { peer, maximumBytes: MAXIMUM_DOCUMENT_BYTES }) }
   }
 
   private _baseOf (request: IRequest, body: ReceivedBody, peer: string): string | undefined {
--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -16,7 +16,7 @@
 const NO_VERSION = 0 as ConfigurationVersion
 
 /** How a link ended. */
-export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'too-far' | 'other-node' | 'released'
+export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'too-far' | 'other-node' | 'unreadable' | 'released'
 
 /** What a link needs. */
 export interface IViewLinkOptions {
@@ -95,12 +95,18 @@
       return true
     } catch (error) {
       log.log(VIEW_BODY_REJECTED, { step: 'view.apply', peer: channel.remoteAddress, version: update.configurationVersion, reason: String(error) })
-      // A delta against another version than the one in force here: the other side is told which one that is.
-      this._ask(update.configurationBase === state.configuration.version ? NO_VERSION : state.configuration.version)
+      this._askAnew(update.configurationBase as ConfigurationVersion)
       return false
     }
   }
 
+  /** After a delta that cannot be used another one is asked for, then the whole; without it the other side is of no use. */
+  private _askAnew (base: ConfigurationVersion): void {
+    const { version } = this._options.state.configuration
+    if (base === NO_VERSION) this._finish('unreadable')
+    else this._ask(base === version ? NO_VERSION : version)
+  }
+
   private _waitForNext (): void {
     this._silence?.dispose()
     this._silence = this._options.clock.after(VIEW_SILENCE_MS, () => this._finish('silent'))
--- a/src/mesh/view/ViewMessages.ts
+++ b/src/mesh/view/ViewMessages.ts
@@ -7,6 +7,9 @@
 import type { IConfigurationService } from '../Services.js'
 import type { ConfigurationVersion } from '../Types.js'
 
+/** Largest configuration taken from another node, in bytes; several times what the platform keeps in one row. */
+const MAXIMUM_CONFIGURATION_BYTES = 2_097_152
+
 /** One configuration that was sent, as the base of the next one. */
 export interface ISentConfiguration {
   readonly version: ConfigurationVersion
@@ -31,7 +34,7 @@
   if (update.configurationVersion <= held.version) return undefined
   const base = update.configurationBase === held.version ? held.text : undefined
   const hash = update.configurationHash.toString('hex') as ContentHash
-  return decodeBody(update.configuration, base, hash, peer)
+  return decodeBody(update.configuration, base, hash, { peer, maximumBytes: MAXIMUM_CONFIGURATION_BYTES })
 }
 
 /** Rows in the form of messages. */
--- a/testing/fleet/FloodingDistribution.ts
+++ b/testing/fleet/FloodingDistribution.ts
@@ -1,6 +1,6 @@
 /** The simplest way to spread documents, for comparison: every node sends each new text, whole, over all its links. */
 import type { ContentHash, DocumentVersion, ServiceName } from '../../src/common/Types.js'
-import { decodeBody, encodeBody } from '../../src/distribution/BodyCodec.js'
+import { decodeBody, encodeBody, MAXIMUM_DOCUMENT_BYTES } from '../../src/distribution/BodyCodec.js'
 import { IHeldDocuments } from '../../src/distribution/HeldDocuments.js'
 import { ISnapshotService } from '../../src/distribution/Services.js'
 import type { IVersionedText } from '../../src/documents/Types.js'
@@ -37,6 +37,6 @@
 
 function decode (body: ReceivedBody, peer: string): IVersionedText {
   const hash = body.entry?.hash.toString('hex') as ContentHash
-  const text = decodeBody(body.content, undefined, hash, peer)
+  const text = decodeBody(body.content, undefined, hash, { peer, maximumBytes: MAXIMUM_DOCUMENT_BYTES })
   return { service: body.entry?.service as ServiceName, version: body.entry?.version as DocumentVersion, hash, isTombstone: false, text }
 }
