Read the newest configuration, not every version between, when a node has fallen behind

Cause: the store's feed gives every state that a row went through. A node that had lost its source, or read more slowly than changes came, got each version in full: 130 KB each, so that each reading took longer than the one before and more versions came meanwhile.

Class of fault: the cost of catching up grows with the time behind, and makes the node fall further behind.

Fix: the follower of the configuration reads the whole table, which holds the newest state only, at the start of a run, after a failure, and after an answer that held states which later ones in it had replaced. The table of nodes, with rows of 400 bytes, is read as before.

Tests: the stand-in of the store keeps every state, as the platform does.

--- a/src/mesh/view/ConfigurationStorm.test.ts
+++ b/src/mesh/view/ConfigurationStorm.test.ts
@@ -2,8 +2,8 @@
 import { expect } from 'chai'
 import { RandomService } from '../../common/RandomService.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
-import { configurationText, idleRoutes } from '../../../testing/mesh/ConfigurationText.js'
-import { ViewRegion } from '../../../testing/mesh/ViewRegion.js'
+import { configurationText, idleRoutes, type IRigRoute } from '../../../testing/mesh/ConfigurationText.js'
+import { ViewRegion, type IViewRegionOptions } from '../../../testing/mesh/ViewRegion.js'
 
 const SEED = 18
 /** The shortest time of the users' deployments within which a confirmed change must be in force. */
@@ -13,6 +13,8 @@
 const WIDE_LINK = 12_500_000
 const IDLE_ROUTES = 1_140
 const STORM_VERSIONS = 22
+/** Changes that would take a narrow link seven seconds. */
+const MISSED_VERSIONS = 36
 const STORM_INTERVAL_MS = 220
 const SETTLE_MS = 8_000 as Milliseconds
 
@@ -28,38 +30,58 @@
   return longest
 }
 
-async function playStorm (region: ViewRegion): Promise<number> {
-  const random = new RandomService(SEED)
-  const routes = idleRoutes(IDLE_ROUTES, random)
+/** A region whose nodes all hold version 1, with these routes. */
+async function startRegion (options: Omit<IViewRegionOptions, 'seed'>, routes: readonly IRigRoute[]): Promise<ViewRegion> {
+  const region = new ViewRegion({ seed: SEED, ...options })
   region.configure(configurationText(1, routes))
   await region.start(SETTLE_MS)
+  return region
+}
+
+/** Changes one route after the other. Returns when each version was confirmed. */
+async function playStorm (region: ViewRegion, routes: readonly IRigRoute[], versions: number): Promise<ReadonlyMap<number, Timestamp>> {
+  const random = new RandomService(SEED)
+  const present = [...routes]
   const confirmed = new Map<number, Timestamp>()
-  for (let version = 2; version < 2 + STORM_VERSIONS; version++) {
-    const position = random.integer(routes.length)
-    routes.splice(position, version % 2, { prefix: `/added-${version}/`, service: 'idle' })
-    confirmed.set(version, region.configure(configurationText(version, routes)))
+  for (let version = 2; version < 2 + versions; version++) {
+    present.splice(random.integer(present.length), version % 2, { prefix: `/added-${version}/`, service: 'idle' })
+    confirmed.set(version, region.configure(configurationText(version, present)))
     await region.clock.advance(STORM_INTERVAL_MS)
   }
-  await region.clock.advance(SETTLE_MS)
-  return longestDelay(region, confirmed)
+  return confirmed
 }
 
-/** A configuration that becomes larger by `added` routes at once. */
+/** Time from a configuration that is larger by `added` routes until it was in force everywhere. */
 async function playGrowth (nodes: number, added: number): Promise<number> {
-  const region = new ViewRegion({ seed: SEED, nodes, linkRate: WIDE_LINK })
-  const random = new RandomService(SEED)
-  const routes = idleRoutes(IDLE_ROUTES, random)
-  region.configure(configurationText(1, routes))
-  await region.start(SETTLE_MS)
-  const confirmed = new Map([[2, region.configure(configurationText(2, [...routes, ...idleRoutes(added, random)]))]])
+  const routes = idleRoutes(IDLE_ROUTES + added, new RandomService(SEED))
+  const region = await startRegion({ nodes, linkRate: WIDE_LINK }, routes.slice(0, IDLE_ROUTES))
+  const confirmed = new Map([[2, region.configure(configurationText(2, routes))]])
   await region.clock.advance(SETTLE_MS)
   return longestDelay(region, confirmed)
 }
 
 describe('Storm of changes of a large configuration', () => {
+  const routes = idleRoutes(IDLE_ROUTES, new RandomService(SEED))
+
   it('is in force in time at every node of a region whose reader has a narrow link', async () => {
-    const region = new ViewRegion({ seed: SEED, nodes: 22, linkRate: NARROW_LINK })
-    expect(await playStorm(region)).to.be.below(IN_FORCE_WITHIN_MS)
+    const region = await startRegion({ nodes: 22, linkRate: NARROW_LINK }, routes)
+    const confirmed = await playStorm(region, routes, STORM_VERSIONS)
+    await region.clock.advance(SETTLE_MS)
+    expect(longestDelay(region, confirmed)).to.be.below(IN_FORCE_WITHIN_MS)
+  })
+
+  it('is in force in time at a node that returns from a cut, however many versions it missed', async () => {
+    const region = await startRegion({ nodes: 3, linkRate: NARROW_LINK }, routes)
+    const [node] = region.nodes
+    if (node === undefined) throw new Error('no node')
+    region.cutOff(node)
+    await playStorm(region, routes, MISSED_VERSIONS)
+    const newest = MISSED_VERSIONS + 1
+    expect(node.configuration.version).to.be.below(newest)
+    region.reconnect(node)
+    const returnedAt = region.clock.now()
+    await region.clock.advance(SETTLE_MS)
+    expect((node.applied.get(newest) ?? Infinity) - returnedAt).to.be.below(IN_FORCE_WITHIN_MS)
   })
 
   it('is in force in time also when it grows by many routes at once', async () => {
--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -22,6 +22,11 @@
   readonly wait: Milliseconds
   /** Pause after a change, in which further changes gather to one answer. */
   readonly gather: Milliseconds
+  /**
+   * True if rows are large. The changes of a table hold every state that a row went through, the whole table only the newest:
+   * it is read instead of the changes after a pause, and when the states that came were more than one to a row.
+   */
+  readonly skipsStates: boolean
 }
 
 /** First and longest pause after a failure; each is drawn from its upper half. */
@@ -36,6 +41,8 @@
   private _isRunning = false
   /** True until the first answer of a run, which is asked for at once: it tells that the view is current. */
   private _isFirst = true
+  /** True if the last answer held states that later ones in it had replaced. */
+  private _isBehind = false
   private _failures = 0
   /** Until then the last answer counts as current; 0 if there is none. */
   private _currentUntil = 0
@@ -98,7 +105,7 @@
   private async _read (): Promise<IChangeBatch> {
     const { feed, table, position, wait } = this._options
     const from = position()
-    if (from === 0) return await feed.readAll(table, this._patience.value)
+    if (from === 0 || this._isWholeCheaper) return await feed.readAll(table, this._patience.value)
     try {
       return await feed.changesAfter(table, from, this._isFirst ? NO_WAIT : wait, this._patience.value)
     } catch (error) {
@@ -108,11 +115,16 @@
     }
   }
 
+  private get _isWholeCheaper (): boolean {
+    return this._options.skipsStates && (this._isFirst || this._isBehind || this._failures > 0)
+  }
+
   private _noteAnswer (batch: IChangeBatch, startedAt: Timestamp, now: Timestamp): void {
     const { wait, gather, table, log } = this._options
     // An answer without a change came after the wait; the rest of its time is what the store took.
     const asked = batch.rows.length === 0 && !batch.isWhole && !this._isFirst ? wait : 0
     this._isFirst = false
+    this._isBehind = new Set(batch.rows.map((row) => row.key)).size < batch.rows.length
     this._patience.recordAnswer(Math.max(0, now - startedAt - asked) as Milliseconds)
     this._currentUntil = now + wait + gather + this._patience.value
     if (this._failures > 0) log.log(VIEW_READING_RECOVERED, { step: 'view.read', table, failures: this._failures })
--- a/src/mesh/view/View.test.ts
+++ b/src/mesh/view/View.test.ts
@@ -129,7 +129,7 @@
     }
   }
 
-  function follow (script: Array<IChangeBatch | Error | 'silence'>): { feed: ScriptedFeed, follower: TableFollower, clock: ManualClock } {
+  function follow (script: Array<IChangeBatch | Error | 'silence'>, skipsStates = false): { feed: ScriptedFeed, follower: TableFollower, clock: ManualClock } {
     const clock = new ManualClock()
     const feed = new ScriptedFeed(script)
     let position = 0 as StorePosition
@@ -142,7 +142,8 @@
       random: new RandomService(1),
       log: new RecordingLog(),
       wait: 1_000 as Milliseconds,
-      gather: 200 as Milliseconds
+      gather: 200 as Milliseconds,
+      skipsStates
     })
     follower.start()
     return { feed, follower, clock }
@@ -177,6 +178,17 @@
     expect([follower.isRunning, follower.isCurrent(clock.now())]).to.deep.equal([false, false])
   })
 
+  it('reads the whole of a table of large rows after a pause, and when the changes held states that were replaced', async () => {
+    const states = batch([row('a', 4), row('a', 5), row('a', 6)], 6)
+    const { feed, follower, clock } = follow([batch([row('a', 3)], 3, true), states, batch([row('a', 7)], 7, true), batch([], 7)], true)
+    await settlePromises()
+    await clock.advance(1_000)
+    follower.stop()
+    follower.start()
+    await settlePromises()
+    expect(feed.calls).to.deep.equal(['all', 'after 3 wait 1000', 'all', 'after 7 wait 1000', 'after 7 wait 1000', 'all'])
+  })
+
   it('does not read an empty store without end', async () => {
     const { feed, clock } = follow(Array.from({ length: 50 }, () => batch([], 0, true)))
     await settlePromises()
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -225,6 +225,7 @@
       position: () => this._state.configurationPosition,
       wait: configurationWait,
       gather: configurationGather,
+      skipsStates: true,
       onBatch: (batch, now) => {
         this._readings.inc({ table: 'configuration' })
         this._state.applyConfigurationBatch(batch, now)
@@ -241,6 +242,7 @@
       position: () => this._state.nodes.position,
       wait: nodesWait,
       gather: nodesGather,
+      skipsStates: false,
       onBatch: (batch, now) => {
         this._readings.inc({ table: 'nodes' })
         this._options.nodes.apply(batch, now)
--- a/testing/mesh/ViewRegion.ts
+++ b/testing/mesh/ViewRegion.ts
@@ -46,22 +46,27 @@
 const MILLISECONDS_PER_SECOND = 1_000
 const LATENCY = Object.freeze({ least: 0.5, most: 1 })
 
-/** Rows of a store that never fails. */
+/** Rows of a store that never fails. Its changes hold every state of a row, a whole table only the newest. */
 class MemoryStore {
   public position = 0
-  private readonly _rows = new Map<string, IChangedRow & { readonly table: TableName }>()
+  private readonly _states: Array<IChangedRow & { readonly table: TableName }> = []
   private _waiters: Array<() => void> = []
 
   public put (table: TableName, key: RowKey, value: string): void {
     this.position++
-    this._rows.set(`${table} ${key}`, { table, key, value, position: this.position as StorePosition })
+    this._states.push({ table, key, value, position: this.position as StorePosition })
     const waiters = this._waiters
     this._waiters = []
     for (const waiter of waiters) waiter()
   }
 
   public changesAfter (table: TableName, position: StorePosition): IChangedRow[] {
-    return [...this._rows.values()].filter((row) => row.table === table && row.position > position)
+    return this._states.filter((row) => row.table === table && row.position > position)
+  }
+
+  public whole (table: TableName): IChangedRow[] {
+    const newest = new Map(this._states.filter((row) => row.table === table).map((row) => [row.key, row]))
+    return [...newest.values()]
   }
 
   public onNextChange (action: () => void): void {
@@ -79,13 +84,14 @@
   constructor (private readonly _store: MemoryStore, private readonly _clock: ManualClock, public rate: number) {}
 
   public async readAll (table: TableName): Promise<IChangeBatch> {
-    return { ...await this.changesAfter(table, 0 as StorePosition, 0 as Milliseconds), isWhole: true }
+    await this._send()
+    const batch = { rows: this._store.whole(table), position: this._store.position as StorePosition, isWhole: true }
+    await this._receive(batch.rows)
+    return batch
   }
 
   public async changesAfter (table: TableName, position: StorePosition, wait: Milliseconds): Promise<IChangeBatch> {
-    this.calls++
-    await this._clock.sleep(STORE_ROUND_TRIP_MS / 2 as Milliseconds)
-    if (!this.isReachable) throw new PlatformUnavailableError('store cannot be reached', { step: 'test' })
+    await this._send()
     const until = this._clock.now() + wait
     while (this._store.changesAfter(table, position).length === 0 && this._clock.now() < until) await this._nextChange(until)
     const batch = { rows: this._store.changesAfter(table, position), position: this._store.position as StorePosition, isWhole: false }
@@ -93,6 +99,12 @@
     return batch
   }
 
+  private async _send (): Promise<void> {
+    this.calls++
+    await this._clock.sleep(STORE_ROUND_TRIP_MS / 2 as Milliseconds)
+    if (!this.isReachable) throw new PlatformUnavailableError('store cannot be reached', { step: 'test' })
+  }
+
   private _nextChange (until: number): Promise<void> {
     return new Promise((resolve) => {
       this._clock.after(until - this._clock.now() as Milliseconds, resolve)
@@ -133,6 +145,17 @@
     await this.clock.advance(settle)
   }
 
+  /** Cuts a node off from the store and from every other node of another failure domain. */
+  public cutOff (node: IRegionNode): void {
+    node.feed.isReachable = false
+    for (const { transport } of this.nodes) this._network.cut(node.transport.failureDomain, transport.failureDomain)
+  }
+
+  public reconnect (node: IRegionNode): void {
+    node.feed.isReachable = true
+    this._network.healAll()
+  }
+
   /** The node that the others follow. */
   public get reader (): IRegionNode {
     const peers = this.nodes.flatMap(({ log }) => log.events.filter(({ name }) => name === 'view-link-opened').map(({ fields }) => fields.peer))
