Wait for an answer of the store that goes on, instead of asking for all of it again

Cause: a reading of the store was ended 300 ms after its wait, whether or not its bytes were coming. On a link of 7 Mbit/s that carries other work as well 130 KB take longer. The reading was begun anew, with a pause and twice the time, up to three times. A node that starts (sidecar-rochester-a-9 at 18.83 s) lost its first readings in the same way.

Class of fault: a timeout for the whole of a transfer whose size and speed it does not know.

Fix: the patience of a reading holds until its answer begins; then parts of it may be a second apart, ten seconds in all. The patience follows the time of answers without rows only, since the time of others is mostly their way here.

Test: a stand-in that answers in parts; failed before (PlatformUnavailableError). One that stops after the first part is still noticed.

--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -121,15 +121,16 @@
 
   private _noteAnswer (batch: IChangeBatch, startedAt: Timestamp, now: Timestamp): void {
     const { wait, gather, table, log } = this._options
-    // An answer without a change came after the wait; the rest of its time is what the store took.
-    const asked = batch.rows.length === 0 && !batch.isWhole && !this._isFirst ? wait : 0
+    const hasRows = batch.rows.length > 0
+    // An answer without a change came after the wait; the rest of its time is what the store took. That of rows is their way here.
+    const asked = !batch.isWhole && !this._isFirst ? wait : 0
+    if (!hasRows) this._patience.recordAnswer(Math.max(0, now - startedAt - asked) as Milliseconds)
     this._isFirst = false
     this._isBehind = new Set(batch.rows.map((row) => row.key)).size < batch.rows.length
-    this._patience.recordAnswer(Math.max(0, now - startedAt - asked) as Milliseconds)
     this._currentUntil = now + wait + gather + this._patience.value
     if (this._failures > 0) log.log(VIEW_READING_RECOVERED, { step: 'view.read', table, failures: this._failures })
     this._failures = 0
-    if (batch.rows.length > 0) {
+    if (hasRows) {
       log.log(VIEW_BATCH_READ, { step: 'view.read', table, rows: batch.rows.length, position: batch.position, tookMs: now - startedAt })
     }
   }
--- a/src/platform/PlatformHttpClient.ts
+++ b/src/platform/PlatformHttpClient.ts
@@ -4,6 +4,7 @@
 import { Agent, type Dispatcher } from 'undici'
 import type { IClockService, ILogService, IMetricsService } from '../common/Services.js'
 import type { Milliseconds } from '../common/Types.js'
+import { AnswerTimeout, type IAnswerLimits } from './AnswerTimeout.js'
 import { PLATFORM_ANSWER_LOST, PLATFORM_AVAILABLE, PLATFORM_UNAVAILABLE } from './Events.js'
 import { OutcomeUnknownError, PlatformUnavailableError } from './PlatformErrors.js'
 
@@ -15,6 +16,9 @@
   readonly connectTimeout: Milliseconds
   /** Time allowed for a request as a whole. */
   readonly requestTimeout: Milliseconds
+  /** Time allowed between two parts of an answer, and for all of it once it has begun, for requests with a patience of their own. */
+  readonly answerSilence: Milliseconds
+  readonly answerTimeout: Milliseconds
   /** Most connections open at once. */
   readonly connections: number
   /** Keys for `https`. */
@@ -23,7 +27,11 @@
 
 /** Defaults of `PlatformHttpClient`, but for the address. */
 export const DEFAULT_PLATFORM_HTTP_OPTIONS: Omit<IPlatformHttpOptions, 'url'> = Object.freeze({
-  connectTimeout: 1_000 as Milliseconds, requestTimeout: 3_000 as Milliseconds, connections: 8
+  connectTimeout: 1_000 as Milliseconds,
+  requestTimeout: 3_000 as Milliseconds,
+  answerSilence: 1_000 as Milliseconds,
+  answerTimeout: 10_000 as Milliseconds,
+  connections: 8
 })
 
 /** What the client needs. */
@@ -43,8 +51,8 @@
   readonly body?: string | Uint8Array
   /** True if a repeat or a lost answer could change something. */
   readonly isWrite: boolean
-  /** Time allowed for this request in place of the usual one. */
-  readonly timeout?: Milliseconds
+  /** Time allowed until the answer begins; it may then go on while its parts keep coming. Without it the usual time holds for the whole. */
+  readonly patience?: Milliseconds
 }
 
 /** The whole answer of the platform. */
@@ -113,6 +121,7 @@
 
   private async _send (request: IPlatformRequest): Promise<IPlatformAnswer> {
     const { method, headers, body, path } = request
+    const timeout = new AnswerTimeout(this._services.clock, this._limitsOf(request))
     try {
       const response = await this._dispatcher.request({
         origin: this._origin,
@@ -120,15 +129,29 @@
         method,
         headers,
         body,
-        signal: AbortSignal.timeout(Math.ceil(request.timeout ?? this._options.requestTimeout))
+        signal: timeout.signal
       })
-      const answer = { status: response.statusCode, headers: response.headers, body: Buffer.from(await response.body.arrayBuffer()) }
+      const parts: Buffer[] = []
+      timeout.notePart()
+      for await (const part of response.body) {
+        timeout.notePart()
+        parts.push(part as Buffer)
+      }
+      const answer = { status: response.statusCode, headers: response.headers, body: Buffer.concat(parts) }
       return this._checkStatus(request, answer)
     } catch (error) {
       throw this._sortError(request, error)
+    } finally {
+      timeout.dispose()
     }
   }
 
+  private _limitsOf ({ patience }: IPlatformRequest): IAnswerLimits {
+    const { requestTimeout, answerSilence, answerTimeout } = this._options
+    if (patience === undefined) return { begin: requestTimeout, silence: requestTimeout, whole: requestTimeout }
+    return { begin: patience, silence: answerSilence, whole: patience + answerTimeout as Milliseconds }
+  }
+
   private _checkStatus (request: IPlatformRequest, answer: IPlatformAnswer): IPlatformAnswer {
     const { status } = answer
     if (status < 400 || ANSWERING_STATUSES.includes(status)) return answer
--- a/src/platform/Services.ts
+++ b/src/platform/Services.ts
@@ -21,12 +21,12 @@
 
 /** Tells which rows of a table changed. Errors are those of reads of `ITableService`. */
 export interface IChangeFeed {
-  /** The whole table as of one moment. */
+  /** The whole table as of one moment. Rejects with `PlatformUnavailableError` if the answer does not begin within `patience`. */
   readAll (table: TableName, patience: Milliseconds): Promise<IChangeBatch>
   /**
    * Changes after `position`, as soon as there is one or else, with no rows, after `wait`.
    * Rejects with `HistoryLostError` if the store no longer has all of them, and with
-   * `PlatformUnavailableError` if there is no answer `patience` after the end of `wait`.
+   * `PlatformUnavailableError` if the answer does not begin `patience` after the end of `wait`.
    */
   changesAfter (table: TableName, position: StorePosition, wait: Milliseconds, patience: Milliseconds): Promise<IChangeBatch>
 }
--- a/testing/mesh/StoreStandIn.ts
+++ b/testing/mesh/StoreStandIn.ts
@@ -12,6 +12,10 @@
   | 'reset'
   /** Neither answers nor closes. */
   | 'silent'
+  /** Sends its answers in parts, with pauses. */
+  | 'slow-link'
+  /** Sends the first part of its answers, and then nothing. */
+  | 'stuck-link'
   /** Performs writes and loses their answers. */
   | 'lost'
   /** Loses answers and performs writes when `performLate` is called. */
@@ -25,6 +29,8 @@
 }
 
 const POLL_INTERVAL_MS = 5
+const PARTS = 8
+const PART_INTERVAL_MS = 30
 
 /** Rows in one part, one counter of versions, a feed with a limited history. */
 export class StoreStandIn {
@@ -93,6 +99,7 @@
     if (this.delay > 0) await new Promise((resolve) => setTimeout(resolve, this.delay))
     if (this.mode === 'reset') request.socket.resetAndDestroy()
     if (this.mode === 'reset' || this.mode === 'silent') return
+    if (this.mode === 'slow-link' || this.mode === 'stuck-link') this._slowDown(response)
     if (this.mode === 'busy') return write(response, 503, {})
     if (this.mode === 'many') return write(response, 429, {})
     if (url.pathname === '/api/rows-tx') return this._answerTransaction(JSON.parse(Buffer.concat(chunks).toString()) as ITransactionBody, request, response)
@@ -101,6 +108,25 @@
     write(response, 404, {})
   }
 
+  /** Replaces the end of a response by one that takes a while, or never comes. */
+  private _slowDown (response: ServerResponse): void {
+    const isStuck = this.mode === 'stuck-link'
+    const end = response.end.bind(response)
+    response.end = ((content: string): ServerResponse => {
+      const part = Math.ceil(content.length / PARTS)
+      const send = (from: number): void => {
+        if (from >= content.length) {
+          end()
+          return
+        }
+        response.write(content.slice(from, from + part))
+        if (!isStuck) setTimeout(() => send(from + part), PART_INTERVAL_MS)
+      }
+      send(0)
+      return response
+    }) as ServerResponse['end']
+  }
+
   private _answerTransaction (body: ITransactionBody, request: IncomingMessage, response: ServerResponse): void {
     if (this.mode === 'late') {
       this._late.push(body)
