Follow a node that follows the reader, so that a change of readers does not send all nodes to the store

Cause: a node took its view only from a node that reads the store itself. Nodes that lost the first in rank went to the second, which followed the first, got the newest view from it and left it as too-far; and when a reader gave way to a node of higher rank, all its followers left it at the same moment. Each then read the store by itself, over its own narrow link. Ruled out: the second's view being old; it had the newest version each time.

Class of fault: a takeover in which everyone who is served moves at once, though nothing was wrong with what served them.

Fix: a source may follow a reader (one hop); none may follow the node that asks, which the update now tells (source).

--- a/src/mesh/view/ReadingPolicy.ts
+++ b/src/mesh/view/ReadingPolicy.ts
@@ -22,6 +22,11 @@
 const SHORTEST_REDIAL_MS = 500 as Milliseconds
 const LONGEST_REDIAL_MS = 4_000 as Milliseconds
 
+/** Ranks the nodes of a region as readers of the store; the same at every node. */
+export function rankOfReaders (region: Region): Rendezvous<NodeName> {
+  return new Rendezvous<NodeName>(`view-reader ${region}`)
+}
+
 /**
  * Ranks the nodes of each region alike everywhere. The first reads the store, the others follow it, so that the
  * calls to the store grow with regions and changes, not with nodes. Nodes that rank differently read twice, no more.
@@ -80,7 +85,7 @@
   private _rank (region: Region): Rendezvous<NodeName> {
     const known = this._rendezvous.get(region)
     if (known !== undefined) return known
-    const rendezvous = new Rendezvous<NodeName>(`view-reader ${region}`)
+    const rendezvous = rankOfReaders(region)
     this._rendezvous.set(region, rendezvous)
     return rendezvous
   }
--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -13,6 +13,8 @@
 /** A link without a message for this time is lost; three heartbeats. */
 export const VIEW_SILENCE_MS = 900 as Milliseconds
 
+/** Most nodes that may stand between the other side and the store; more would only add to its age. */
+const MAXIMUM_HOPS = 1
 const NO_VERSION = 0 as ConfigurationVersion
 
 /** How a link ended. */
@@ -27,8 +29,6 @@
   readonly peer: NodeName | undefined
   readonly clock: IClockService
   readonly log: ILogService
-  /** Most nodes that may stand between the other side and the store; this keeps two nodes from following each other. */
-  readonly maximumHops: number
   /** Called with each update that is current, after it was applied, and with the hops of the other side. */
   readonly onCurrent: (hops: number) => void
 }
@@ -41,6 +41,11 @@
 
   constructor (private readonly _options: IViewLinkOptions) {}
 
+  /** Name of the other side, as far as it is known. */
+  public get peer (): NodeName | undefined {
+    return this._options.peer
+  }
+
   /** Resolves when the link is over; its channel is then closed. */
   public async run (): Promise<ViewLinkEnd> {
     const { channel } = this._options
@@ -81,7 +86,7 @@
     if (!this._applyConfiguration(update, now)) return
     this._options.state.nodes.apply(decodeRows(update), now)
     if (!update.isCurrent) this._finish('not-current')
-    else if (update.hops > this._options.maximumHops) this._finish('too-far')
+    else if (update.hops > MAXIMUM_HOPS || update.source === self.name) this._finish('too-far')
     else this._options.onCurrent(update.hops)
   }
 
--- a/src/mesh/view/ViewServer.test.ts
+++ b/src/mesh/view/ViewServer.test.ts
@@ -56,7 +56,9 @@
     const configuration = new ConfigurationService({ decoder: new ConfigurationDecoder(), log, metrics, invariants })
     const state = new ViewState({ configuration, nodes: new NodeTable({ log }), configurationRow: CONFIGURATION_ROW })
     const self = { name: 'reader' as NodeName, failureDomain: 'z1' as FailureDomain, region: 'r1' as Region }
-    const server = new ViewServer({ self, state, isCurrent: () => true, hops: () => 0, clock: new ManualClock(), log })
+    const server = new ViewServer({
+      self, state, isCurrent: () => true, hops: () => 0, source: () => undefined, clock: new ManualClock(), log
+    })
     const take = (version: number): void => {
       const added = { prefix: `/added-${version}/`, service: 'idle' }
       expect(configuration.offer(configurationText(version, [...ROUTES, added]), 'store', 0 as Timestamp)).to.equal(true)
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -8,7 +8,7 @@
 import type { StorePosition } from '../../platform/Types.js'
 import { VIEW_CONFIGURATION_SENT } from '../Events.js'
 import type { INodeIdentity } from '../Services.js'
-import type { ConfigurationVersion } from '../Types.js'
+import type { ConfigurationVersion, NodeName } from '../Types.js'
 import type { ViewState } from './ViewState.js'
 import { ConfigurationBodies } from './ConfigurationBodies.js'
 import { encodeRows } from './ViewMessages.js'
@@ -23,6 +23,8 @@
   readonly isCurrent: () => boolean
   /** Nodes between this one and the store. */
   readonly hops: () => number
+  /** Node that this one follows; undefined if it reads the store itself. */
+  readonly source: () => NodeName | undefined
   readonly clock: IClockService
   readonly log: ILogService
 }
@@ -101,11 +103,12 @@
 
   /** Returns the bytes of the configuration that was sent. */
   private _send (follower: IFollower): number {
-    const { state, isCurrent, hops, self } = this._options
+    const { state, isCurrent, hops, source, self } = this._options
     const update: ViewUpdate = {
       node: self.name,
       isCurrent: isCurrent(),
       hops: hops(),
+      source: source() ?? '',
       nodesPosition: state.nodes.position,
       configurationPosition: state.configurationPosition,
       rows: encodeRows(state.nodes.changedAfter(follower.position)),
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -7,6 +7,7 @@
 import type { IRowReference, TableName } from '../../platform/Types.js'
 import { VIEW_LINK_LOST, VIEW_LINK_OPENED, VIEW_READING_STARTED, VIEW_READING_STOPPED } from '../Events.js'
 import type { IConfigurationService, INodeIdentity, IViewService } from '../Services.js'
+import type { NodeName } from '../Types.js'
 import type { NodeTable } from './NodeTable.js'
 import { ReadingPolicy, type IViewSource } from './ReadingPolicy.js'
 import { TableFollower } from './TableFollower.js'
@@ -43,11 +44,6 @@
   storeLostAfter: 300 as Milliseconds
 })
 
-/** A node that ranks above this one is followed only while it reads the store itself. */
-const PREFERRED_HOPS = 0
-/** Any other node may follow one that reads. */
-const SUBSTITUTE_HOPS = 1
-
 /** What the view needs. */
 export interface IViewServiceOptions {
   readonly self: INodeIdentity
@@ -85,7 +81,9 @@
     this._lastCurrentAt = clock.now()
     this._state = new ViewState(_options)
     this._policy = new ReadingPolicy(self, random)
-    this._server = new ViewServer({ ..._options, state: this._state, isCurrent: () => this.isCurrent, hops: () => this._hops })
+    this._server = new ViewServer({
+      ..._options, state: this._state, isCurrent: () => this.isCurrent, hops: () => this._hops, source: () => this._source
+    })
     this._followers = [this._createConfigurationFollower(), this._createNodesFollower()]
     this.completed = new Promise((resolve) => { this._complete = resolve })
     this._readings = new Counter({
@@ -171,7 +169,6 @@
         peer: source.isSuggested === true ? undefined : source.name,
         clock,
         log,
-        maximumHops: source.isPreferred ? PREFERRED_HOPS : SUBSTITUTE_HOPS,
         onCurrent: (hops) => this._onLinkCurrent(source, hops)
       })
     } catch (error) {
@@ -199,6 +196,10 @@
     return this._isReadingCurrent || this._sourceHops === undefined ? 0 : this._sourceHops + 1
   }
 
+  private get _source (): NodeName | undefined {
+    return this._hops === 0 ? undefined : this._link?.peer
+  }
+
   private _startReading (reason: string): void {
     if (this._isStopping || this._followers.every((follower) => follower.isRunning)) return
     this._options.log.log(VIEW_READING_STARTED, { step: 'view.read', reason })
--- a/testing/mesh/ViewRegion.ts
+++ b/testing/mesh/ViewRegion.ts
@@ -8,6 +8,7 @@
 import type { NodeName } from '../../src/mesh/Types.js'
 import { encodeNodeRow } from '../../src/mesh/view/NodeRowCodec.js'
 import { NodeTable } from '../../src/mesh/view/NodeTable.js'
+import { rankOfReaders } from '../../src/mesh/view/ReadingPolicy.js'
 import { NODE_TABLE, ViewService } from '../../src/mesh/view/ViewService.js'
 import { PlatformUnavailableError } from '../../src/platform/PlatformErrors.js'
 import type { IChangeFeed } from '../../src/platform/Services.js'
@@ -156,12 +157,26 @@
     this._network.healAll()
   }
 
+  /** Cuts one node off from others of other failure domains. */
+  public cutBetween (node: IRegionNode, others: readonly IRegionNode[]): void {
+    for (const { transport } of others) this._network.cut(node.transport.failureDomain, transport.failureDomain)
+  }
+
   /** The node that the others follow. */
   public get reader (): IRegionNode {
-    const peers = this.nodes.flatMap(({ log }) => log.events.filter(({ name }) => name === 'view-link-opened').map(({ fields }) => fields.peer))
-    const first = this.nodes.find(({ name }) => name === peers.at(-1))
-    if (first === undefined) throw new Error('no node is followed')
-    return first
+    return this._ranked(0)
+  }
+
+  /** The node that takes over from it. */
+  public get secondReader (): IRegionNode {
+    return this._ranked(1)
+  }
+
+  private _ranked (place: number): IRegionNode {
+    const name = rankOfReaders(REGION).top(this.nodes.map((node) => node.name), place + 1)[place]
+    const found = this.nodes.find((node) => node.name === name)
+    if (found === undefined) throw new Error(`no node ranks at place ${place}`)
+    return found
   }
 
   private _createNode (number: number): IRegionNode {
