Leave a source whose view is old, though its messages come

Cause: a follower took its source for current while any message came within 900 ms and the source believed in its readings. Messages that wait in a full link come just as regularly, and a reader's own readings may be more than three seconds apart. Ruled out: nothing further; the case of the tests needs no other fault.

Class of fault: liveness taken for freshness.

Fix: updates tell the age of the view, counted from a question of the follower, so that time under way counts in both directions and clocks are not compared; a process that was suspended proves nothing. A view older than 1.5 s ends the link. A source sends after each answer of the store in place of some of its heartbeats. Software that tells no age counts as new, as before.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -73,7 +73,7 @@
 export interface IViewService {
   /** True if the view was confirmed a moment ago. */
   readonly isCurrent: boolean
-  /** When it was confirmed last. */
+  /** The latest moment at which the configuration of this node is known to have been the newest; its start before the first one. */
   readonly confirmedAt: Timestamp
   /** Resolves once configuration and nodes are known. */
   readonly completed: Promise<void>
--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -46,6 +46,7 @@
   private _failures = 0
   /** Until then the last answer counts as current; 0 if there is none. */
   private _currentUntil = 0
+  private _confirmedAt = 0 as Timestamp
   private readonly _patience = new ReadingPatience()
 
   constructor (private readonly _options: ITableFollowerOptions) {}
@@ -54,6 +55,11 @@
     return this._isRunning
   }
 
+  /** The latest moment as of which everything is known; 0 before the first answer. */
+  public get confirmedAt (): Timestamp {
+    return this._confirmedAt
+  }
+
   /** True while answers come in time. */
   public isCurrent (now: Timestamp): boolean {
     return this._isRunning && now < this._currentUntil
@@ -125,6 +131,8 @@
     // An answer without a change came after the wait; the rest of its time is what the store took. That of rows is their way here.
     const asked = !batch.isWhole && !this._isFirst ? wait : 0
     if (!hasRows) this._patience.recordAnswer(Math.max(0, now - startedAt - asked) as Milliseconds)
+    // The store answers without rows when it has waited, so that its answer is as new as that.
+    this._confirmedAt = startedAt + (hasRows ? 0 : asked) as Timestamp
     this._isFirst = false
     this._isBehind = new Set(batch.rows.map((row) => row.key)).size < batch.rows.length
     this._currentUntil = now + wait + gather + this._patience.value
--- a/src/mesh/view/ViewHandover.test.ts
+++ b/src/mesh/view/ViewHandover.test.ts
@@ -1,6 +1,6 @@
 /** Nodes that lose their source, or whose source is behind, hold the newest configuration in time, and do not all turn to the store. */
 import { expect } from 'chai'
-import type { Milliseconds } from '../../common/Types.js'
+import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import { configurationText } from '../../../testing/mesh/ConfigurationText.js'
 import { ViewRegion, type IRegionNode } from '../../../testing/mesh/ViewRegion.js'
 
@@ -8,6 +8,8 @@
 const SEEDS = 10
 const LINK_RATE = 12_500_000
 const NODES = 12
+/** Bytes a second at which the heartbeats to all followers just fit, or do not. */
+const FULL_LINKS = [2_500, 1_800, 1_200, 900, 600, 300]
 /** The shortest time of the users' deployments within which a confirmed change must be in force. */
 const IN_FORCE_WITHIN_MS = 2_000
 const SETTLE_MS = 8_000 as Milliseconds
@@ -20,6 +22,11 @@
   return region
 }
 
+/** When a node had this version or a newer one. */
+function firstAtLeast (applied: ReadonlyMap<number, Timestamp>, version: number): number {
+  return Math.min(...[...applied].filter(([candidate]) => candidate >= version).map(([, time]) => time))
+}
+
 function countOf (node: IRegionNode, event: string): number {
   return node.log.events.filter(({ name }) => name === event).length
 }
@@ -60,4 +67,21 @@
       expect(countOf(secondReader, 'view-reading-stopped') - stopsBefore).to.equal(0)
     }
   })
+
+  for (const sendRate of FULL_LINKS) {
+    it(`leaves a source whose messages come, but late: ${sendRate} bytes a second`, async () => {
+      const region = await startRegion()
+      const { reader } = region
+      const others = region.nodes.filter((node) => node !== reader)
+      reader.transport.sendRate = sendRate
+      const confirmed = new Map<number, Timestamp>()
+      for (let version = 2; version < 12; version++) {
+        confirmed.set(version, region.configure(configurationText(version, ROUTES)))
+        await region.clock.advance(1_000)
+      }
+      await region.clock.advance(SETTLE_MS)
+      const delays = others.flatMap(({ applied }) => [...confirmed].map(([version, at]) => firstAtLeast(applied, version) - at))
+      expect(Math.max(...delays)).to.be.below(IN_FORCE_WITHIN_MS)
+    })
+  }
 })
--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -7,9 +7,15 @@
 import { VIEW_BODY_REJECTED } from '../Events.js'
 import type { INodeIdentity } from '../Services.js'
 import type { ConfigurationVersion, NodeName } from '../Types.js'
+import { ViewAge } from './ViewAge.js'
 import { decodeConfiguration, decodeRows } from './ViewMessages.js'
 import type { ViewState } from './ViewState.js'
 
+/**
+ * A view that was the newest longer ago than this is no longer taken for current, though messages come. Above the time between
+ * two answers of the store, after a change and by way of two nodes.
+ */
+export const MAXIMUM_VIEW_AGE_MS = 1_500 as Milliseconds
 /** A link without a message for this time is lost; three heartbeats. */
 export const VIEW_SILENCE_MS = 900 as Milliseconds
 
@@ -18,7 +24,7 @@
 const NO_VERSION = 0 as ConfigurationVersion
 
 /** How a link ended. */
-export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'too-far' | 'other-node' | 'unreadable' | 'released'
+export type ViewLinkEnd = 'closed' | 'silent' | 'not-current' | 'too-far' | 'outdated' | 'other-node' | 'unreadable' | 'released'
 
 /** What a link needs. */
 export interface IViewLinkOptions {
@@ -36,10 +42,20 @@
 /** One task: asks once, applies every update, ends when the other side is silent, not current, or too far from the store. */
 export class ViewLink {
   private _silence: IDisposable | undefined
+  private _outdated: IDisposable | undefined
+  private _confirmedAt = 0 as Timestamp
+  private readonly _age: ViewAge
   private _end: ((end: ViewLinkEnd) => void) | undefined
   private _isOver = false
 
-  constructor (private readonly _options: IViewLinkOptions) {}
+  constructor (private readonly _options: IViewLinkOptions) {
+    this._age = new ViewAge(_options.clock.now())
+  }
+
+  /** The latest moment at which the view of the other side was the newest. */
+  public get confirmedAt (): Timestamp {
+    return this._confirmedAt
+  }
 
   /** Name of the other side, as far as it is known. */
   public get peer (): NodeName | undefined {
@@ -61,6 +77,7 @@
     const end = await ended
     for (const listener of listeners) listener.dispose()
     this._silence?.dispose()
+    this._outdated?.dispose()
     channel.dispose()
     return end
   }
@@ -85,9 +102,25 @@
     this._waitForNext()
     if (!this._applyConfiguration(update, now)) return
     this._options.state.nodes.apply(decodeRows(update), now)
-    if (!update.isCurrent) this._finish('not-current')
-    else if (update.hops > MAXIMUM_HOPS || update.source === self.name) this._finish('too-far')
-    else this._options.onCurrent(update.hops)
+    if (!update.isCurrent) return this._finish('not-current')
+    if (update.hops > MAXIMUM_HOPS || update.source === self.name) return this._finish('too-far')
+    this._noteAge(update, now)
+    if (!this._isOver) this._options.onCurrent(update.hops)
+  }
+
+  /** An update of earlier software does not tell its age and counts as new. */
+  private _noteAge (update: ReceivedViewUpdate, now: Timestamp): void {
+    const { channel, clock } = this._options
+    const { question, questionAgo, confirmedAgo } = update
+    const answer = { question, questionAgo: questionAgo as Milliseconds, confirmedAgo: confirmedAgo as Milliseconds }
+    const confirmedAt = update.tellsAge ? this._age.confirmedAt(answer, now) : now
+    this._confirmedAt = Math.max(this._confirmedAt, confirmedAt) as Timestamp
+    const left = this._confirmedAt + MAXIMUM_VIEW_AGE_MS - now
+    this._outdated?.dispose()
+    if (left <= 0) return this._finish('outdated')
+    this._outdated = clock.after(left as Milliseconds, () => this._finish('outdated'))
+    const next = this._age.ask(now)
+    if (next !== undefined) channel.send({ ping: { number: next } })
   }
 
   /** False if the configuration could not be restored; it has then been asked for anew. */
--- a/src/mesh/view/ViewServer.test.ts
+++ b/src/mesh/view/ViewServer.test.ts
@@ -51,13 +51,14 @@
 describe('ViewServer', () => {
   function create (): { server: ViewServer, take: (version: number) => void } {
     const log = new RecordingLog()
+    const clock = new ManualClock()
     const metrics = new MetricsService()
     const invariants = new InvariantService({ log, metrics })
     const configuration = new ConfigurationService({ decoder: new ConfigurationDecoder(), log, metrics, invariants })
     const state = new ViewState({ configuration, nodes: new NodeTable({ log }), configurationRow: CONFIGURATION_ROW })
     const self = { name: 'reader' as NodeName, failureDomain: 'z1' as FailureDomain, region: 'r1' as Region }
     const server = new ViewServer({
-      self, state, isCurrent: () => true, hops: () => 0, source: () => undefined, clock: new ManualClock(), log
+      self, state, isCurrent: () => true, hops: () => 0, source: () => undefined, confirmedAt: () => clock.now(), clock, log
     })
     const take = (version: number): void => {
       const added = { prefix: `/added-${version}/`, service: 'idle' }
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -1,7 +1,7 @@
 /** Sends this node's view to the nodes that asked for it. */
 import { Disposable, toDisposable } from '../../common/Disposable.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
-import type { IDisposable, Milliseconds } from '../../common/Types.js'
+import type { IDisposable, Milliseconds, Timestamp } from '../../common/Types.js'
 import type { ReceivedViewRequest } from '../../generated/savoryknot/ViewRequest.js'
 import type { ViewUpdate } from '../../generated/savoryknot/ViewUpdate.js'
 import type { IPeerChannel } from '../../membership/Services.js'
@@ -25,6 +25,8 @@
   readonly hops: () => number
   /** Node that this one follows; undefined if it reads the store itself. */
   readonly source: () => NodeName | undefined
+  /** The latest moment at which the configuration of this node was the newest. */
+  readonly confirmedAt: () => Timestamp
   readonly clock: IClockService
   readonly log: ILogService
 }
@@ -35,20 +37,25 @@
   /** Version that the follower holds once everything sent has arrived. */
   held: ConfigurationVersion
   position: StorePosition
+  /** Number of the last question of the follower, and when it came. */
+  question: number
+  questionAt: Timestamp
 }
 
-/** Each follower gets what it lacks, changes at once, and heartbeats in between. */
+/** Each follower gets what it lacks, changes at once, and heartbeats in between, all with the age of the view. */
 export class ViewServer extends Disposable {
   private readonly _followers = new Set<IFollower>()
   private readonly _bodies = new ConfigurationBodies()
+  private _heartbeat: IDisposable
 
   constructor (private readonly _options: IViewServerOptions) {
     super()
-    const { state, clock } = _options
+    const { state } = _options
     this.register(state.configuration.onReplaced(() => this._sendConfiguration()))
     this.register(state.nodes.onChanged(() => this.notify()))
-    this.register(clock.every(VIEW_HEARTBEAT_MS, () => this.notify()))
     this.register(toDisposable(() => { for (const { channel } of this._followers) channel.dispose() }))
+    this.register(toDisposable(() => this._heartbeat.dispose()))
+    this._heartbeat = this._scheduleHeartbeat()
   }
 
   /** Number of nodes that follow. */
@@ -61,6 +68,10 @@
     let follower: IFollower | undefined
     channel.onClosed(() => { if (follower !== undefined) this._followers.delete(follower) })
     return channel.onMessage((message) => {
+      if (message.kind === 'ping' && message.ping != null && follower !== undefined) {
+        follower.question = message.ping.number
+        follower.questionAt = this._options.clock.now()
+      }
       if (message.kind !== 'viewRequest' || message.viewRequest == null) return
       if (follower !== undefined) this._followers.delete(follower)
       follower = this._followerOf(channel, message.viewRequest)
@@ -73,9 +84,15 @@
   public notify (): number {
     let bytes = 0
     for (const follower of this._followers) bytes += this._send(follower)
+    this._heartbeat.dispose()
+    this._heartbeat = this._scheduleHeartbeat()
     return bytes
   }
 
+  private _scheduleHeartbeat (): IDisposable {
+    return this._options.clock.after(VIEW_HEARTBEAT_MS, () => this.notify())
+  }
+
   private _sendConfiguration (): void {
     const { clock, log, state } = this._options
     this._bodies.replace(state.configuration.version, state.configuration.text)
@@ -97,18 +114,25 @@
     return {
       channel,
       held: request.configurationVersion as ConfigurationVersion,
-      position: request.nodesPosition as StorePosition
+      position: request.nodesPosition as StorePosition,
+      question: 0,
+      questionAt: this._options.clock.now()
     }
   }
 
   /** Returns the bytes of the configuration that was sent. */
   private _send (follower: IFollower): number {
-    const { state, isCurrent, hops, source, self } = this._options
+    const { state, isCurrent, hops, source, self, confirmedAt, clock } = this._options
+    const now = clock.now()
     const update: ViewUpdate = {
       node: self.name,
       isCurrent: isCurrent(),
       hops: hops(),
       source: source() ?? '',
+      tellsAge: true,
+      question: follower.question,
+      questionAgo: now - follower.questionAt,
+      confirmedAgo: now - confirmedAt(),
       nodesPosition: state.nodes.position,
       configurationPosition: state.configurationPosition,
       rows: encodeRows(state.nodes.changedAfter(follower.position)),
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -66,7 +66,9 @@
   private readonly _state: ViewState
   private readonly _server: ViewServer
   private readonly _policy: ReadingPolicy
+  private readonly _configurationFollower: TableFollower
   private readonly _followers: readonly TableFollower[]
+  private readonly _startedAt: Timestamp
   private readonly _readings: Counter
   private _complete: (() => void) | undefined
   private _link: ViewLink | undefined
@@ -78,13 +80,20 @@
   constructor (private readonly _options: IViewServiceOptions) {
     const { clock, random, self } = _options
     this._times = { ...DEFAULT_VIEW_TIMES, ..._options.times }
-    this._lastCurrentAt = clock.now()
+    this._startedAt = clock.now()
+    this._lastCurrentAt = this._startedAt
     this._state = new ViewState(_options)
     this._policy = new ReadingPolicy(self, random)
     this._server = new ViewServer({
-      ..._options, state: this._state, isCurrent: () => this.isCurrent, hops: () => this._hops, source: () => this._source
+      ..._options,
+      state: this._state,
+      isCurrent: () => this.isCurrent,
+      hops: () => this._hops,
+      source: () => this._source,
+      confirmedAt: () => this.confirmedAt
     })
-    this._followers = [this._createConfigurationFollower(), this._createNodesFollower()]
+    this._configurationFollower = this._createConfigurationFollower()
+    this._followers = [this._configurationFollower, this._createNodesFollower()]
     this.completed = new Promise((resolve) => { this._complete = resolve })
     this._readings = new Counter({
       name: 'savoryknot_view_batches_total',
@@ -99,7 +108,7 @@
   }
 
   public get confirmedAt (): Timestamp {
-    return this._lastCurrentAt
+    return Math.max(this._startedAt, this._configurationFollower.confirmedAt, this._link?.confirmedAt ?? 0) as Timestamp
   }
 
   public async start (): Promise<void> {
@@ -185,6 +194,7 @@
     this._checkComplete()
     if (source.isPreferred) this._stopReading()
     else if (this._isReadingCurrent) this._link?.release()
+    this._server.notify()
   }
 
   private get _isReadingCurrent (): boolean {
@@ -231,6 +241,7 @@
         this._readings.inc({ table: 'configuration' })
         this._state.applyConfigurationBatch(batch, now)
         this._checkComplete()
+        if (batch.rows.length === 0) this._server.notify()
       }
     })
   }
