Break off interim answers without end, and bound the memory of answers without end together

Seen by a test of our own: an endpoint that sends interim answers without end was read until the deadline of its requests, and each of several bodies without end was held up to 16 MB, 96 MB for six slots, on VMs of 178 MB.

Cause: interim answers were not counted, and the limit of a body knew nothing of the others. Ruled out by the same test: bytes that are no answer, a head without end (both break the exchange at once), bytes behind a whole answer (the connection is closed, the answer holds).

Class of fault: a limit for each, none for all; work without a bound for want of a final answer.

Fix: an exchange ends after 16 interim answers; unfinished answers of an endpoint share 32 MB, and the largest gives way, so that an answer of usual size is never lost to them.

Tests: EndlessAnswers.test.ts (interim answers failed before: 504 at the deadline instead of 502) and AnswerMemory.test.ts. Open: the head of a chunk without end looks like a slow answer and is read until the deadline; the test states it.

--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
 import { ANSWER_SPOILT, ENDPOINT_REACHABLE, ENDPOINT_UNREACHABLE } from '../Events.js'
+import { AnswerMemory } from '../exchange/AnswerMemory.js'
 import { answerFields } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
 import { isEndpointFailure, isServed } from '../exchange/Statuses.js'
@@ -44,6 +45,7 @@
 
 /** One request at a time on each connection; a connection whose answer was not whole is never used again. */
 export class EndpointSender extends Disposable {
+  private readonly _memory = new AnswerMemory()
   private _connections: UpstreamConnections | undefined
   private _record: IEndpointRecord | undefined
   /** 0 while the endpoint can be reached. */
@@ -122,7 +124,8 @@
       path: call.path,
       fields: [...call.fields, ...format.endpointFields(call, this._record?.id ?? call.endpoint, remaining)],
       body: call.body,
-      mayStart
+      mayStart,
+      memory: this._memory
     })
     gated.exchange = exchange
     const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
 import type { UpstreamConnection } from '../../gate/UpstreamConnections.js'
+import type { AnswerMemory, IPartialAnswer } from './AnswerMemory.js'
 
 /** The request. */
 export interface IExchangeRequest {
@@ -12,6 +13,8 @@
   readonly body: Buffer | undefined
   /** Asked right before the first byte is sent; false ends the exchange as not sent. */
   readonly mayStart?: () => boolean
+  /** Shared with other exchanges whose answers may go on without end. */
+  readonly memory?: AnswerMemory
 }
 
 /** How an exchange ended. */
@@ -31,19 +34,22 @@
 
 /** Largest body of a request or an answer; both are held whole in memory. An answer above it breaks its exchange. */
 export const MAXIMUM_BODY_BYTES = 16_777_216
+/** Answers before the final one, above which an exchange is broken. */
+const MAXIMUM_INTERIM_ANSWERS = 16
 const FIRST_FINAL_STATUS = 200
 /** Answers that have no body by their status. */
 export const BODILESS_STATUSES: readonly number[] = [204, 304]
 
 /** Collects the answer, so that a part of one is never passed on. */
-export class HttpExchange implements Dispatcher.DispatchHandler {
-  private readonly _chunks: Buffer[] = []
+export class HttpExchange implements Dispatcher.DispatchHandler, IPartialAnswer {
+  private _chunks: Buffer[] = []
   private _controller: Dispatcher.DispatchController | undefined
   private _resolve: ((end: ExchangeEnd) => void) | undefined
   private _connection: UpstreamConnection | undefined
   private _status = 0
   private _headers: IncomingHttpHeaders = {}
   private _bytes = 0
+  private _interimAnswers = 0
   private _abortReason: string | undefined
 
   constructor (private readonly _request: IExchangeRequest) {}
@@ -53,6 +59,11 @@
     return this._controller !== undefined
   }
 
+  /** Bytes of the answer that are held. */
+  public get bytes (): number {
+    return this._bytes
+  }
+
   /** Runs the exchange. Never rejects. */
   public run (connection: UpstreamConnection): Promise<ExchangeEnd> {
     const { method, path, fields, body } = this._request
@@ -72,6 +83,8 @@
   public abort (reason: string): void {
     if (this._abortReason !== undefined) return
     this._abortReason = reason
+    this._chunks = []
+    this._bytes = 0
     this._controller?.abort(new Error(reason))
   }
 
@@ -86,15 +99,17 @@
   }
 
   public onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-    if (status < FIRST_FINAL_STATUS) return
+    if (status < FIRST_FINAL_STATUS) return this._noteInterimAnswer()
     this._status = status
     this._headers = headers
   }
 
   public onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this._abortReason !== undefined) return
     this._bytes += chunk.byteLength
+    this._chunks.push(chunk)
     if (this._bytes > MAXIMUM_BODY_BYTES) this.abort('answer too large')
-    else this._chunks.push(chunk)
+    else this._request.memory?.noteGrowth(this)
   }
 
   public onResponseEnd (): void {
@@ -109,7 +124,13 @@
     this._finish(this.isSent ? { kind: 'broken', reason } : { kind: 'not-sent', reason })
   }
 
+  private _noteInterimAnswer (): void {
+    this._interimAnswers++
+    if (this._interimAnswers > MAXIMUM_INTERIM_ANSWERS) this.abort('answers before the final one without end')
+  }
+
   private _finish (end: ExchangeEnd): void {
+    this._request.memory?.release(this)
     this._resolve?.(end)
     this._resolve = undefined
   }
--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -2,8 +2,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 
+/** What goes on without end, until the other side closes: bytes that are no answer, a head, answers before the final one, a body. */
+export type EndlessMode = 'endless-noise' | 'endless-head' | 'endless-interim' | 'endless-chunk-head' | 'endless-body' | 'endless-whole'
+
 /** How the endpoint treats a request after it has read it. */
-export type EndpointMode = 'well' | 'shed' | 'fail' | 'reset-after-run' | 'silent' | 'unsigned' | 'other-id' | 'cut-without-length' | 'whole-without-length'
+export type EndpointMode = 'well' | 'shed' | 'fail' | 'reset-after-run' | 'silent' | 'unsigned' | 'other-id' | 'cut-without-length' | 'whole-without-length' | EndlessMode
+
+const ENDLESS_BLOCK_BYTES = 65_536
 
 /** One request that ran. */
 export interface IRunRequest {
@@ -27,6 +32,8 @@
   public readonly runs: IRunRequest[] = []
   /** Requests whose connection closed before their answer. */
   public abandoned = 0
+  /** Connections on which bytes go on without end. */
+  public endless = 0
   /** Requests that were meant for another incarnation. */
   public misdirected = 0
   private readonly _server: Server
@@ -90,10 +97,35 @@
       case 'silent': return
       case 'unsigned': return write(response, 200, echo, 'unsigned')
       case 'cut-without-length': return writeWithoutLength(request, signed, 'half', true)
+      case 'endless-noise': return this._writeEndlessly(request, '', '\u0001\u0002')
+      case 'endless-head': return this._writeEndlessly(request, 'HTTP/1.1 200 OK\r\nx-long: ', 'a')
+      case 'endless-interim': return this._writeEndlessly(request, '', 'HTTP/1.1 103 Early Hints\r\n\r\n')
+      case 'endless-chunk-head': return this._writeEndlessly(request, 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;x=', 'a')
+      case 'endless-body': return this._writeEndlessly(request, `HTTP/1.1 200 OK\r\n${fieldLines(signed)}connection: close\r\n\r\n`, 'a')
+      case 'endless-whole': return this._writeEndlessly(request, `HTTP/1.1 200 OK\r\n${fieldLines(signed)}content-length: 5\r\n\r\nwhole`, 'a')
       case 'whole-without-length': return writeWithoutLength(request, signed, 'whole', false)
       default: return write(response, 200, signed, `answer to ${request.url ?? ''}`)
     }
   }
+
+  /** Sends `start`, then `part` again and again for as long as the other side takes it. */
+  private _writeEndlessly (request: IncomingMessage, start: string, part: string): void {
+    const { socket } = request
+    const block = part.repeat(Math.ceil(ENDLESS_BLOCK_BYTES / part.length))
+    this.endless++
+    socket.on('error', () => undefined)
+    socket.once('close', () => { this.endless-- })
+    const writeMore = (): void => {
+      while (!socket.destroyed && socket.write(block)) continue
+    }
+    socket.on('drain', writeMore)
+    socket.write(start)
+    writeMore()
+  }
+}
+
+function fieldLines (fields: Record<string, string>): string {
+  return Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`).join('')
 }
 
 function write (response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
@@ -103,8 +135,7 @@
 
 /** An answer that ends with its connection, or is cut by a reset right behind its bytes. */
 function writeWithoutLength (request: IncomingMessage, headers: Record<string, string>, body: string, isCut: boolean): void {
-  const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
-  request.socket.write(`HTTP/1.1 200 OK\r\n${fields}connection: close\r\n\r\n${body}`, () => {
+  request.socket.write(`HTTP/1.1 200 OK\r\n${fieldLines(headers)}connection: close\r\n\r\n${body}`, () => {
     if (isCut) request.socket.resetAndDestroy()
     else request.socket.end()
   })
