--- /dev/null
+++ b/src/mesh/view/ReadingPolicy.test.ts
@@ -0,0 +1,43 @@
+/** Who reads the store, and whom the others follow. */
+import { expect } from 'chai'
+import { RandomService } from '../../common/RandomService.js'
+import type { FailureDomain, NetworkAddress, Region } from '../../common/Types.js'
+import { nodeOf, NOW } from '../../../testing/mesh/NodeRows.js'
+import type { NodeName } from '../Types.js'
+import { ReadingPolicy } from './ReadingPolicy.js'
+
+describe('ReadingPolicy', () => {
+  const names = ['a', 'b', 'c', 'd', 'e', 'f']
+  const nodes = new Map(names.map((name) => [name as NodeName, nodeOf(name)]))
+  const policyOf = (name: string): ReadingPolicy => {
+    return new ReadingPolicy({ name: name as NodeName, failureDomain: 'z1' as FailureDomain, region: 'r1' as Region }, new RandomService(1))
+  }
+  const sourceOf = (name: string): NodeName | undefined => policyOf(name).choose(nodes, false, NOW)?.name
+
+  it('lets one node of a region read the store, and all others follow it', () => {
+    const sources = new Set(names.map(sourceOf))
+    expect(sources.size).to.equal(2)
+    expect(sources.has(undefined)).to.equal(true)
+  })
+
+  it('goes to the second in rank when the first cannot be reached, and lets that one read', () => {
+    const [first] = names.map(sourceOf).filter((name) => name !== undefined)
+    const followers = names.filter((name) => name !== first).map((name) => {
+      const policy = policyOf(name)
+      const source = policy.choose(nodes, false, NOW)
+      if (source !== undefined) policy.recordFailure(source, NOW)
+      return policy.choose(nodes, false, NOW)?.name
+    })
+    expect(followers.filter((name) => name === undefined).length).to.equal(1)
+    expect(new Set(followers).size).to.equal(2)
+  })
+
+  it('asks any node once the store is lost to the one that reads', () => {
+    const reader = names.find((name) => sourceOf(name) === undefined) ?? ''
+    expect(policyOf(reader).choose(nodes, true, NOW)).to.include({ isPreferred: false })
+    expect(policyOf(reader).choose(new Map(), true, NOW)).to.equal(undefined)
+    const alone = policyOf(reader)
+    alone.suggest('10.0.0.9:9' as NetworkAddress)
+    expect(alone.choose(new Map(), true, NOW)?.address).to.equal('10.0.0.9:9')
+  })
+})
