Explain a request without a route, and cut long paths in its log line

savoryknotctl explain said of a 404 that its end was missing. The path in call-unrouted is cut at 200 characters, so that long paths cannot swell the log.

--- a/src/cli/explain/RequestStory.test.ts
+++ b/src/cli/explain/RequestStory.test.ts
@@ -37,6 +37,13 @@
   'no event'
 ]
 
+const UNROUTED = [
+  line('n1', 500, 'call-unrouted', { request: 'unrouted', host: 'mesh.example', path: '/new/', configuration: 12, viewAgeMs: 3200 }),
+  line('n2', 100, 'configuration-applied', { version: 13, source: 'store' }),
+  line('n3', 200, 'configuration-applied', { version: 14, source: 'n2' }),
+  line('n1', 900, 'configuration-applied', { version: 14, source: 'store' })
+]
+
 describe('RequestStory', () => {
   it('tells the way of a refused request in order, why it was refused, and what the logs lack', () => {
     expect(tellStory('refused', readLogs(REFUSED))).toMatchSnapshot()
@@ -46,6 +53,10 @@
     expect(tellStory('unknown', readLogs([UNKNOWN.join('\n')]))).toMatchSnapshot()
   })
 
+  it('tells by how much a node that knew no route was behind another one', () => {
+    expect(tellStory('unrouted', readLogs(UNROUTED))).toMatchSnapshot()
+  })
+
   it('says that the end is missing, and nothing of a request that no line names', () => {
     const story = tellStory('refused', readLogs(REFUSED.slice(1)))
     expect([story?.ending, story?.gaps, tellStory('other', readLogs(REFUSED))]).toMatchSnapshot()
--- a/src/cli/explain/RequestStory.ts
+++ b/src/cli/explain/RequestStory.ts
@@ -22,6 +22,8 @@
 }
 
 const FINISHED = 'call-finished'
+const UNROUTED = 'call-unrouted'
+const APPLIED = 'configuration-applied'
 const LEFT_OUT = 'events-left-out'
 /** A gap in the log matters if it lies this near to the request. */
 const NEAR_MS = 10_000
@@ -41,7 +43,9 @@
     ...(finished === undefined ? [] : [{ afterMs: finished.at - origin, node: finished.node, text: describeEnd(finished) }])
   ]
   steps.sort((left, right) => left.afterMs - right.afterMs)
-  return { request, arrivedAt, steps, ending: explainEnd(finished, own), gaps: gapsOf(content, own, finished !== undefined) }
+  const unrouted = own.find(({ name }) => name === UNROUTED)
+  const ending = unrouted === undefined ? explainEnd(finished, own) : explainUnrouted(unrouted, content.lines)
+  return { request, arrivedAt, steps, ending, gaps: gapsOf(content, own, finished !== undefined || unrouted !== undefined) }
 }
 
 function arrivalSteps (finished: ILogLine): IStoryStep[] {
@@ -84,6 +88,8 @@
       `${number(line, 'running')} of ${number(line, 'slots')} slots ran, ${number(line, 'waiting')} waited, rank ${number(line, 'rank')}`
     case 'call-not-repeated': return `no further endpoint after ${text(line, 'endpoint')}: ${text(line, 'reason')}`
     case 'answer-spoilt': return `answer of endpoint ${text(line, 'peer')} not taken: ${text(line, 'reason')}`
+    case UNROUTED: return `no route for ${text(line, 'host')}${text(line, 'path')} in configuration ${text(line, 'configuration')}, ` +
+      `which was the newest ${text(line, 'viewAgeMs')} ms before`
     default: return `${line.name} ${JSON.stringify(line.fields)}`
   }
 }
@@ -116,6 +122,16 @@
   }
 }
 
+/** Names the newest version that another node held before, if there was one. */
+function explainUnrouted (unrouted: ILogLine, lines: readonly ILogLine[]): string {
+  const held = number(unrouted, 'configuration')
+  const newer = lines.filter((line) => line.name === APPLIED && line.at <= unrouted.at && number(line, 'version') > held)
+  const known = `No route fits in configuration ${held}, which was the newest ${number(unrouted, 'viewAgeMs')} ms before: 404.`
+  const [first] = newer.sort((left, right) => left.at - right.at)
+  if (first === undefined) return known
+  return `${known} ${first.node} held version ${number(first, 'version')} ${unrouted.at - first.at} ms before.`
+}
+
 function explainAnswer (finished: ILogLine): string {
   const status = number(finished, 'status')
   const where = `endpoint ${text(finished, 'endpoint')}`
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -35,6 +35,8 @@
 /** Room for the first request line beside the fields that the configuration allows. */
 const MAXIMUM_HEAD_BYTES = 65_536
 const MAXIMUM_FIELDS = 200
+/** Characters of the path of a request without a route that are logged. */
+const MAXIMUM_LOGGED_PATH = 200
 const CONNECTION_CHECK_INTERVAL_MS = 1_000
 const MILLISECONDS_PER_SECOND = 1_000
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4]
@@ -189,7 +191,7 @@
       step: 'caller.route',
       request: requestId,
       host: message.headers.host,
-      path: message.url,
+      path: message.url?.slice(0, MAXIMUM_LOGGED_PATH),
       configuration: configuration.version,
       viewAgeMs: now - viewConfirmedAt()
     })
