Take an answer without rows for no newer than its asking if the store did not wait

Found in the read-through of the age of a view. What callers could see: nothing wrong, but nodes that leave their sources without need, and read the store, if the store answers a reading before the wait that it was asked for.

Cause: such an answer counted as new as of the end of the wait, which had not come; the age in the updates was then below zero, and its unsigned field held 49 days.

Class of fault: a moment worked out from what was asked instead of what happened.

Fix: the end of the wait counts only once it has passed; an age below zero is sent as zero. Test: the case of TableFollower, which had stated the wrong moment (1,400 ms after an answer at 400), failed with the right one before.

--- a/src/mesh/view/TableFollower.test.ts
+++ b/src/mesh/view/TableFollower.test.ts
@@ -14,8 +14,10 @@
   /** A feed that gives what a script says, call after call. */
   class ScriptedFeed implements IChangeFeed {
     public readonly calls: string[] = []
+    /** Above 0: answers without rows after this time, in place of the script. */
+    public answerTime = 0
 
-    constructor (private readonly _script: Array<IChangeBatch | Error | 'silence'>) {}
+    constructor (private readonly _script: Array<IChangeBatch | Error | 'silence'>, private readonly _clock: ManualClock) {}
 
     public readAll (_table: TableName): Promise<IChangeBatch> {
       return this._next('all')
@@ -27,6 +29,10 @@
 
     private async _next (call: string): Promise<IChangeBatch> {
       this.calls.push(call)
+      if (this.answerTime > 0) {
+        await this._clock.sleep(this.answerTime as Milliseconds)
+        return batch([], 4)
+      }
       const step = this._script.shift() ?? 'silence'
       if (step === 'silence') return await new Promise(() => undefined)
       if (step instanceof Error) throw step
@@ -36,7 +42,7 @@
 
   function follow (script: Array<IChangeBatch | Error | 'silence'>, skipsStates = false): { feed: ScriptedFeed, follower: TableFollower, clock: ManualClock } {
     const clock = new ManualClock()
-    const feed = new ScriptedFeed(script)
+    const feed = new ScriptedFeed(script, clock)
     let position = 0 as StorePosition
     const follower = new TableFollower({
       feed,
@@ -94,17 +100,23 @@
     expect(feed.calls).to.deep.equal(['all', 'after 3 wait 1000', 'all', 'after 7 wait 1000', 'after 7 wait 1000', 'all'])
   })
 
-  it('knows as of when it is complete: from the asking on after rows, from the end of the wait on after none', async () => {
-    const { follower, clock } = follow([batch([row('a', 3)], 3, true), batch([row('a', 4)], 4), batch([], 4)])
+  it('knows as of when it is complete: from the asking on, or from the end of a wait that the store kept', async () => {
+    const { feed, follower, clock } = follow([batch([row('a', 3)], 3, true), batch([row('a', 4)], 4), batch([], 4)])
     const start = clock.now()
-    await settlePromises()
-    const confirmed = [follower.confirmedAt - start]
-    await clock.advance(200)
-    confirmed.push(follower.confirmedAt - start)
-    await clock.advance(200)
-    confirmed.push(follower.confirmedAt - start)
-    // The script answers at once; a store answers without rows no earlier than after the wait.
-    expect(confirmed).to.deep.equal([0, 200, 1_400])
+    const confirmed: number[] = []
+    for (const duration of [0, 200, 200]) {
+      await clock.advance(duration)
+      confirmed.push(follower.confirmedAt - start)
+    }
+    feed.answerTime = 1_020
+    follower.stop()
+    follower.start()
+    for (const duration of [1_020, 1_020]) {
+      await clock.advance(duration)
+      confirmed.push(follower.confirmedAt - start)
+    }
+    // At once after rows and, the third, at once although it was asked to wait; then after 1,020 ms without a wait, and with one.
+    expect(confirmed).to.deep.equal([0, 200, 400, 400, 2_420])
   })
 
   it('does not read an empty store without end', async () => {
--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -131,8 +131,9 @@
     // An answer without a change came after the wait; the rest of its time is what the store took. That of rows is their way here.
     const asked = !batch.isWhole && !this._isFirst ? wait : 0
     if (!hasRows) this._patience.recordAnswer(Math.max(0, now - startedAt - asked) as Milliseconds)
-    // The store answers without rows when it has waited, so that its answer is as new as that.
-    this._confirmedAt = startedAt + (hasRows ? 0 : asked) as Timestamp
+    // A store that answers without rows after the wait tells what it knew then, any other answer what it knew when it was asked.
+    const hasWaited = !hasRows && now - startedAt >= asked
+    this._confirmedAt = startedAt + (hasWaited ? asked : 0) as Timestamp
     this._isFirst = false
     this._isBehind = new Set(batch.rows.map((row) => row.key)).size < batch.rows.length
     this._currentUntil = now + wait + gather + this._patience.value
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -132,7 +132,7 @@
       tellsAge: true,
       question: follower.question,
       questionAgo: now - follower.questionAt,
-      confirmedAgo: now - confirmedAt(),
+      confirmedAgo: Math.max(0, now - confirmedAt()),
       nodesPosition: state.nodes.position,
       configurationPosition: state.configurationPosition,
       rows: encodeRows(state.nodes.changedAfter(follower.position)),
