--- a/src/cli/explain/RequestStory.ts
+++ b/src/cli/explain/RequestStory.ts
@@ -138,14 +138,23 @@
   return status >= 500 ? `${where} itself answered ${status}.` : `Answered with ${status} by ${where}, at attempt ${number(finished, 'tries')}.`
 }
 
-function gapsOf ({ lines, unreadable }: ILogContent, own: readonly ILogLine[], isFinished: boolean): string[] {
-  const gaps: string[] = []
+/** Lines that nodes left out near the time of the request, added up by node and kind. */
+function leftOutNear (lines: readonly ILogLine[], own: readonly ILogLine[]): string[] {
   const from = (own[0]?.at ?? 0) - NEAR_MS
   const until = (own.at(-1)?.at ?? 0) + NEAR_MS
+  const counts = new Map<string, { readonly node: string, readonly kind: string, count: number }>()
   for (const line of lines) {
     if (line.name !== LEFT_OUT || line.at < from || line.at > until) continue
-    gaps.push(`${line.node} left out ${number(line, 'count')} lines of ${text(line, 'kind')} near that time, since its log was at its bound.`)
+    const kind = text(line, 'kind')
+    const entry = counts.get(`${line.node} ${kind}`) ?? { node: line.node, kind, count: 0 }
+    entry.count += number(line, 'count')
+    counts.set(`${line.node} ${kind}`, entry)
   }
+  return [...counts.values()].map(({ node, kind, count }) => `${node} left out ${count} lines of ${kind} near that time, since its log was at its bound.`)
+}
+
+function gapsOf ({ lines, unreadable }: ILogContent, own: readonly ILogLine[], isFinished: boolean): string[] {
+  const gaps = leftOutNear(lines, own)
   const nodes = new Set(lines.map(({ node }) => node))
   const last = own.findLast(({ name }) => name === FINISHED)
   for (const attempt of last === undefined ? [] : attemptsOf(last)) {
