Judge a source by how long its messages are under way, not by the age of its view

Cause: an answer with changes tells only that the view was the newest when it was asked for, up to a wait before. Whether a source reads in time is better judged by the source, which knows the pace of the store (isCurrent); what it cannot know is how long its messages are under way. Ruled out: a reading without wait after each change, which confirms sooner; it still failed at 500 ms for an answer and costs calls.

Fix: MessageLag in place of ViewAge; more than 800 ms under way ends the link.

--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -7,15 +7,12 @@
 import { VIEW_BODY_REJECTED } from '../Events.js'
 import type { INodeIdentity } from '../Services.js'
 import type { ConfigurationVersion, NodeName } from '../Types.js'
-import { ViewAge } from './ViewAge.js'
+import { MessageLag } from './MessageLag.js'
 import { decodeConfiguration, decodeRows } from './ViewMessages.js'
 import type { ViewState } from './ViewState.js'
 
-/**
- * A view that was the newest longer ago than this is no longer taken for current, though messages come. Above the time between
- * two answers of the store, after a change and by way of two nodes.
- */
-export const MAXIMUM_VIEW_AGE_MS = 1_500 as Milliseconds
+/** A message that was under way longer than this shows that the view comes late, though messages come. */
+const MAXIMUM_LAG_MS = 800
 /** A link without a message for this time is lost; three heartbeats. */
 export const VIEW_SILENCE_MS = 900 as Milliseconds
 
@@ -42,14 +39,13 @@
 /** One task: asks once, applies every update, ends when the other side is silent, not current, or too far from the store. */
 export class ViewLink {
   private _silence: IDisposable | undefined
-  private _outdated: IDisposable | undefined
   private _confirmedAt = 0 as Timestamp
-  private readonly _age: ViewAge
+  private readonly _lag: MessageLag
   private _end: ((end: ViewLinkEnd) => void) | undefined
   private _isOver = false
 
   constructor (private readonly _options: IViewLinkOptions) {
-    this._age = new ViewAge(_options.clock.now())
+    this._lag = new MessageLag(_options.clock.now())
   }
 
   /** The latest moment at which the view of the other side was the newest. */
@@ -77,7 +73,6 @@
     const end = await ended
     for (const listener of listeners) listener.dispose()
     this._silence?.dispose()
-    this._outdated?.dispose()
     channel.dispose()
     return end
   }
@@ -104,23 +99,18 @@
     this._options.state.nodes.apply(decodeRows(update), now)
     if (!update.isCurrent) return this._finish('not-current')
     if (update.hops > MAXIMUM_HOPS || update.source === self.name) return this._finish('too-far')
-    this._noteAge(update, now)
-    if (!this._isOver) this._options.onCurrent(update.hops)
+    if (this._lagOf(update, now) > MAXIMUM_LAG_MS) return this._finish('outdated')
+    this._options.onCurrent(update.hops)
   }
 
-  /** An update of earlier software does not tell its age and counts as new. */
-  private _noteAge (update: ReceivedViewUpdate, now: Timestamp): void {
-    const { channel, clock } = this._options
-    const { question, questionAgo, confirmedAgo } = update
-    const answer = { question, questionAgo: questionAgo as Milliseconds, confirmedAgo: confirmedAgo as Milliseconds }
-    const confirmedAt = update.tellsAge ? this._age.confirmedAt(answer, now) : now
-    this._confirmedAt = Math.max(this._confirmedAt, confirmedAt) as Timestamp
-    const left = this._confirmedAt + MAXIMUM_VIEW_AGE_MS - now
-    this._outdated?.dispose()
-    if (left <= 0) return this._finish('outdated')
-    this._outdated = clock.after(left as Milliseconds, () => this._finish('outdated'))
-    const next = this._age.ask(now)
-    if (next !== undefined) channel.send({ ping: { number: next } })
+  /** Time that an update was under way. One of earlier software does not tell and counts as new. */
+  private _lagOf (update: ReceivedViewUpdate, now: Timestamp): number {
+    const { question, questionAgo, confirmedAgo, tellsAge } = update
+    const sentAt = tellsAge ? this._lag.sentAt({ question, questionAgo: questionAgo as Milliseconds }, now) : now
+    this._confirmedAt = Math.max(this._confirmedAt, sentAt - confirmedAgo) as Timestamp
+    const next = this._lag.ask(now)
+    if (next !== undefined) this._options.channel.send({ ping: { number: next } })
+    return now - sentAt
   }
 
   /** False if the configuration could not be restored; it has then been asked for anew. */
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -42,20 +42,18 @@
   questionAt: Timestamp
 }
 
-/** Each follower gets what it lacks, changes at once, and heartbeats in between, all with the age of the view. */
+/** Each follower gets what it lacks, changes at once, and heartbeats in between. */
 export class ViewServer extends Disposable {
   private readonly _followers = new Set<IFollower>()
   private readonly _bodies = new ConfigurationBodies()
-  private _heartbeat: IDisposable
 
   constructor (private readonly _options: IViewServerOptions) {
     super()
-    const { state } = _options
+    const { state, clock } = _options
     this.register(state.configuration.onReplaced(() => this._sendConfiguration()))
     this.register(state.nodes.onChanged(() => this.notify()))
     this.register(toDisposable(() => { for (const { channel } of this._followers) channel.dispose() }))
-    this.register(toDisposable(() => this._heartbeat.dispose()))
-    this._heartbeat = this._scheduleHeartbeat()
+    this.register(clock.every(VIEW_HEARTBEAT_MS, () => this.notify()))
   }
 
   /** Number of nodes that follow. */
@@ -84,15 +82,9 @@
   public notify (): number {
     let bytes = 0
     for (const follower of this._followers) bytes += this._send(follower)
-    this._heartbeat.dispose()
-    this._heartbeat = this._scheduleHeartbeat()
     return bytes
   }
 
-  private _scheduleHeartbeat (): IDisposable {
-    return this._options.clock.after(VIEW_HEARTBEAT_MS, () => this.notify())
-  }
-
   private _sendConfiguration (): void {
     const { clock, log, state } = this._options
     this._bodies.replace(state.configuration.version, state.configuration.text)
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -194,7 +194,6 @@
     this._checkComplete()
     if (source.isPreferred) this._stopReading()
     else if (this._isReadingCurrent) this._link?.release()
-    this._server.notify()
   }
 
   private get _isReadingCurrent (): boolean {
@@ -241,7 +240,6 @@
         this._readings.inc({ table: 'configuration' })
         this._state.applyConfigurationBatch(batch, now)
         this._checkComplete()
-        if (batch.rows.length === 0) this._server.notify()
       }
     })
   }
--- a/testing/mesh/ViewRegion.ts
+++ b/testing/mesh/ViewRegion.ts
@@ -41,7 +41,7 @@
 const REGION = 'r1' as Region
 const DOMAINS = 3
 /** Time of one call of the store, both ways. */
-const STORE_ROUND_TRIP_MS = 20 as Milliseconds
+const STORE_ROUND_TRIP_MS = 20
 /** Bytes on the wire for each of a row. */
 const ENCODING_FACTOR = 4 / 3
 const MILLISECONDS_PER_SECOND = 1_000
@@ -79,6 +79,8 @@
 export class MemoryFeed implements IChangeFeed {
   /** False while the node cannot reach the store. */
   public isReachable = true
+  /** Time of one call, both ways. */
+  public roundTrip = STORE_ROUND_TRIP_MS
   public calls = 0
   private _receivingUntil = 0
 
@@ -102,7 +104,7 @@
 
   private async _send (): Promise<void> {
     this.calls++
-    await this._clock.sleep(STORE_ROUND_TRIP_MS / 2 as Milliseconds)
+    await this._clock.sleep(this.roundTrip / 2 as Milliseconds)
     if (!this.isReachable) throw new PlatformUnavailableError('store cannot be reached', { step: 'test' })
   }
 
@@ -116,7 +118,7 @@
   private async _receive (rows: readonly IChangedRow[]): Promise<void> {
     const bytes = rows.reduce((sum, { value }) => sum + (value?.length ?? 0) * ENCODING_FACTOR, 0)
     this._receivingUntil = Math.max(this._clock.now(), this._receivingUntil) + bytes / this.rate * MILLISECONDS_PER_SECOND
-    await this._clock.sleep(this._receivingUntil - this._clock.now() + STORE_ROUND_TRIP_MS / 2 as Milliseconds)
+    await this._clock.sleep(this._receivingUntil - this._clock.now() + this.roundTrip / 2 as Milliseconds)
   }
 }
 
