Stay with the first readers while they cannot read, and search at a pace

Cause: while no node of a region could read the store, each node asked one after the other, without a pause, for a view: every link ended at its first answer, 'not-current', and the pause held for each node asked on its own. Class: a limit for each of many subjects in place of one for the whole. Same cause elsewhere: probes of suspect nodes (RemoteNode) also have a pause for each node; their number is bounded by the nodes that calls went to, and is left.

So: - Links to the two nodes that rank first stay open while these are not current (ViewSources). The store is read meanwhile. - A node that reads the store tells those that it would follow (ViewRequest.reads_store); one that cannot read then follows it at once. Everyone who waits there has the view with the next message. - Only beyond that is any other node asked, with one pause for all (0.2 s doubling to 1.5 s). - A source that is current again within 150 ms is not left, and a change of that is told within 50 ms instead of 300 ms.

--- a/src/mesh/view/ReadingPolicy.test.ts
+++ b/src/mesh/view/ReadingPolicy.test.ts
@@ -4,7 +4,10 @@
 import type { FailureDomain, NetworkAddress, Region } from '../../common/Types.js'
 import { nodeOf, NOW } from '../../../testing/mesh/NodeRows.js'
 import type { NodeName } from '../Types.js'
-import { ReadingPolicy } from './ReadingPolicy.js'
+import { ReadingPolicy, type IChoiceState } from './ReadingPolicy.js'
+
+const HEALTHY: IChoiceState = { isStoreLost: false, isLinked: () => false }
+const LOST: IChoiceState = { isStoreLost: true, isLinked: () => false }
 
 describe('ReadingPolicy', () => {
   const names = ['a', 'b', 'c', 'd', 'e', 'f']
@@ -12,7 +15,7 @@
   const policyOf = (name: string): ReadingPolicy => {
     return new ReadingPolicy({ name: name as NodeName, failureDomain: 'z1' as FailureDomain, region: 'r1' as Region }, new RandomService(1))
   }
-  const sourceOf = (name: string): NodeName | undefined => policyOf(name).choose(nodes, false, NOW)?.name
+  const sourceOf = (name: string): NodeName | undefined => policyOf(name).choose(nodes, HEALTHY, NOW)?.name
 
   it('lets one node of a region read the store, and all others follow it', () => {
     const sources = new Set(names.map(sourceOf))
@@ -24,9 +27,9 @@
     const [first] = names.map(sourceOf).filter((name) => name !== undefined)
     const followers = names.filter((name) => name !== first).map((name) => {
       const policy = policyOf(name)
-      const source = policy.choose(nodes, false, NOW)
+      const source = policy.choose(nodes, HEALTHY, NOW)
       if (source !== undefined) policy.recordFailure(source, NOW)
-      return policy.choose(nodes, false, NOW)?.name
+      return policy.choose(nodes, HEALTHY, NOW)?.name
     })
     expect(followers.filter((name) => name === undefined).length).to.equal(1)
     expect(new Set(followers).size).to.equal(2)
@@ -34,10 +37,10 @@
 
   it('asks any node once the store is lost to the one that reads', () => {
     const reader = names.find((name) => sourceOf(name) === undefined) ?? ''
-    expect(policyOf(reader).choose(nodes, true, NOW)).to.include({ isPreferred: false })
-    expect(policyOf(reader).choose(new Map(), true, NOW)).to.equal(undefined)
+    expect(policyOf(reader).choose(nodes, LOST, NOW)).to.include({ isPreferred: false })
+    expect(policyOf(reader).choose(new Map(), LOST, NOW)).to.equal(undefined)
     const alone = policyOf(reader)
     alone.suggest('10.0.0.9:9' as NetworkAddress)
-    expect(alone.choose(new Map(), true, NOW)?.address).to.equal('10.0.0.9:9')
+    expect(alone.choose(new Map(), LOST, NOW)?.address).to.equal('10.0.0.9:9')
   })
 })
--- a/src/mesh/view/ReadingPolicy.ts
+++ b/src/mesh/view/ReadingPolicy.ts
@@ -17,10 +17,22 @@
   readonly isSuggested?: boolean
 }
 
+/** What a choice depends on besides the nodes. */
+export interface IChoiceState {
+  /** True if this node has tried in vain to read the store. */
+  readonly isStoreLost: boolean
+  /** True for a node to which there is a link. */
+  readonly isLinked: (node: NodeName) => boolean
+}
+
 /** How many nodes of a region rank as readers; the second follows the first and takes over from it. */
 const READERS_IN_REGION = 2
 const SHORTEST_REDIAL_MS = 500 as Milliseconds
 const LONGEST_REDIAL_MS = 4_000 as Milliseconds
+/** Bounds of the pause after a substitute that was of no use, whichever it was: with many nodes there always is another one to ask. */
+const SHORTEST_SEARCH_PAUSE_MS = 200 as Milliseconds
+const LONGEST_SEARCH_PAUSE_MS = 1_500 as Milliseconds
+const SEARCH = 'substitute'
 
 /** Ranks the nodes of a region as readers of the store; the same at every node. */
 export function rankOfReaders (region: Region): Rendezvous<NodeName> {
@@ -34,40 +46,70 @@
 export class ReadingPolicy {
   private readonly _rendezvous = new Map<Region, Rendezvous<NodeName>>()
   private readonly _backoff: RedialBackoff<NodeName>
+  private readonly _search: RedialBackoff<typeof SEARCH>
   private _suggested: NetworkAddress | undefined
+  private _offered: NodeName | undefined
 
   constructor (private readonly _self: INodeIdentity, private readonly _random: IRandomService) {
     this._backoff = new RedialBackoff<NodeName>({ random: _random, redialDelay: SHORTEST_REDIAL_MS, longestRedialDelay: LONGEST_REDIAL_MS })
+    this._search = new RedialBackoff<typeof SEARCH>({
+      random: _random, redialDelay: SHORTEST_SEARCH_PAUSE_MS, longestRedialDelay: LONGEST_SEARCH_PAUSE_MS
+    })
   }
 
-  /** A source to try now. `isStoreLost`: this node has tried in vain to read the store. */
-  public choose (nodes: ReadonlyMap<NodeName, IKnownNode>, isStoreLost: boolean, now: Timestamp): IViewSource | undefined {
-    const preferred = this._preferred(nodes, now)
+  /** A source to open a link to now. */
+  public choose (nodes: ReadonlyMap<NodeName, IKnownNode>, state: IChoiceState, now: Timestamp): IViewSource | undefined {
+    const preferred = this._preferred(nodes, state, now)
     if (preferred !== undefined) return { name: preferred.node, address: preferred.peerAddress, isPreferred: true }
-    if (!isStoreLost) return undefined
-    const others = [...nodes.values()].filter((node) => this._isCandidate(node, now))
-    const near = others.filter((node) => node.region === this._self.region)
-    const pool = near.length > 0 ? near : others
-    const other = pool[this._random.integer(Math.max(1, pool.length))]
-    if (other !== undefined) return { name: other.node, address: other.peerAddress, isPreferred: false }
-    return this._takeSuggested()
+    if (!state.isStoreLost) return undefined
+    const offered = this._takeOffered(nodes)
+    if (offered !== undefined) return { name: offered.node, address: offered.peerAddress, isPreferred: false }
+    return this._search.mayDial(SEARCH, now) ? this._anyOther(nodes, state, now) : undefined
   }
 
   public recordFailure (source: IViewSource, now: Timestamp): void {
     this._backoff.recordFailure(source.name, now)
+    if (!source.isPreferred) this._search.recordFailure(SEARCH, now)
   }
 
+  /** A source gave a current view: the next search begins without a pause. */
+  public recordCurrent (): void {
+    this._search.recordSuccess(SEARCH)
+  }
+
+  /** A source was left because this node no longer needs it. */
   public recordSuccess (source: IViewSource): void {
     this._backoff.recordSuccess(source.name)
   }
 
+  /** Remembers a node that reads the store, to be asked next if this one cannot. */
+  public offer (node: NodeName): void {
+    this._offered = node
+  }
+
   /** Remembers a node to ask when none is known. */
   public suggest (address: NetworkAddress): void {
     this._suggested = address
   }
 
-  /** The highest-ranked node above this one that can be reached. */
-  private _preferred (nodes: ReadonlyMap<NodeName, IKnownNode>, now: Timestamp): IKnownNode | undefined {
+  /** A node drawn at random, near ones first. */
+  private _anyOther (nodes: ReadonlyMap<NodeName, IKnownNode>, state: IChoiceState, now: Timestamp): IViewSource | undefined {
+    const others = [...nodes.values()].filter((node) => !state.isLinked(node.node) && this._isCandidate(node, now))
+    const near = others.filter((node) => node.region === this._self.region)
+    const pool = near.length > 0 ? near : others
+    const other = pool[this._random.integer(Math.max(1, pool.length))]
+    if (other !== undefined) return { name: other.node, address: other.peerAddress, isPreferred: false }
+    return this._takeSuggested()
+  }
+
+  private _takeOffered (nodes: ReadonlyMap<NodeName, IKnownNode>): IKnownNode | undefined {
+    const name = this._offered
+    this._offered = undefined
+    return name === undefined || name === this._self.name ? undefined : nodes.get(name)
+  }
+
+  /** The highest-ranked node above this one that can be reached and to which there is no link. */
+  private _preferred (nodes: ReadonlyMap<NodeName, IKnownNode>, state: IChoiceState, now: Timestamp): IKnownNode | undefined {
     const names: NodeName[] = []
     for (const node of nodes.values()) {
       if (node.region === this._self.region && !node.isLeaving) names.push(node.node)
@@ -77,7 +119,7 @@
     for (const name of ranked) {
       if (name === this._self.name) return undefined
       const node = nodes.get(name)
-      if (node !== undefined && this._backoff.mayDial(name, now)) return node
+      if (node !== undefined && !state.isLinked(name) && this._backoff.mayDial(name, now)) return node
     }
     return undefined
   }
--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -30,17 +30,25 @@
   readonly self: INodeIdentity
   /** Name that the other side must have; undefined if only its address is known. */
   readonly peer: NodeName | undefined
+  /** True to stay with a source that has no current view, until it has one again; such a link goes on while the store is read. */
+  readonly isStanding: boolean
   readonly clock: IClockService
   readonly log: ILogService
   /** Called with each update that is current, after it was applied, and with the hops of the other side. */
   readonly onCurrent: (hops: number) => void
+  /** Called with each update of a standing link whose view cannot be followed. */
+  readonly onStale: () => void
 }
 
-/** One task: asks once, applies every update, ends when the other side is silent, not current, or too far from the store. */
+/**
+ * One task: asks once, applies every update, ends when the other side is silent or its messages come late. If it is not
+ * current, or too far from the store, the link ends as well, unless it is a standing one.
+ */
 export class ViewLink {
   private _silence: IDisposable | undefined
   private _confirmedAt = 0 as Timestamp
   private readonly _lag: MessageLag
+  private _readsStore = false
   private _end: ((end: ViewLinkEnd) => void) | undefined
   private _isOver = false
 
@@ -77,6 +85,13 @@
     return end
   }
 
+  /** Tells the other side whether this node reads the store itself, when that has changed. */
+  public offer (readsStore: boolean): void {
+    if (this._isOver || readsStore === this._readsStore) return
+    this._readsStore = readsStore
+    this._ask(this._options.state.configuration.version)
+  }
+
   /** Ends the link on purpose. */
   public release (): void {
     this._finish('released')
@@ -85,7 +100,9 @@
   /** `held`: version that the other side may take as the base of a delta; 0 for none. */
   private _ask (held: ConfigurationVersion): void {
     const { channel, state, self } = this._options
-    channel.send({ viewRequest: { node: self.name, configurationVersion: held, nodesPosition: state.nodes.position } })
+    channel.send({
+      viewRequest: { node: self.name, configurationVersion: held, nodesPosition: state.nodes.position, readsStore: this._readsStore }
+    })
   }
 
   private _receive (update: ReceivedViewUpdate): void {
@@ -97,12 +114,17 @@
     this._waitForNext()
     if (!this._applyConfiguration(update, now)) return
     this._options.state.nodes.apply(decodeRows(update), now)
-    if (!update.isCurrent) return this._finish('not-current')
-    if (update.hops > MAXIMUM_HOPS || update.source === self.name) return this._finish('too-far')
+    if (!update.isCurrent) return this._onUseless('not-current')
+    if (update.hops > MAXIMUM_HOPS || update.source === self.name) return this._onUseless('too-far')
     if (this._lagOf(update, now) > MAXIMUM_LAG_MS) return this._finish('outdated')
     this._options.onCurrent(update.hops)
   }
 
+  private _onUseless (end: ViewLinkEnd): void {
+    if (this._options.isStanding) this._options.onStale()
+    else this._finish(end)
+  }
+
   /** Time that an update was under way. One of earlier software does not tell and counts as new. */
   private _lagOf (update: ReceivedViewUpdate, now: Timestamp): number {
     const { question, questionAgo, confirmedAgo, tellsAge } = update
--- a/src/mesh/view/ViewServer.test.ts
+++ b/src/mesh/view/ViewServer.test.ts
@@ -58,7 +58,15 @@
     const state = new ViewState({ configuration, nodes: new NodeTable({ log }), configurationRow: CONFIGURATION_ROW })
     const self = { name: 'reader' as NodeName, failureDomain: 'z1' as FailureDomain, region: 'r1' as Region }
     const server = new ViewServer({
-      self, state, isCurrent: () => true, hops: () => 0, source: () => undefined, confirmedAt: () => clock.now(), clock, log
+      self,
+      state,
+      isCurrent: () => true,
+      hops: () => 0,
+      source: () => undefined,
+      onOffer: () => undefined,
+      confirmedAt: () => clock.now(),
+      clock,
+      log
     })
     const take = (version: number): void => {
       const added = { prefix: `/added-${version}/`, service: 'idle' }
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -16,6 +16,9 @@
 /** Time between two updates when nothing changes. */
 export const VIEW_HEARTBEAT_MS = 300 as Milliseconds
 
+/** Time between two looks at whether this node still has a current view, which followers are told at once. */
+const CURRENCY_CHECK_MS = 50 as Milliseconds
+
 /** What the server needs. */
 export interface IViewServerOptions {
   readonly self: INodeIdentity
@@ -27,6 +30,8 @@
   readonly source: () => NodeName | undefined
   /** The latest moment at which the configuration of this node was the newest. */
   readonly confirmedAt: () => Timestamp
+  /** Called when a follower reads the store itself while this node has no current view. */
+  readonly onOffer: (node: NodeName) => void
   readonly clock: IClockService
   readonly log: ILogService
 }
@@ -46,6 +51,7 @@
 export class ViewServer extends Disposable {
   private readonly _followers = new Set<IFollower>()
   private readonly _bodies = new ConfigurationBodies()
+  private _wasCurrent = false
 
   constructor (private readonly _options: IViewServerOptions) {
     super()
@@ -54,6 +60,7 @@
     this.register(state.nodes.onChanged(() => this.notify()))
     this.register(toDisposable(() => { for (const { channel } of this._followers) channel.dispose() }))
     this.register(clock.every(VIEW_HEARTBEAT_MS, () => this.notify()))
+    this.register(clock.every(CURRENCY_CHECK_MS, () => this._checkCurrency()))
   }
 
   /** Number of nodes that follow. */
@@ -74,17 +81,27 @@
       if (follower !== undefined) this._followers.delete(follower)
       follower = this._followerOf(channel, message.viewRequest)
       this._followers.add(follower)
+      this._noteOffer(message.viewRequest)
       this._send(follower)
     })
   }
 
   /** Sends every follower what it lacks. Returns the bytes of configurations in it. */
   public notify (): number {
+    this._wasCurrent = this._options.isCurrent()
     let bytes = 0
     for (const follower of this._followers) bytes += this._send(follower)
     return bytes
   }
 
+  private _checkCurrency (): void {
+    if (this._options.isCurrent() !== this._wasCurrent) this.notify()
+  }
+
+  private _noteOffer ({ node, readsStore }: ReceivedViewRequest): void {
+    if (readsStore && !this._options.isCurrent()) this._options.onOffer(node as NodeName)
+  }
+
   private _sendConfiguration (): void {
     const { clock, log, state } = this._options
     this._bodies.replace(state.configuration.version, state.configuration.text)
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -5,14 +5,14 @@
 import type { IPeerTransport } from '../../membership/Services.js'
 import type { IChangeFeed } from '../../platform/Services.js'
 import type { IRowReference, TableName } from '../../platform/Types.js'
-import { VIEW_LINK_LOST, VIEW_LINK_OPENED, VIEW_READING_STARTED, VIEW_READING_STOPPED } from '../Events.js'
+import { VIEW_LINK_LOST, VIEW_READING_STARTED, VIEW_READING_STOPPED } from '../Events.js'
 import type { IConfigurationService, INodeIdentity, IViewService } from '../Services.js'
 import type { NodeName } from '../Types.js'
 import type { NodeTable } from './NodeTable.js'
-import { ReadingPolicy, type IViewSource } from './ReadingPolicy.js'
+import { ReadingPolicy, type IChoiceState, type IViewSource } from './ReadingPolicy.js'
 import { TableFollower } from './TableFollower.js'
-import { ViewLink } from './ViewLink.js'
 import { ViewServer } from './ViewServer.js'
+import { ViewSources } from './ViewSources.js'
 import { ViewState } from './ViewState.js'
 
 /** Name of the table of nodes. */
@@ -71,9 +71,8 @@
   private readonly _startedAt: Timestamp
   private readonly _readings: Counter
   private _complete: (() => void) | undefined
-  private _link: ViewLink | undefined
-  /** Hops of the node that is followed; undefined while none gives a current view. */
-  private _sourceHops: number | undefined
+  private readonly _sources: ViewSources
+  private _endWait: (() => void) | undefined
   private _lastCurrentAt: Timestamp
   private _isStopping = false
 
@@ -84,13 +83,17 @@
     this._lastCurrentAt = this._startedAt
     this._state = new ViewState(_options)
     this._policy = new ReadingPolicy(self, random)
+    this._sources = new ViewSources({ ..._options, state: this._state, policy: this._policy })
+    this._sources.onCurrent((source) => this._onSourceCurrent(source))
+    this._sources.onLost((reason) => this._onSourceLost(reason))
     this._server = new ViewServer({
       ..._options,
       state: this._state,
       isCurrent: () => this.isCurrent,
       hops: () => this._hops,
       source: () => this._source,
-      confirmedAt: () => this.confirmedAt
+      confirmedAt: () => this.confirmedAt,
+      onOffer: (node) => this._onOffer(node)
     })
     this._configurationFollower = this._createConfigurationFollower()
     this._followers = [this._configurationFollower, this._createNodesFollower()]
@@ -104,11 +107,11 @@
   }
 
   public get isCurrent (): boolean {
-    return this._isReadingCurrent || this._sourceHops !== undefined
+    return this._isReadingCurrent || this._sources.current !== undefined
   }
 
   public get confirmedAt (): Timestamp {
-    return Math.max(this._startedAt, this._configurationFollower.confirmedAt, this._link?.confirmedAt ?? 0) as Timestamp
+    return Math.max(this._startedAt, this._configurationFollower.confirmedAt, this._sources.confirmedAt) as Timestamp
   }
 
   public async start (): Promise<void> {
@@ -122,7 +125,7 @@
 
   public async stop (): Promise<void> {
     this._isStopping = true
-    this._link?.release()
+    this._sources.dispose()
     for (const follower of this._followers) follower.stop()
     this._server.dispose()
     await this._options.transport.close()
@@ -138,62 +141,48 @@
     while (!this._isStopping) {
       const now = clock.now()
       if (this.isCurrent) this._lastCurrentAt = now
-      const isStoreLost = now - this._lastCurrentAt > this._times.storeLostAfter
-      const source = this._policy.choose(nodes.nodes, isStoreLost, now)
-      if (source === undefined) {
-        this._startReading('no node ranks above this one, or none can be reached')
-        await clock.sleep(this._times.choiceInterval)
-      } else {
-        await this._followSource(source)
-      }
+      const source = this._isFollowingPreferred ? undefined : this._policy.choose(nodes.nodes, this._choiceState(now), now)
+      if (source === undefined) await this._waitForChoice()
+      else await this._sources.open(source)
     }
   }
 
-  /** Follows a node until the link ends. The store is read until a node above this one has given a current view. */
-  private async _followSource (source: IViewSource): Promise<void> {
-    const { clock, log } = this._options
-    const link = await this._openLink(source)
-    if (link === undefined) return this._startReading('a node above could not be reached')
-    log.log(VIEW_LINK_OPENED, { step: 'view.follow', peer: source.name, isPreferred: source.isPreferred })
-    this._link = link
-    const end = await link.run()
-    this._link = undefined
-    this._sourceHops = undefined
-    if (this._isStopping) return
-    this._startReading(`link ended: ${end}`)
-    log.log(VIEW_LINK_LOST, { step: 'view.follow', peer: source.name, reason: end })
-    if (end === 'released') this._policy.recordSuccess(source)
-    else this._policy.recordFailure(source, clock.now())
+  private _choiceState (now: Timestamp): IChoiceState {
+    return {
+      isStoreLost: now - this._lastCurrentAt > this._times.storeLostAfter,
+      isLinked: (name) => this._sources.isLinked(name)
+    }
   }
 
-  /** Undefined if the node cannot be reached. */
-  private async _openLink (source: IViewSource): Promise<ViewLink | undefined> {
-    const { transport, clock, log, self } = this._options
-    try {
-      const channel = await transport.dial(source.address)
-      return new ViewLink({
-        channel,
-        state: this._state,
-        self,
-        peer: source.isSuggested === true ? undefined : source.name,
-        clock,
-        log,
-        onCurrent: (hops) => this._onLinkCurrent(source, hops)
-      })
-    } catch (error) {
-      this._policy.recordFailure(source, clock.now())
-      log.log(VIEW_LINK_LOST, { step: 'view.dial', peer: source.name, reason: String(error) })
-      return undefined
-    }
+  private async _waitForChoice (): Promise<void> {
+    const { clock } = this._options
+    if (!this._isFollowingPreferred) this._startReading('no node ranks above this one, or none can be reached')
+    this._sources.offer(this._isReadingCurrent)
+    const lost = new Promise<void>((resolve) => { this._endWait = resolve })
+    await Promise.race([clock.sleep(this._times.choiceInterval), lost])
+  }
+
+  private get _isFollowingPreferred (): boolean {
+    return this._sources.current?.source.isPreferred === true
   }
 
-  /** With a substitute the store is still tried, and the substitute is left once the store can be read again. */
-  private _onLinkCurrent (source: IViewSource, hops: number): void {
-    this._sourceHops = hops
+  /** The store is read until a node above this one gives a current view. Substitutes are left once the store can be read again. */
+  private _onSourceCurrent (source: IViewSource): void {
+    this._policy.recordCurrent()
     this._lastCurrentAt = this._options.clock.now()
     this._checkComplete()
-    if (source.isPreferred) this._stopReading()
-    else if (this._isReadingCurrent) this._link?.release()
+    if (source.isPreferred) {
+      this._sources.releaseOthers(source)
+      this._stopReading()
+    } else if (this._isReadingCurrent) {
+      this._sources.releaseSubstitutes()
+    }
+  }
+
+  private _onSourceLost (reason: string): void {
+    if (this._isFollowingPreferred) return
+    this._startReading(reason)
+    this._endWait?.()
   }
 
   private get _isReadingCurrent (): boolean {
@@ -202,11 +191,12 @@
   }
 
   private get _hops (): number {
-    return this._isReadingCurrent || this._sourceHops === undefined ? 0 : this._sourceHops + 1
+    const source = this._sources.current
+    return this._isReadingCurrent || source === undefined ? 0 : source.hops + 1
   }
 
   private get _source (): NodeName | undefined {
-    return this._hops === 0 ? undefined : this._link?.peer
+    return this._hops === 0 ? undefined : this._sources.current?.peer
   }
 
   private _startReading (reason: string): void {
@@ -221,6 +211,11 @@
     this._options.log.log(VIEW_READING_STOPPED, { step: 'view.read' })
   }
 
+  private _onOffer (node: NodeName): void {
+    this._policy.offer(node)
+    this._endWait?.()
+  }
+
   private _checkComplete (): void {
     if (!this._state.isComplete) return
     this._complete?.()
