Keep the last question of a follower that asks for the view once more

Cause: the second request replaced what the server knew of the follower, with it the last question. It then told of question 0 and of the time since the second request, which the follower adds to the opening of the link: a lag as long as the link is old. Class: a message that renews one thing resets another. Same cause elsewhere: position and version are given by each request, the question was the only thing kept besides. Test: ViewServer.test.ts, failed before (0 instead of 3).

--- a/src/mesh/view/ViewServer.test.ts
+++ b/src/mesh/view/ViewServer.test.ts
@@ -38,6 +38,10 @@
     this._onMessage.fire({ kind: 'viewRequest', viewRequest } as unknown as ReceivedPeerMessage)
   }
 
+  public ping (number: number): void {
+    this._onMessage.fire({ kind: 'ping', ping: { number } } as unknown as ReceivedPeerMessage)
+  }
+
   public send (message: PeerMessage): boolean {
     if (message.viewUpdate != null) this.updates.push(message.viewUpdate)
     return true
@@ -82,6 +86,15 @@
     return channel
   }
 
+  it('still tells of the last question of a follower that asks for the view once more', () => {
+    const { server, take } = create()
+    take(1)
+    const channel = follow(server, 1)
+    channel.ping(3)
+    channel.ask(1)
+    expect(channel.updates.at(-1)?.question).to.equal(3)
+  })
+
   it('encodes a new configuration once, however many follow', () => {
     const { server, take } = create()
     take(1)
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -79,7 +79,7 @@
       }
       if (message.kind !== 'viewRequest' || message.viewRequest == null) return
       if (follower !== undefined) this._followers.delete(follower)
-      follower = this._followerOf(channel, message.viewRequest)
+      follower = this._followerOf(channel, message.viewRequest, follower)
       this._followers.add(follower)
       this._noteOffer(message.viewRequest)
       this._send(follower)
@@ -119,13 +119,14 @@
     })
   }
 
-  private _followerOf (channel: IPeerChannel, request: ReceivedViewRequest): IFollower {
+  /** `earlier`: the same follower, if it asks once more; its last question holds on. */
+  private _followerOf (channel: IPeerChannel, request: ReceivedViewRequest, earlier: IFollower | undefined): IFollower {
     return {
       channel,
       held: request.configurationVersion as ConfigurationVersion,
       position: request.nodesPosition as StorePosition,
-      question: 0,
-      questionAt: this._options.clock.now()
+      question: earlier?.question ?? 0,
+      questionAt: earlier?.questionAt ?? this._options.clock.now()
     }
   }
 
