A soak of the real programs under faults from outside

Three faults at a time, each mostly a series that overlaps. Callers keep their connections until the process is gone.

Held against it, from what callers and endpoints saw: never twice; a refusal is true and tells when to return; an answer is whole, for its request, by the endpoint that ran it; a final answer in time; no request lost in planned work; a configuration in force in time and never back; work ends after its caller left; nothing begins at an endpoint that drains; processes end only when asked; full service 6 s later.

The soak that was there (bench -- soak) tests the first part of the product within one process; it stays. DaemonProcess is what NodeProcess and the soak's nodes share.

--- a/bench/AtRest.ts
+++ b/bench/AtRest.ts
@@ -30,7 +30,7 @@
   const memories: number[] = []
   for (let start = 0; start < (options.quick ? QUICK_STARTS : STARTS); start++) {
     const node = await createNode(folder, platform.url)
-    startTimes.push(await node.start())
+    startTimes.push(await node.startUntilReady())
     await new Promise((resolve) => setTimeout(resolve, options.quick ? QUICK_REST_MS : REST_MS))
     memories.push(await residentOf(node.processId))
     await node.kill()
--- a/bench/ControlCostBench.ts
+++ b/bench/ControlCostBench.ts
@@ -65,7 +65,7 @@
   const daemon = await planDaemon(standIn.url, folder, fleet)
   try {
     const crowd = await fill(fleet, size - 1)
-    const startedIn = await daemon.start()
+    const startedIn = await daemon.startUntilReady()
     await waitForRecords(daemon, HELD_RECORDS + size)
     await fleet.clock.sleep(options.quick ? QUICK_SETTLE_MS : SETTLE_MS)
     const window = options.quick ? QUICK_WINDOW_MS : WINDOW_MS
--- /dev/null
+++ b/bench/soak/Main.ts
@@ -0,0 +1,97 @@
+/** `npm run soak -- [--seed N] [--minutes M] [--nodes N] [--seeds N]`: the real programs under faults from outside. */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { cac } from 'cac'
+import { RandomService } from '../../src/common/RandomService.js'
+import { Promises } from './Promises.js'
+import { SoakCallers } from './SoakCallers.js'
+import { sleep, SoakDeployment } from './SoakDeployment.js'
+import { SoakFaults } from './SoakFaults.js'
+import type { IBreach } from './Types.js'
+
+const DEFAULT_SEED = 1
+const DEFAULT_MINUTES = 1
+const DEFAULT_NODES = 9
+const MS_PER_MINUTE = 60_000
+/** Time after the last fault until service is as before. */
+const RECOVERY_MS = 6_000
+const CALM_MS = 3_000
+/** Details printed of each promise. */
+const PRINTED_DETAILS = 3
+const EXIT_KEPT = 0
+const EXIT_BROKEN = 1
+
+/** What one run is given. */
+interface ISoakOptions {
+  readonly seed: number
+  readonly minutes: number
+  readonly nodes: number
+}
+
+/** One run; gives the promises that were not kept. */
+async function runSeed ({ seed, minutes, nodes }: ISoakOptions): Promise<readonly IBreach[]> {
+  const folder = await mkdtemp(join(tmpdir(), 'savoryknot-soak-'))
+  const deployment = new SoakDeployment()
+  // Callers and faults draw from numbers of their own, so that the faults of a seed do not depend on the speed of the calls.
+  const callers = new SoakCallers(deployment, new RandomService(seed))
+  const faults = new SoakFaults(deployment, new RandomService(seed + 1_000_000))
+  try {
+    await deployment.start(nodes, folder)
+    callers.start()
+    faults.start()
+    await sleep(minutes * MS_PER_MINUTE)
+    await faults.stop()
+    await sleep(RECOVERY_MS)
+    const calmFrom = deployment.now()
+    await sleep(CALM_MS)
+    await callers.stop()
+    const breaches = new Promises(deployment).check(calmFrom)
+    printRun(seed, deployment, faults, breaches)
+    return breaches
+  } finally {
+    await deployment.end()
+    await rm(folder, { recursive: true })
+  }
+}
+
+function printRun (seed: number, { answers, runs, versions }: SoakDeployment, faults: SoakFaults, breaches: readonly IBreach[]): void {
+  const statuses: Record<number, number> = {}
+  for (const { status } of answers) statuses[status] = (statuses[status] ?? 0) + 1
+  const counts = {
+    requests: answers.length,
+    statuses,
+    runs: runs.size,
+    versions: versions.size,
+    faults: Object.fromEntries(faults.counts),
+    breaches: breaches.length
+  }
+  process.stdout.write(`seed ${seed}: ${JSON.stringify(counts)}\n`)
+  const printed = new Map<string, number>()
+  for (const { promise, detail } of breaches) {
+    const count = (printed.get(promise) ?? 0) + 1
+    printed.set(promise, count)
+    if (count <= PRINTED_DETAILS) process.stdout.write(`  not kept: ${promise}: ${detail}\n`)
+  }
+}
+
+async function main (): Promise<number> {
+  const command = cac('soak')
+  command.option('--seed <number>', 'First seed', { default: DEFAULT_SEED })
+  command.option('--seeds <number>', 'Seeds to run, one after the other', { default: 1 })
+  command.option('--minutes <number>', 'Length of each run', { default: DEFAULT_MINUTES })
+  command.option('--nodes <number>', 'Daemons', { default: DEFAULT_NODES })
+  command.help()
+  const { options } = command.parse()
+  if (options.help === true) return EXIT_KEPT
+  const failed: number[] = []
+  for (let count = 0; count < Number(options.seeds); count++) {
+    const seed = Number(options.seed) + count
+    const breaches = await runSeed({ seed, minutes: Number(options.minutes), nodes: Number(options.nodes) })
+    if (breaches.length > 0) failed.push(seed)
+  }
+  process.stdout.write(failed.length === 0 ? 'every promise was kept\n' : `promises were not kept with seeds ${failed.join(', ')}\n`)
+  return failed.length === 0 ? EXIT_KEPT : EXIT_BROKEN
+}
+
+process.exit(await main())
--- a/bench/system/Faults.ts
+++ b/bench/system/Faults.ts
@@ -79,7 +79,7 @@
 
   /** The next fault does not wait for the return, so that starts meet platform faults. */
   private _restart (nodes: readonly NodeProcess[]): void {
-    this._unreadyUntil = Promise.all(nodes.map((node) => node.start())).then((times) => {
+    this._unreadyUntil = Promise.all(nodes.map((node) => node.startUntilReady())).then((times) => {
       this.longestReturn = Math.max(this.longestReturn, ...times)
     })
   }
--- a/testing/demonstration/Deployment.ts
+++ b/testing/demonstration/Deployment.ts
@@ -56,7 +56,7 @@
     await this.platform.start()
     const plans = await this._plan(this.platform.url)
     this.nodes = plans.map((plan) => new NodeProcess(plan, this._folder))
-    const times = await Promise.all(this.nodes.map((node) => node.start()))
+    const times = await Promise.all(this.nodes.map((node) => node.startUntilReady()))
     return Math.max(...times)
   }
 
--- a/testing/demonstration/NodeProcess.ts
+++ b/testing/demonstration/NodeProcess.ts
@@ -1,9 +1,8 @@
 /** One `savoryknotd` as a process of its own. */
-import { spawn, type ChildProcess } from 'node:child_process'
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { fetch } from 'undici'
-import { REPOSITORY } from './Repository.js'
+import { DaemonProcess } from './DaemonProcess.js'
 
 const READY_TIMEOUT_MS = 30_000
 const POLL_INTERVAL_MS = 50
@@ -54,13 +53,15 @@
   return `[tls]\nmode = on\ncertificate = ${keys.certificate}\nkey = ${keys.key}\nauthority = ${keys.authority}\n`
 }
 
-/** Starts, watches and stops the process. */
-export class NodeProcess {
-  private _child: ChildProcess | undefined
-  private _exit: Promise<number | null> = Promise.resolve(null)
-  private _lastLines: string[] = []
+/** Writes the settings, and waits until the process is ready. */
+export class NodeProcess extends DaemonProcess {
+  private readonly _file: string
 
-  constructor (public readonly plan: INodePlan, private readonly _folder: string) {}
+  constructor (public readonly plan: INodePlan, folder: string) {
+    const file = join(folder, `${plan.name}.ini`)
+    super({ file, nodeArguments: NODE_ARGUMENTS })
+    this._file = file
+  }
 
   /** `host:port` of the operator port. */
   public get operatorAddress (): string {
@@ -72,67 +73,22 @@
     return `http://${HOST}:${this.plan.callerPort}`
   }
 
-  /** Process id, for resident memory. */
-  public get processId (): number {
-    return this._child?.pid ?? 0
-  }
-
   /** Starts the process; resolves with the milliseconds until it was ready. */
-  public async start (): Promise<number> {
-    const file = join(this._folder, `${this.plan.name}.ini`)
-    await writeFile(file, writeSettings(this.plan))
+  public async startUntilReady (): Promise<number> {
+    await writeFile(this._file, writeSettings(this.plan))
     const startedAt = Date.now()
-    const child = spawn(process.execPath, [...NODE_ARGUMENTS, join(REPOSITORY, 'bin/savoryknotd.js'), '--settings', file], { stdio: ['ignore', 'inherit', 'pipe'] })
-    this._child = child
-    this._exit = new Promise((resolve) => child.once('exit', (code) => resolve(code)))
-    child.stderr?.setEncoding('utf8').on('data', (text: string) => this._keepLines(text))
+    this.start()
     await this._waitUntilReady(startedAt + READY_TIMEOUT_MS)
     return Date.now() - startedAt
   }
 
-  /** What the process logged last. */
-  public get lastLines (): readonly string[] {
-    return this._lastLines
-  }
-
-  /** Sends SIGTERM; resolves with the exit code. */
-  public stop (): Promise<number | null> {
-    this._child?.kill('SIGTERM')
-    return this._exit
-  }
-
-  /** Ends the process at once. */
-  public async kill (): Promise<void> {
-    this._child?.kill('SIGKILL')
-    await this._exit
-  }
-
-  /** Pauses the process, as a stalled VM does. */
-  public freeze (): void {
-    this._child?.kill('SIGSTOP')
-  }
-
-  /** Lets a paused process go on. */
-  public resume (): void {
-    this._child?.kill('SIGCONT')
-  }
-
-  /** True while the process runs, paused or not. */
-  public get isRunning (): boolean {
-    return this._child !== undefined && this._child.exitCode === null && this._child.signalCode === null
-  }
-
-  private _keepLines (text: string): void {
-    this._lastLines = [...this._lastLines, ...text.split('\n').filter((line) => line !== '')].slice(-20)
-  }
-
   private async _waitUntilReady (deadline: number): Promise<void> {
     while (Date.now() < deadline) {
-      if (this._child?.exitCode !== null) break
+      if (!this.isRunning) break
       if (await this._isReady()) return
       await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS))
     }
-    throw new Error(`${this.plan.name} did not become ready; its last events:\n${this._lastLines.join('\n')}`)
+    throw new Error(`${this.plan.name} did not become ready; its last events:\n${this.lastLines.join('\n')}`)
   }
 
   private async _isReady (): Promise<boolean> {
--- a/testing/demonstration/Steps.ts
+++ b/testing/demonstration/Steps.ts
@@ -124,7 +124,7 @@
 }
 
 async function restart (deployment: Deployment): Promise<string> {
-  const readyAfter = await deployment.nodes[1]?.start()
+  const readyAfter = await deployment.nodes[1]?.startUntilReady()
   const result = await call(deployment.nodes[1]?.callerUrl ?? '', 'status', 'GET', '/status/1')
   requireThat(result.status === 200, `answered ${result.status} ${result.body}`)
   return `ready after ${readyAfter} ms, answers calls`
--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -30,6 +30,12 @@
   /** Start of this incarnation, in milliseconds of its clock. */
   public born = 1
   public readonly runs: IRunRequest[] = []
+  /** Time that a request for this path takes, in milliseconds. */
+  public workTimeOf: (path: string) => number = () => this.workTime
+  /** Called when a request begins to run. */
+  public onRun: (run: IRunRequest) => void = () => undefined
+  /** Called with the id of a request whose connection closed before its answer. */
+  public onAbandoned: (id: string) => void = () => undefined
   /** Requests whose connection closed before their answer. */
   public abandoned = 0
   /** Connections on which bytes go on without end. */
@@ -77,7 +83,7 @@
       return write(response, 421, echo, '')
     }
     if (this.mode === 'shed') return write(response, 503, { ...echo, 'x-savoryknot-not-executed': '1' }, '')
-    this.runs.push({
+    const run = {
       id,
       method: request.method ?? '',
       path: request.url ?? '',
@@ -85,9 +91,16 @@
       expected,
       caller: String(request.headers['x-savoryknot-caller-service'] ?? ''),
       deadline: Number(request.headers['x-savoryknot-deadline-ms'])
+    }
+    this.runs.push(run)
+    this.onRun(run)
+    response.once('close', () => {
+      if (response.writableFinished) return
+      this.abandoned++
+      this.onAbandoned(id)
     })
-    response.once('close', () => { if (!response.writableFinished) this.abandoned++ })
-    if (this.workTime > 0) await new Promise((resolve) => setTimeout(resolve, this.workTime))
+    const workTime = this.workTimeOf(run.path)
+    if (workTime > 0) await new Promise((resolve) => setTimeout(resolve, workTime))
     const signed = { ...echo, 'x-savoryknot-response-signature': `by ${this.id}` }
     switch (this.mode) {
       case 'fail': return write(response, 500, signed, 'failed')
--- a/testing/mesh/StoreStandIn.ts
+++ b/testing/mesh/StoreStandIn.ts
@@ -32,6 +32,9 @@
 const PARTS = 8
 const PART_INTERVAL_MS = 30
 
+/** What a reader gets in place of the text of a row. */
+export type RowTranslation = (table: string, key: string, text: string) => string
+
 /** Rows in one part, one counter of versions, a feed with a limited history. */
 export class StoreStandIn {
   public mode: StoreMode = 'well'
@@ -44,10 +47,11 @@
   private readonly _rows = new Map<string, IStandInRow>()
   private readonly _late: ITransactionBody[] = []
   private readonly _server: Server
+  private readonly _fronts: Server[] = []
   private _version = 0
 
   constructor () {
-    this._server = createServer((request, response) => { this._serve(request, response).catch(() => response.destroy()) })
+    this._server = this._createFront((_table, _key, text) => text)
   }
 
   /** `host:port`. */
@@ -65,8 +69,22 @@
   }
 
   public stop (): void {
-    this._server.close()
-    this._server.closeAllConnections()
+    for (const server of [this._server, ...this._fronts]) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
+  /** Opens a port of its own for one reader, which gets other texts than are stored. Gives the port. */
+  public async openFront (translate: RowTranslation): Promise<number> {
+    const front = this._createFront(translate)
+    this._fronts.push(front)
+    await new Promise<void>((resolve) => { front.listen(0, '127.0.0.1', resolve) })
+    return (front.address() as AddressInfo).port
+  }
+
+  private _createFront (translate: RowTranslation): Server {
+    return createServer((request, response) => { this._serve(request, response, translate).catch(() => response.destroy()) })
   }
 
   /** Number of transactions that came. */
@@ -91,7 +109,7 @@
     for (const body of this._late.splice(0)) this._transact(body)
   }
 
-  private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async _serve (request: IncomingMessage, response: ServerResponse, translate: RowTranslation): Promise<void> {
     const url = new URL(request.url ?? '', 'http://store')
     this.calls.push(`${request.method ?? ''} ${url.pathname}`)
     const chunks: Buffer[] = []
@@ -103,8 +121,8 @@
     if (this.mode === 'busy') return write(response, 503, {})
     if (this.mode === 'many') return write(response, 429, {})
     if (url.pathname === '/api/rows-tx') return this._answerTransaction(JSON.parse(Buffer.concat(chunks).toString()) as ITransactionBody, request, response)
-    if (url.pathname === '/api/rows-get') return this._answerGet(url, response)
-    if (url.pathname === '/api/rows-feed') return await this._answerFeed(url, response)
+    if (url.pathname === '/api/rows-get') return this._answerGet(url, response, translate)
+    if (url.pathname === '/api/rows-feed') return await this._answerFeed(url, response, translate)
     write(response, 404, {})
   }
 
@@ -153,7 +171,7 @@
     return undefined
   }
 
-  private _answerGet (url: URL, response: ServerResponse): void {
+  private _answerGet (url: URL, response: ServerResponse, translate: RowTranslation): void {
     const from = url.searchParams.get('from') ?? ''
     const to = url.searchParams.get('to')
     const limit = Number(url.searchParams.get('limit') ?? 500)
@@ -161,10 +179,11 @@
     const rows = [...this._rows.values()]
       .filter((row) => row.table === table && row.value !== undefined && row.key >= from && (to === null || row.key < to))
       .sort((left, right) => left.key < right.key ? -1 : 1)
-    write(response, 200, { rows: rows.slice(0, limit), hasMore: rows.length > limit, ver: this._version, nowMs: 0 })
+    const page = rows.slice(0, limit).map((row) => translated(row, translate))
+    write(response, 200, { rows: page, hasMore: rows.length > limit, ver: this._version, nowMs: 0 })
   }
 
-  private async _answerFeed (url: URL, response: ServerResponse): Promise<void> {
+  private async _answerFeed (url: URL, response: ServerResponse, translate: RowTranslation): Promise<void> {
     const after = Number(url.searchParams.get('after'))
     if (after < this.historyFrom) return write(response, 410, {})
     const until = Date.now() + Number(url.searchParams.get('waitMs') ?? 0)
@@ -172,7 +191,7 @@
       const rows = [...this._rows.values()].filter((row) => row.table === url.searchParams.get('table') && row.ver > after)
       if (rows.length > 0 || Date.now() >= until || this.mode !== 'well') {
         const ordered = rows.sort((left, right) => left.ver - right.ver)
-        const changed = ordered.map((row) => row.value === undefined ? { ...row, removed: true } : row)
+        const changed = ordered.map((row) => row.value === undefined ? { ...row, removed: true } : translated(row, translate))
         return write(response, 200, { rows: changed, ver: this._version, nowMs: 0 })
       }
       await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS))
@@ -180,6 +199,11 @@
   }
 }
 
+function translated (row: IStandInRow, translate: RowTranslation): IStandInRow {
+  const text = Buffer.from(row.value ?? '', 'base64').toString()
+  return { ...row, value: Buffer.from(translate(row.table, row.key, text)).toString('base64') }
+}
+
 function write (response: ServerResponse, status: number, body: object): void {
   response.writeHead(status, { 'content-type': 'application/json' })
   response.end(JSON.stringify(body))
