--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -63,7 +63,9 @@
   }
 
   /** Makes everything around the daemon. `translate`: what this node reads in place of rows of others. */
-  public static async create (place: ISoakPlace, ports: SoakPorts, store: StoreStandIn, folder: string, translate: RowTranslation): Promise<SoakNode> {
+  public static async create (
+    place: ISoakPlace, ports: SoakPorts, store: StoreStandIn, folder: string, translate: RowTranslation
+  ): Promise<SoakNode> {
     const endpoint = new EndpointStandIn(`i-${place.name}`)
     await endpoint.start()
     const front = await store.openFront((table, key, text) => key === place.name ? text : translate(table, key, text))
