Bear a signal to reload that comes while the program starts

Callers saw: a node that was gone until it was started anew.

Cause: the handler was installed when the daemon ran, after all modules and the settings had been read; until then the system's default holds, which ends the process. Class: a signal that may come at any moment is handled from some moment on only. Same cause elsewhere: SIGTERM and SIGINT, for which the default, an end, is what is asked; nothing is served yet. SIGHUP of the other daemon runs through the same file.

What is left is the time until Node.js runs the first statement. Test: Bundle.test.ts; the signal is sent when the bundle, or the settings, are read.

--- a/deploy/Bundle.test.ts
+++ b/deploy/Bundle.test.ts
@@ -9,6 +9,19 @@
 import { StoreStandIn } from '../testing/mesh/StoreStandIn.js'
 import { until } from '../testing/mesh/MeshRig.js'
 
+/** Sends SIGHUP to its own process when a file is read whose name ends so, and gives it time to arrive. */
+const HANGS_UP_AT = `
+  const files = require('node:fs')
+  const read = files.readFileSync
+  files.readFileSync = (file, ...rest) => {
+    if (String(file).endsWith(process.env.HANG_UP_AT)) {
+      process.kill(process.pid, 'SIGHUP')
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 50)
+    }
+    return read(file, ...rest)
+  }
+  require('node:module').syncBuiltinESMExports()
+`
 const PORT_NAMES = ['caller', 'gate', 'peer', 'ready', 'control', 'metrics']
 
 /** Flags and file of the deploy file's command. */
@@ -37,15 +50,20 @@
     rmSync(folder, { recursive: true })
   })
 
-  it('starts from its compiled code, reads the store, says that it is ready, and stops with 0', async function () {
-    this.timeout(30_000)
+  /** Settings file of a node, with free ports. */
+  async function writeSettings (): Promise<string> {
     const ports = await findFreePorts(PORT_NAMES.length)
     const file = join(folder, 'node.ini')
     writeFileSync(file, [
       '[mesh]', 'node = n1', 'failure-domain = z1', 'region = r1', ...PORT_NAMES.map((name, index) => `${name}-address = 127.0.0.1:${ports[index] ?? 0}`),
       '[store]', `address = ${store.address}`, '[bounds]', 'stop = 1 s', ''
     ].join('\n'))
-    daemon = spawn(process.execPath, [...deployedCommand(), '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    return file
+  }
+
+  it('starts from its compiled code, reads the store, says that it is ready, and stops with 0', async function () {
+    this.timeout(30_000)
+    daemon = spawn(process.execPath, [...deployedCommand(), '--settings', await writeSettings()], { stdio: ['ignore', 'pipe', 'pipe'] })
     let output = ''
     let complaints = ''
     daemon.stdout?.on('data', (chunk: Buffer) => { output += chunk.toString() })
@@ -55,4 +73,22 @@
     daemon.kill('SIGTERM')
     expect([(await exited)[0], complaints]).to.deep.equal([0, ''])
   })
+
+  for (const command of [() => deployedCommand(), () => ['bin/savoryknotd.js']]) {
+    it(`is not ended by a signal to reload that comes while it starts: ${command().at(-1) ?? ''}`, async function () {
+      this.timeout(30_000)
+      const preload = join(folder, 'HangsUp.cjs')
+      writeFileSync(preload, HANGS_UP_AT)
+      const file = await writeSettings()
+      const last = command().at(-1) ?? ''
+      const env = { ...process.env, HANG_UP_AT: last.endsWith('.cjs') ? 'savoryknotd-bundle.cjs' : 'node.ini' }
+      const child = spawn(process.execPath, ['--require', preload, ...command(), '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'], env })
+      let output = ''
+      child.stdout.on('data', (chunk: Buffer) => { output += chunk.toString() })
+      const exited = once(child, 'exit')
+      await Promise.race([until(() => output.includes('"node-started"')), exited])
+      child.kill('SIGTERM')
+      expect(await exited).to.deep.equal([0, null])
+    })
+  }
 })
--- a/deploy/Launcher.cjs
+++ b/deploy/Launcher.cjs
@@ -3,6 +3,9 @@
  * restarted process need not parse and compile it again. With SAVORYKNOT_WRITE_COMPILE_CACHE set, the code that this run
  * has compiled is written there at its end.
  */
+// A signal to reload that comes while the program loads must not end it; the settings are still to be read.
+process.on('SIGHUP', () => undefined)
+
 const { readFileSync, writeFileSync } = require('node:fs')
 const Module = require('node:module')
 const { join } = require('node:path')
