Links of the soak pass on a reset that comes together with the last bytes

Traced: the link saw a plain end where the endpoint had reset, as Node.js reports it, and sent the node a plain end: the node had no way to tell. A fault of the soak, not of the node, which MeshPath.test.ts tests on a direct connection. The link now asks by a write of no bytes, as the node does. Test: LoopbackProxy.test.ts, which also holds the order of bytes across changes of mode.

--- a/bench/soak/LoopbackProxy.ts
+++ b/bench/soak/LoopbackProxy.ts
@@ -6,6 +6,8 @@
 /** Added to each part of a delayed connection, each way. */
 const DELAY_MS = 120
 
+const NO_BYTES = Buffer.alloc(0)
+
 /** One connection through the link. */
 interface IPair {
   readonly near: Socket
@@ -21,7 +23,7 @@
   private readonly _server: Server
 
   constructor (private readonly _target: number) {
-    this._server = createServer((near) => this._accept(near))
+    this._server = createServer({ allowHalfOpen: true }, (near) => this._accept(near))
   }
 
   public get port (): number {
@@ -61,7 +63,7 @@
       near.resetAndDestroy()
       return
     }
-    const pair: IPair = { near, far: connect({ host: HOST, port: this._target, noDelay: true }), isLost: false }
+    const pair: IPair = { near, far: connect({ host: HOST, port: this._target, noDelay: true, allowHalfOpen: true }), isLost: false }
     near.setNoDelay(true)
     this._pairs.add(pair)
     this._pass(pair, pair.near, pair.far, 'deaf-forwards')
@@ -78,7 +80,10 @@
       pair.isLost ||= isLost
       if (!isLost) later(() => { if (to.writable) to.write(part) })
     })
-    from.on('end', () => { if (!isLost) later(() => to.end()) })
+    // A reset that comes together with the last bytes is reported as a plain end; a write of no bytes then fails.
+    from.on('end', () => from.write(NO_BYTES, (error) => {
+      if (!isLost) later(() => error == null ? to.end() : to.resetAndDestroy())
+    }))
     from.on('error', () => undefined)
     from.on('close', (hadError) => {
       this._pairs.delete(pair)
