--- a/bench/soak/Main.ts
+++ b/bench/soak/Main.ts
@@ -14,6 +14,8 @@
 const DEFAULT_MINUTES = 1
 const DEFAULT_NODES = 9
 const MS_PER_MINUTE = 60_000
+/** Distance between the seeds of callers and faults. */
+const FAULT_SEEDS = 1_000_000
 /** Time after the last fault until service is as before. */
 const RECOVERY_MS = 6_000
 const CALM_MS = 3_000
@@ -35,7 +37,8 @@
   const deployment = new SoakDeployment()
   // Callers and faults draw from numbers of their own, so that the faults of a seed do not depend on the speed of the calls.
   const callers = new SoakCallers(deployment, new RandomService(seed))
-  const faults = new SoakFaults(deployment, new RandomService(seed + 1_000_000))
+  const faults = new SoakFaults(deployment, new RandomService(seed + FAULT_SEEDS))
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => endAtOnce(deployment))
   try {
     await deployment.start(nodes, folder)
     callers.start()
@@ -55,6 +58,11 @@
   }
 }
 
+/** Leaves no process behind when the run is broken off. */
+function endAtOnce (deployment: SoakDeployment): void {
+  Promise.all(deployment.nodes.map((node) => node.kill())).finally(() => process.exit(EXIT_BROKEN))
+}
+
 function printRun (seed: number, { answers, runs, versions }: SoakDeployment, faults: SoakFaults, breaches: readonly IBreach[]): void {
   const statuses: Record<number, number> = {}
   for (const { status } of answers) statuses[status] = (statuses[status] ?? 0) + 1
