Do not open a second link to a node that offers its view

Found by reading: a node that offers its view while there is a link to it was chosen once more; the second entry took the place of the first, and the end of the first link would have removed the second. Test: ReadingPolicy.test.ts, failed before.

--- a/src/mesh/view/ReadingPolicy.test.ts
+++ b/src/mesh/view/ReadingPolicy.test.ts
@@ -35,6 +35,18 @@
     expect(new Set(followers).size).to.equal(2)
   })
 
+  it('asks a node that offered its view first, unless there is a link to it', () => {
+    const reader = names.find((name) => sourceOf(name) === undefined) ?? ''
+    const offering = names.find((name) => name !== reader) as NodeName
+    const choose = (state: IChoiceState): NodeName | undefined => {
+      const policy = policyOf(reader)
+      policy.recordFailure({ name: 'other' as NodeName, address: '10.0.0.9:9' as NetworkAddress, isPreferred: false }, NOW)
+      policy.offer(offering)
+      return policy.choose(nodes, state, NOW)?.name
+    }
+    expect([choose(LOST), choose(HEALTHY), choose({ ...LOST, isLinked: () => true })]).to.deep.equal([offering, undefined, undefined])
+  })
+
   it('asks any node once the store is lost to the one that reads', () => {
     const reader = names.find((name) => sourceOf(name) === undefined) ?? ''
     expect(policyOf(reader).choose(nodes, LOST, NOW)).to.include({ isPreferred: false })
--- a/src/mesh/view/ReadingPolicy.ts
+++ b/src/mesh/view/ReadingPolicy.ts
@@ -62,7 +62,7 @@
     const preferred = this._preferred(nodes, state, now)
     if (preferred !== undefined) return { name: preferred.node, address: preferred.peerAddress, isPreferred: true }
     if (!state.isStoreLost) return undefined
-    const offered = this._takeOffered(nodes)
+    const offered = this._takeOffered(nodes, state)
     if (offered !== undefined) return { name: offered.node, address: offered.peerAddress, isPreferred: false }
     return this._search.mayDial(SEARCH, now) ? this._anyOther(nodes, state, now) : undefined
   }
@@ -102,10 +102,10 @@
     return this._takeSuggested()
   }
 
-  private _takeOffered (nodes: ReadonlyMap<NodeName, IKnownNode>): IKnownNode | undefined {
+  private _takeOffered (nodes: ReadonlyMap<NodeName, IKnownNode>, state: IChoiceState): IKnownNode | undefined {
     const name = this._offered
     this._offered = undefined
-    return name === undefined || name === this._self.name ? undefined : nodes.get(name)
+    return name === undefined || name === this._self.name || state.isLinked(name) ? undefined : nodes.get(name)
   }
 
   /** The highest-ranked node above this one that can be reached and to which there is no link. */
