--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -143,8 +143,9 @@
     this._daemon.resume()
   }
 
+  /** Before its first line a process cannot have taken care of the signal: Node.js itself is still starting. */
   public reload (): void {
-    this._daemon.reload()
+    if (this._daemon.lastLines.length > 0) this._daemon.reload()
   }
 
   /** Ends everything of this node. */
--- a/testing/demonstration/DaemonProcess.ts
+++ b/testing/demonstration/DaemonProcess.ts
@@ -49,6 +49,7 @@
 
   /** Starts the process. */
   public start (): void {
+    this._lastLines = []
     const { file, nodeArguments } = this._options
     const command = [...nodeArguments, join(REPOSITORY, 'bin/savoryknotd.js'), '--settings', file]
     const child = spawn(process.execPath, command, { stdio: ['ignore', 'pipe', 'pipe'] })
