The soak replaces an endpoint that has drained, and keeps the logs of a failed run

Traced with the logs that the soak now keeps: savoryknotctl explain says refused, overloaded, no endpoint asked; two endpoints were 'draining' to the end. The soak reported 'ready' for the same incarnation again, which a node ignores on purpose, as a phase never goes back within one. A fault of the soak: half of the endpoints were missing. Services alternate over the failure domains, so that four nodes have both.

--- a/bench/soak/Main.ts
+++ b/bench/soak/Main.ts
@@ -1,5 +1,5 @@
 /** `npm run soak -- [--seed N] [--minutes M] [--nodes N] [--seeds N] [--regressions]`: the real programs under faults from outside. */
-import { mkdtemp, rm } from 'node:fs/promises'
+import { cp, mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { cac } from 'cac'
@@ -14,6 +14,8 @@
 const DEFAULT_SEED = 1
 const DEFAULT_MINUTES = 1
 const DEFAULT_NODES = 9
+/** Where logs of failed runs are kept, below the folder of the run. */
+const LOG_FOLDER = '.soak'
 const SIGNALS = ['SIGINT', 'SIGTERM'] as const
 const MS_PER_MINUTE = 60_000
 /** Distance between the seeds of callers and faults. */
@@ -54,6 +56,7 @@
     await callers.stop()
     const breaches = new Promises(deployment).check(calmFrom)
     printRun(seed, deployment, faults, breaches)
+    if (breaches.length > 0) await keepLogs(seed, folder)
     return breaches
   } finally {
     await deployment.end()
@@ -62,6 +65,14 @@
   }
 }
 
+/** The logs of a run that failed; earlier ones of the same seed are replaced. */
+async function keepLogs (seed: number, folder: string): Promise<void> {
+  const kept = join(LOG_FOLDER, `seed-${seed}`)
+  await rm(kept, { recursive: true, force: true })
+  await cp(folder, kept, { recursive: true })
+  process.stdout.write(`  logs: ${kept}; savoryknotctl explain tells of a request\n`)
+}
+
 /** Leaves no process behind when the run is broken off. */
 function endAtOnce (deployment: SoakDeployment): void {
   Promise.all(deployment.nodes.map((node) => node.kill())).finally(() => process.exit(EXIT_BROKEN))
--- a/bench/soak/Promises.test.ts
+++ b/bench/soak/Promises.test.ts
@@ -18,7 +18,7 @@
   function answer (id: string, kind: RequestKind, seen: Partial<ICallerRecord>, nodes: readonly string[]): void {
     const path = seen.path ?? `/${kind}/usual/${id}`
     const sentAt = seen.sentAt ?? 10_000
-    const signature = seen.status === 200 ? `by i-${nodes[0] ?? 'n1'}` : ''
+    const signature = seen.status === 200 ? `by i-${nodes[0] ?? 'n1'}.1` : ''
     deployment.answers.push({
       id,
       node: 'n0',
@@ -60,7 +60,7 @@
 
   it('are not kept by an answer to another request, in part, or by an endpoint that did not run it', () => {
     answer('a', 'read', { status: 200, body: 'answer to /read/other' }, ['n1'])
-    answer('b', 'read', { status: 200, signature: 'by i-n7' }, ['n1'])
+    answer('b', 'read', { status: 200, signature: 'by i-n7.1' }, ['n1'])
     expect(broken()).to.deep.equal(Array.from({ length: 2 }, () => 'an answer is whole and for its request'))
   })
 
--- a/bench/soak/Promises.ts
+++ b/bench/soak/Promises.ts
@@ -1,6 +1,6 @@
 /** Holds what callers and endpoints saw against what is promised. */
 import { ROUTES, SHORT_TIMEOUT_MS, versionPrefix, type SoakDeployment } from './SoakDeployment.js'
-import { STOP_SECONDS } from './SoakNode.js'
+import { endpointPrefix, STOP_SECONDS } from './SoakNode.js'
 import { HARD_KINDS, type DisruptionKind, type IBreach, type ICallerRecord, type IRunRecord } from './Types.js'
 
 const REFUSALS = [429, 503]
@@ -146,7 +146,7 @@
 
 /** True if the endpoint that signed the answer ran the request. */
 function isWhole ({ signature, path, body }: ICallerRecord, runs: readonly IRunRecord[]): boolean {
-  return body === `answer to ${path}` && runs.some(({ node, path: ran }) => signature === `by i-${node}` && ran === path)
+  return body === `answer to ${path}` && runs.some(({ node, path: ran }) => signature.startsWith(`by ${endpointPrefix(node)}`) && ran === path)
 }
 
 /** Time that a request has at its node, in milliseconds. */
--- a/bench/soak/SoakDeployment.ts
+++ b/bench/soak/SoakDeployment.ts
@@ -74,7 +74,7 @@
 
   private async _createNode (number: number, free: readonly number[], folder: string): Promise<SoakNode> {
     const domain = DOMAINS[number % DOMAINS.length] ?? { failureDomain: 'z1', region: 'r1' }
-    const place: ISoakPlace = { name: `node-${number}`, ...domain, service: SERVICES[Math.floor(number / DOMAINS.length) % SERVICES.length] ?? 'status' }
+    const place: ISoakPlace = { name: `node-${number}`, ...domain, service: SERVICES[number % SERVICES.length] ?? 'status' }
     const translate = (table: string, key: string, text: string): string => {
       return table === 'nodes' ? this.nodes.find((node) => node.place.name === key)?.throughLinks(text) ?? text : text
     }
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -20,6 +20,8 @@
 const LONGEST_SILENCE_MS = 5_000
 const CHECK_INTERVAL_MS = 50
 const SLOW_STORE_MS = 350
+/** Share of the endpoints whose successor has the same id. */
+const SAME_ID_SHARE = 0.5
 /** Share of the nodes that a herd takes along. */
 const HERD_SHARE = 0.5
 
@@ -137,7 +139,7 @@
     })
   }
 
-  /** The promise holds from the acknowledgement on, unless the process that gave it has gone. */
+  /** The promise holds from the acknowledgement on, unless the process that gave it has gone. A drained endpoint is replaced. */
   private async _drain (node: SoakNode): Promise<void> {
     await this._alone(node, async () => {
       node.state = 'draining'
@@ -147,7 +149,7 @@
       await this._wait()
       const drain = { node: node.place.name, from, until: this._deployment.now() }
       if (isAcknowledged && incarnation === node.incarnation) this._deployment.drains.push(drain)
-      node.state = 'ready'
+      node.replaceEndpoint(this._random.fraction() < SAME_ID_SHARE)
     })
   }
 
--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -7,6 +7,7 @@
 import { EndpointStandIn } from '../../testing/mesh/EndpointStandIn.js'
 import type { RowTranslation, StoreStandIn } from '../../testing/mesh/StoreStandIn.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
+import type { Subject } from './Types.js'
 
 const HOST = '127.0.0.1'
 /** Time between two heartbeats of an endpoint. */
@@ -66,7 +67,7 @@
   public static async create (
     place: ISoakPlace, ports: SoakPorts, store: StoreStandIn, folder: string, translate: RowTranslation
   ): Promise<SoakNode> {
-    const endpoint = new EndpointStandIn(`i-${place.name}`)
+    const endpoint = new EndpointStandIn(`${endpointPrefix(place.name)}1`)
     await endpoint.start()
     const front = await store.openFront((table, key, text) => key === place.name ? text : translate(table, key, text))
     const links = {
@@ -78,7 +79,7 @@
     await Promise.all(Object.values(links).map((link) => link.start()))
     const file = join(folder, `${place.name}.ini`)
     await writeFile(file, writeSettings(place, ports, links.store.port))
-    return new SoakNode(place, ports, links, endpoint, new DaemonProcess({ file, nodeArguments: NODE_ARGUMENTS }))
+    return new SoakNode(place, ports, links, endpoint, new DaemonProcess({ file, nodeArguments: NODE_ARGUMENTS, logFile: join(folder, `${place.name}.log`) }))
   }
 
   public get callerPort (): number {
@@ -157,6 +158,13 @@
     for (const link of Object.values(this.links)) link.stop()
   }
 
+  /** Another incarnation takes the place of the endpoint, at the same address. */
+  public replaceEndpoint (keepsId: boolean): void {
+    this.endpoint.born++
+    if (!keepsId) this.endpoint.id = `${endpointPrefix(this.place.name)}${this.endpoint.born}`
+    this.state = 'ready'
+  }
+
   /** One heartbeat; gives the status of its acknowledgement, 0 without one. */
   public report (): Promise<number> {
     const heartbeat = JSON.parse(this.endpoint.heartbeat(this.place.service, ++this._sequence, this.state)) as Record<string, unknown>
@@ -178,6 +186,11 @@
   }
 }
 
+/** What the ids of the endpoints beside a node begin with. */
+export function endpointPrefix (node: Subject): string {
+  return `i-${node}.`
+}
+
 function writeSettings (place: ISoakPlace, ports: SoakPorts, storePort: number): string {
   const addresses = Object.entries(ports).map(([name, port]) => `${name}-address = ${HOST}:${port}`)
   return [
--- a/testing/demonstration/DaemonProcess.ts
+++ b/testing/demonstration/DaemonProcess.ts
@@ -1,6 +1,8 @@
 /** One `savoryknotd` as a process of its own, whatever its settings are. */
-import { spawn, type ChildProcess } from 'node:child_process'
+import { spawn, type ChildProcess, type ChildProcessByStdio } from 'node:child_process'
+import { createWriteStream } from 'node:fs'
 import { join } from 'node:path'
+import type { Readable } from 'node:stream'
 import { REPOSITORY } from './Repository.js'
 
 /** Last lines of the log that are kept. */
@@ -12,6 +14,8 @@
   readonly file: string
   /** Arguments of Node.js itself. */
   readonly nodeArguments: readonly string[]
+  /** File to which the log is added; none if not given. */
+  readonly logFile?: string
 }
 
 /** Starts, watches and signals the process. Signals go to this process only. */
@@ -56,6 +60,7 @@
     this._child = child
     this._exit = new Promise((resolve) => child.once('exit', (code) => resolve(code)))
     for (const stream of [child.stdout, child.stderr]) stream.setEncoding('utf8').on('data', (text: string) => this._keepLines(text))
+    this._writeLog(child)
   }
 
   /** Asks for a planned stop; resolves with the exit code. */
@@ -85,6 +90,14 @@
     this._child?.kill('SIGCONT')
   }
 
+  private _writeLog ({ stdout, stderr }: ChildProcessByStdio<null, Readable, Readable>): void {
+    const { logFile } = this._options
+    if (logFile === undefined) return
+    const file = createWriteStream(logFile, { flags: 'a' })
+    for (const stream of [stdout, stderr]) stream.pipe(file, { end: false })
+    stdout.once('close', () => file.end())
+  }
+
   private _keepLines (text: string): void {
     this._lastLines = [...this._lastLines, ...text.split('\n').filter((line) => line !== '')].slice(-KEPT_LINES)
   }
