--- a/bench/soak/SoakDeployment.ts
+++ b/bench/soak/SoakDeployment.ts
@@ -4,7 +4,7 @@
 import { StoreStandIn } from '../../testing/mesh/StoreStandIn.js'
 import { DisruptionLog } from './DisruptionLog.js'
 import { PORT_NAMES, SoakNode, type ISoakPlace, type SoakPorts } from './SoakNode.js'
-import { EVERYTHING, type ICallerRecord, type IDrain, type IRunRecord, type Moment } from './Types.js'
+import type { ICallerRecord, IDrain, IRunRecord, Moment } from './Types.js'
 
 const SERVICES = ['status', 'fee']
 const DOMAINS = [{ failureDomain: 'z1', region: 'r1' }, { failureDomain: 'z2', region: 'r1' }, { failureDomain: 'z3', region: 'r2' }]
@@ -56,8 +56,6 @@
     const added = Array.from({ length: version }, (_, place) => ({ prefix: versionPrefix(place + 1), service: 'status' }))
     this.store.put('op', 'config', configurationText(version, [...ROUTES, ...added]))
     this.versions.set(version, this.now())
-    const end = this.disruptions.begin('configuration', EVERYTHING, this.now())
-    end(this.now())
   }
 
   /** The node of this name. */
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -105,7 +105,7 @@
   }
 
   private async _reload (node: SoakNode): Promise<void> {
-    await this._alone(node, () => this._during('reloading', node.place.name, async () => { node.reload() }))
+    await this._alone(node, async () => { node.reload() })
   }
 
   private async _disturbLink (node: SoakNode): Promise<void> {
--- a/bench/soak/Types.ts
+++ b/bench/soak/Types.ts
@@ -1,8 +1,8 @@
 /** Shapes of the soak. */
 import type { EndpointMode } from '../../testing/mesh/EndpointStandIn.js'
 
-/** What disturbs a node or what is around it. Planned work is no excuse for a cut request. */
-export type DisruptionKind = 'killed' | 'paused' | 'link' | 'endpoint' | 'store' | 'stopping' | 'reloading' | 'configuration'
+/** What disturbs a node or what is around it, as far as it excuses anything. A reload and a new configuration excuse nothing. */
+export type DisruptionKind = 'killed' | 'paused' | 'link' | 'endpoint' | 'store' | 'stopping'
 
 /** Disruptions during which a request may be lost, as a VM, a link or an endpoint fails. */
 export const HARD_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'link', 'endpoint']
