End a planned stop in time while another node is silent

What the platform saw: a process that did not end within the time for its stop; it would have been killed.

Cause: the RPC server was asked to end, and after 0.5 s forced to; the promise was kept by the first of the two, which waits for the connections of all clients, also of one behind a cut link or without power. Reproduced: with a link that is silent, or deaf either way, the close of the server had not ended after 8 s; of the side that had dialled after 1 ms; without a cut after 11 ms. Class: a limit of time that starts an action and then waits for its success. Same cause elsewhere: the operator port waited without any limit; HTTP ports close their connections themselves.

Mend: endServer in common, used by both, resolves when its time is over (0.3 s for the peer port, 2 s for calls of operators). Test: GrpcPeerTransport.test.ts, failed before (time-out).

--- a/src/daemon/OperatorService.ts
+++ b/src/daemon/OperatorService.ts
@@ -1,9 +1,10 @@
 /** RPC server of the operator port. */
 import { Metadata, Server, ServerCredentials, status, type sendUnaryData, type ServerUnaryCall, type UntypedServiceImplementation } from '@grpc/grpc-js'
 import type { IClockService, ILogService, IService } from '../common/Services.js'
+import { endServer } from '../common/GrpcServerEnd.js'
 import { loadProtocol } from '../common/Protocol.js'
 import { SavoryknotError } from '../common/SavoryknotError.js'
-import type { NetworkAddress, TeamName } from '../common/Types.js'
+import type { Milliseconds, NetworkAddress, TeamName } from '../common/Types.js'
 import type { ReceivedBurnRequest } from '../generated/savoryknot/BurnRequest.js'
 import type { ReceivedEndpointsRequest } from '../generated/savoryknot/EndpointsRequest.js'
 import type { ReceivedHistoryRequest } from '../generated/savoryknot/HistoryRequest.js'
@@ -16,6 +17,8 @@
 
 /** Largest message that a client may send: a document and some room. */
 const MAX_MESSAGE_BYTES = 256 * 1024
+/** Longest time that calls in flight hold up the stop. */
+const STOP_GRACE_MS = 2_000 as Milliseconds
 
 /** Tells the team of a client from its certificate. */
 export interface IOperatorAuthentication {
@@ -51,9 +54,9 @@
     })
   }
 
-  /** Finishes calls in flight. */
+  /** Finishes calls in flight, as far as they end in time. */
   public async stop (): Promise<void> {
-    await new Promise<void>((resolve) => this._server.tryShutdown(() => resolve()))
+    await endServer(this._server, this._options.clock, STOP_GRACE_MS)
   }
 
   private _implementation (): UntypedServiceImplementation {
--- a/src/membership/GrpcPeerTransport.test.ts
+++ b/src/membership/GrpcPeerTransport.test.ts
@@ -1,6 +1,7 @@
 /** Streams over real sockets: order, limits, nonsense, back-pressure, close. */
 import { Client, credentials } from '@grpc/grpc-js'
 import { expect } from 'chai'
+import { connect as connectSocket, createServer, type AddressInfo } from 'node:net'
 import { ClockService } from '../common/ClockService.js'
 import { MetricsService } from '../common/MetricsService.js'
 import { GrpcPeerTransport, type GrpcPeerTransportOptions } from './GrpcPeerTransport.js'
@@ -93,6 +94,29 @@
     expect(log.events.filter((event) => event.name === 'peer-send-buffer-full')).to.have.length(1)
   })
 
+  it('closes in time while a peer is silent, as on a cut link', async () => {
+    const server = create()
+    const [host, port] = (await server.bind()).split(':')
+    const accepted = new Promise<IPeerChannel>((resolve, reject) => { server.listen(resolve).catch(reject) })
+    let isCut = false
+    const link = createServer((near) => {
+      const far = connectSocket(Number(port), host)
+      for (const [from, to] of [[near, far], [far, near]] as const) {
+        from.on('data', (part) => { if (!isCut) to.write(part) })
+        from.on('error', () => undefined)
+      }
+    })
+    await new Promise<void>((resolve) => { link.listen(0, '127.0.0.1', resolve) })
+    const near = await create().dial(`127.0.0.1:${(link.address() as AddressInfo).port}` as NetworkAddress)
+    near.send({ ping: { number: 0 } })
+    await accepted
+    isCut = true
+    // The test's own limit of time fails it if this stays.
+    await server.close()
+    near.dispose()
+    link.close()
+  })
+
   it('rejects a dial to nobody with the step and the peer', async () => {
     const error = await create({ dialTimeout: 300 as Milliseconds }).dial('127.0.0.1:1' as NetworkAddress).catch((reason: unknown) => reason)
     expect(error).to.include({ name: 'PeerUnreachableError', step: 'transport.dial', peer: '127.0.0.1:1' })
--- a/src/membership/GrpcPeerTransport.ts
+++ b/src/membership/GrpcPeerTransport.ts
@@ -3,6 +3,7 @@
   Client, credentials, Server, ServerCredentials, status, type ChannelCredentials, type ChannelOptions,
   type ServerDuplexStream, type ServiceDefinition, type UntypedServiceImplementation
 } from '@grpc/grpc-js'
+import { endServer } from '../common/GrpcServerEnd.js'
 import { NODE_SERVER_NAME } from '../common/CertificateIdentity.js'
 import { GrpcPeerChannel } from './GrpcPeerChannel.js'
 import { PeerUnreachableError } from './MembershipErrors.js'
@@ -31,6 +32,8 @@
   readonly keepaliveTimeout: Milliseconds
   /** How long a stream that was ended may take to send what waits. */
   readonly closeGrace: Milliseconds
+  /** How long the server may take to end its streams when it is closed; well within the time that is left of a planned stop. */
+  readonly shutdownGrace: Milliseconds
 }
 
 /** Defaults of `GrpcPeerTransport`. */
@@ -42,7 +45,8 @@
   dialTimeout: 1_000 as Milliseconds,
   keepaliveInterval: 20_000 as Milliseconds,
   keepaliveTimeout: 5_000 as Milliseconds,
-  closeGrace: 500 as Milliseconds
+  closeGrace: 500 as Milliseconds,
+  shutdownGrace: 300 as Milliseconds
 })
 
 /** Options without defaults are required. */
@@ -110,13 +114,7 @@
   public async close (): Promise<void> {
     this._accept = undefined
     for (const channel of [...this._channels]) channel.dispose()
-    await new Promise<void>((resolve) => {
-      const forced = this._options.clock.after(this._options.closeGrace, () => this._server.forceShutdown())
-      this._server.tryShutdown(() => {
-        forced.dispose()
-        resolve()
-      })
-    })
+    await endServer(this._server, this._options.clock, this._options.shutdownGrace)
   }
 
   private _addExchange (): void {
