--- a/bench/soak/Promises.ts
+++ b/bench/soak/Promises.ts
@@ -1,6 +1,7 @@
 /** Holds what callers and endpoints saw against what is promised. */
+import { endpointPrefix } from './EndpointReports.js'
 import { ROUTES, SHORT_TIMEOUT_MS, versionPrefix, type SoakDeployment } from './SoakDeployment.js'
-import { endpointPrefix, STOP_SECONDS } from './SoakNode.js'
+import { STOP_SECONDS } from './SoakNode.js'
 import { HARD_KINDS, type DisruptionKind, type IBreach, type ICallerRecord, type IRunRecord } from './Types.js'
 
 const REFUSALS = [429, 503]
--- a/bench/soak/SoakDeployment.ts
+++ b/bench/soak/SoakDeployment.ts
@@ -17,6 +17,7 @@
 ])
 const READY_WITHIN_MS = 30_000
 const CHECK_INTERVAL_MS = 50
+const ACKNOWLEDGED = 200
 /** Work of a request, by its path. */
 const USUAL_WORK_MS = 20
 const LONG_WORK_MS = 900
@@ -95,7 +96,7 @@
   private async _untilReady (): Promise<void> {
     const deadline = this.now() + READY_WITHIN_MS
     for (const node of this.nodes) {
-      while (await node.report() !== 200) {
+      while (await node.reports.send() !== ACKNOWLEDGED) {
         if (this.now() > deadline) throw new Error(`${node.place.name} did not start:\n${node.lastLines.join('\n')}`)
         await sleep(CHECK_INTERVAL_MS)
       }
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -19,6 +19,7 @@
 /** A connection that lost bytes is reset after this time. */
 const LONGEST_SILENCE_MS = 5_000
 const CHECK_INTERVAL_MS = 50
+const ACKNOWLEDGED = 200
 const SLOW_STORE_MS = 350
 /** Share of the endpoints whose successor has the same id. */
 const SAME_ID_SHARE = 0.5
@@ -142,14 +143,13 @@
   /** The promise holds from the acknowledgement on, unless the process that gave it has gone. A drained endpoint is replaced. */
   private async _drain (node: SoakNode): Promise<void> {
     await this._alone(node, async () => {
-      node.state = 'draining'
       const { incarnation } = node
-      const isAcknowledged = await node.report() === 200
+      const isAcknowledged = await node.reports.drain() === ACKNOWLEDGED
       const from = this._deployment.now()
       await this._wait()
       const drain = { node: node.place.name, from, until: this._deployment.now() }
       if (isAcknowledged && incarnation === node.incarnation) this._deployment.drains.push(drain)
-      node.replaceEndpoint(this._random.fraction() < SAME_ID_SHARE)
+      node.reports.replaceEndpoint(this._random.fraction() < SAME_ID_SHARE)
     })
   }
 
--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -1,18 +1,14 @@
 /** One VM of the soak: a daemon as its own process, its endpoint, and the links around them. */
 import { writeFile } from 'node:fs/promises'
-import { request as sendRequest } from 'node:http'
 import { join } from 'node:path'
 import { DaemonProcess } from '../../testing/demonstration/DaemonProcess.js'
 import { REPOSITORY } from '../../testing/demonstration/Repository.js'
 import { EndpointStandIn } from '../../testing/mesh/EndpointStandIn.js'
 import type { RowTranslation, StoreStandIn } from '../../testing/mesh/StoreStandIn.js'
+import { EndpointReports, endpointPrefix, HEARTBEAT_MS } from './EndpointReports.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
-import type { Subject } from './Types.js'
 
 const HOST = '127.0.0.1'
-/** Time between two heartbeats of an endpoint. */
-const HEARTBEAT_MS = 200
-const ACKNOWLEDGED = 200
 /** As the deploy file starts it, with a time of day that jumps. */
 const NODE_ARGUMENTS = ['--max-old-space-size=96', '--max-semi-space-size=4', '--require', join(REPOSITORY, 'bench/soak/JumpingClock.cjs')]
 /** Time that the daemon has for a planned stop, in seconds. */
@@ -34,13 +30,10 @@
 export const PORT_NAMES = ['caller', 'gate', 'peer', 'ready', 'control', 'metrics'] as const
 export type SoakPorts = Readonly<Record<typeof PORT_NAMES[number], number>>
 
-/** Starts, signals and restarts the daemon; sends the endpoint's heartbeats. */
+/** Starts, signals and restarts the daemon. */
 export class SoakNode {
-  public readonly endpoint: EndpointStandIn
   /** Processes started so far. */
   public incarnation = 0
-  /** State that the endpoint reports. */
-  public state = 'ready'
   /** Ends of processes that nobody killed, other than with code 0 after a planned stop: code, signal, age in milliseconds. */
   public readonly failedExits: string[] = []
   /** Planned stops that took longer than allowed, in milliseconds. */
@@ -49,19 +42,15 @@
   public isBusy = false
   private _isExpectedToEnd = false
   private _startedAt = 0
-  private _hasServed = false
-  private _sequence = 0
-  private _heartbeats: NodeJS.Timeout | undefined
 
   private constructor (
     public readonly place: ISoakPlace,
     private readonly _ports: SoakPorts,
     public readonly links: Readonly<Record<LinkName, LoopbackProxy>>,
-    endpoint: EndpointStandIn,
+    public readonly endpoint: EndpointStandIn,
+    public readonly reports: EndpointReports,
     private readonly _daemon: DaemonProcess
-  ) {
-    this.endpoint = endpoint
-  }
+  ) {}
 
   /** Makes everything around the daemon. `translate`: what this node reads in place of rows of others. */
   public static async create (
@@ -79,7 +68,10 @@
     await Promise.all(Object.values(links).map((link) => link.start()))
     const file = join(folder, `${place.name}.ini`)
     await writeFile(file, writeSettings(place, ports, links.store.port))
-    return new SoakNode(place, ports, links, endpoint, new DaemonProcess({ file, nodeArguments: NODE_ARGUMENTS, logFile: join(folder, `${place.name}.log`) }))
+    const { name, service } = place
+    const reports = new EndpointReports({ endpoint, node: name, service, controlPort: ports.control, endpointPort: links.endpoint.port })
+    const daemon = new DaemonProcess({ file, nodeArguments: NODE_ARGUMENTS, logFile: join(folder, `${name}.log`) })
+    return new SoakNode(place, ports, links, endpoint, reports, daemon)
   }
 
   public get callerPort (): number {
@@ -103,15 +95,14 @@
     return text.replaceAll(`:${this._ports.gate}"`, `:${this.links.gate.port}"`).replaceAll(`:${this._ports.peer}"`, `:${this.links.peer.port}"`)
   }
 
-  /** Starts the process and the heartbeats of the endpoint. */
+  /** Starts the process, and with the first one the heartbeats of the endpoint. */
   public start (): void {
     this.incarnation++
     this._isExpectedToEnd = false
-    this._hasServed = false
     this._daemon.start()
     this._startedAt = performance.now()
     this._daemon.exit.then((code) => { if (!this._isExpectedToEnd) this._noteExit(code) }, () => undefined)
-    this._heartbeats ??= setInterval(() => { this.report().catch(() => undefined) }, HEARTBEAT_MS)
+    this.reports.start()
   }
 
   /** A planned stop. */
@@ -119,18 +110,12 @@
     this._isExpectedToEnd = true
     const startedAt = performance.now()
     const code = await this._daemon.stop()
-    // A process that has taken no report yet serves nobody; it may end before it can handle the signal.
-    if (code !== 0 && (this._hasServed || this._daemon.endedBy !== 'SIGTERM')) this._noteExit(code)
+    // A process without a line in its log serves nobody; it may end before it can handle the signal.
+    if (code !== 0 && (this._daemon.lastLines.length > 0 || this._daemon.endedBy !== 'SIGTERM')) this._noteExit(code)
     const took = performance.now() - startedAt
     if (took > (STOP_SECONDS + 1) * 1_000) this.lateStops.push(Math.round(took))
   }
 
-  private _noteExit (code: number | null): void {
-    const age = Math.round(performance.now() - this._startedAt)
-    const lastLine = this._daemon.lastLines.at(-1) ?? ''
-    this.failedExits.push(`code ${code ?? 'none'}, signal ${this._daemon.endedBy ?? 'none'}, after ${age} ms, ${lastLine}`)
-  }
-
   public async kill (): Promise<void> {
     this._isExpectedToEnd = true
     await this._daemon.kill()
@@ -151,46 +136,20 @@
 
   /** Ends everything of this node. */
   public async end (): Promise<void> {
-    clearInterval(this._heartbeats)
+    this.reports.stop()
     this._daemon.resume()
     if (this._daemon.isRunning) await this.stop()
     this.endpoint.stop()
     for (const link of Object.values(this.links)) link.stop()
   }
 
-  /** Another incarnation takes the place of the endpoint, at the same address. */
-  public replaceEndpoint (keepsId: boolean): void {
-    this.endpoint.born++
-    if (!keepsId) this.endpoint.id = `${endpointPrefix(this.place.name)}${this.endpoint.born}`
-    this.state = 'ready'
-  }
-
-  /** One heartbeat; gives the status of its acknowledgement, 0 without one. */
-  public report (): Promise<number> {
-    const heartbeat = JSON.parse(this.endpoint.heartbeat(this.place.service, ++this._sequence, this.state)) as Record<string, unknown>
-    const body = JSON.stringify({ ...heartbeat, address: `${HOST}:${this.links.endpoint.port}` })
-    return new Promise((resolve) => {
-      const path = `/api/instances/${this.endpoint.id}/heartbeat`
-      const request = sendRequest({ host: HOST, port: this._ports.control, method: 'POST', path, agent: false, timeout: HEARTBEAT_MS * 5 }, (answer) => {
-        answer.resume()
-        answer.on('close', () => {
-          const status = answer.complete ? answer.statusCode ?? 0 : 0
-          this._hasServed ||= status === ACKNOWLEDGED
-          resolve(status)
-        })
-      })
-      request.on('timeout', () => request.destroy())
-      request.on('error', () => resolve(0))
-      request.end(body)
-    })
+  private _noteExit (code: number | null): void {
+    const age = Math.round(performance.now() - this._startedAt)
+    const lastLine = this._daemon.lastLines.at(-1) ?? ''
+    this.failedExits.push(`code ${code ?? 'none'}, signal ${this._daemon.endedBy ?? 'none'}, after ${age} ms, ${lastLine}`)
   }
 }
 
-/** What the ids of the endpoints beside a node begin with. */
-export function endpointPrefix (node: Subject): string {
-  return `i-${node}.`
-}
-
 function writeSettings (place: ISoakPlace, ports: SoakPorts, storePort: number): string {
   const addresses = Object.entries(ports).map(([name, port]) => `${name}-address = ${HOST}:${port}`)
   return [
