--- a/bench/soak/RegressionSeeds.ts
+++ b/bench/soak/RegressionSeeds.ts
@@ -11,8 +11,8 @@
 
 /** Faults of a seed come in the same order; what they meet differs from run to run, so each cause has a test of its own as well. */
 export const REGRESSION_SEEDS: readonly IRegressionSeed[] = Object.freeze([
-  { seed: 1, nodes: 9, minutes: 0.25, cause: 'a signal to reload ended a process that was still starting; Bundle.test.ts' },
-  { seed: 100, nodes: 6, minutes: 0.4, cause: 'the same; and a link of the soak turned a reset into an end; LoopbackProxy.test.ts' },
+  { seed: 1, nodes: 9, minutes: 0.25, cause: 'a process ended by a signal that was not told; a reload during the start is suspected, as with 100; Bundle.test.ts' },
+  { seed: 100, nodes: 6, minutes: 0.4, cause: 'a reload ended a process that was still starting, Bundle.test.ts; and a link of the soak turned a reset into an end; LoopbackProxy.test.ts' },
   { seed: 106, nodes: 6, minutes: 0.4, cause: 'a planned stop during the start failed on parts that did not exist yet; MeshPath.test.ts' },
   { seed: 202, nodes: 6, minutes: 0.4, cause: 'a stop within 3 s cut requests 0.6 s after callers had been refused; StopSchedule.test.ts' },
   { seed: 301, nodes: 6, minutes: 0.4, cause: 'a planned stop waited for the stream of a node that was silent; GrpcPeerTransport.test.ts' },
