--- a/bench/Benches.ts
+++ b/bench/Benches.ts
@@ -13,7 +13,7 @@
 import { PARTITION_BENCH } from './PartitionBench.js'
 import { RETRIES } from './Retries.js'
 import { SNAPSHOT_BUILD } from './SnapshotBuild.js'
-import { SOAK } from './Soak.js'
+import { DOCUMENT_SOAK } from './DocumentSoak.js'
 import { AT_MOST_ONCE_BENCH } from './gate/AtMostOnceBench.js'
 import { CRASH_REQUEST_BENCH } from './gate/CrashRequestBench.js'
 import { DRAIN_BENCH } from './gate/DrainBench.js'
@@ -37,7 +37,7 @@
   PARTITION_BENCH,
   RETRIES,
   SNAPSHOT_BUILD,
-  SOAK,
+  DOCUMENT_SOAK,
   AT_MOST_ONCE_BENCH,
   CRASH_REQUEST_BENCH,
   DRAIN_BENCH,
--- a/bench/Soak.ts
+++ b/bench/DocumentSoak.ts
@@ -1,11 +1,12 @@
 /** A long randomised run with every fault, all invariants on, and checks from outside after each recovery. */
 import type { Milliseconds, ServiceName } from '../src/common/Types.js'
-import { Fleet } from '../testing/fleet/Fleet.js'
+import type { Fleet } from '../testing/fleet/Fleet.js'
 import { BOUNDS } from './Bounds.js'
+import { fleetBench } from './fleet/FleetBench.js'
 import { SETTLE_LIMIT_MS } from './fleet/Sizes.js'
-import { SoakActions } from './fleet/SoakActions.js'
-import { SoakModel } from './fleet/SoakModel.js'
-import type { IBench, IBenchOptions, IFigure } from './Types.js'
+import { DocumentSoakActions } from './fleet/DocumentSoakActions.js'
+import { DocumentSoakModel } from './fleet/DocumentSoakModel.js'
+import type { IBenchOptions, IFigure } from './Types.js'
 
 /** Upstream VMs of today, three a failure domain. */
 const NODES = 18
@@ -36,7 +37,7 @@
 }
 
 /** One round of faults and the recovery from them. */
-async function runRound (fleet: Fleet, model: SoakModel, actions: SoakActions, length: number): Promise<IRecovery> {
+async function runRound (fleet: Fleet, model: DocumentSoakModel, actions: DocumentSoakActions, length: number): Promise<IRecovery> {
   for (let count = 0; count < length; count++) {
     await actions.runOne()
     await fleet.clock.sleep(fleet.random.integer(ACTION_INTERVAL_MS) as Milliseconds)
@@ -50,25 +51,20 @@
   return { agreed, reported }
 }
 
-async function run (options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
-  const fleet = new Fleet({ seed: options.seed })
-  const model = new SoakModel(fleet)
-  const actions = new SoakActions(fleet, model)
+async function run (fleet: Fleet, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
+  const model = new DocumentSoakModel(fleet)
+  const actions = new DocumentSoakActions(fleet, model)
   const recoveries: IRecovery[] = []
-  try {
-    await fleet.add(NODES, () => 'service-0' as ServiceName)
-    if (await fleet.until(() => fleet.isSettled, SETTLE_LIMIT_MS) === undefined) throw new Error('the fleet did not settle')
-    model.watchAll()
-    const end = performance.now() + (options.quick ? QUICK_MINUTES : options.minutes) * MINUTE_MS
-    while (performance.now() < end) recoveries.push(await runRound(fleet, model, actions, options.quick ? QUICK_ACTIONS : ACTIONS))
-    reportRun(recoveries, fleet, model, report)
-  } finally {
-    await fleet.stop()
-  }
+  await fleet.add(NODES, () => 'service-0' as ServiceName)
+  if (await fleet.until(() => fleet.isSettled, SETTLE_LIMIT_MS) === undefined) throw new Error('the fleet did not settle')
+  model.watchAll()
+  const end = performance.now() + (options.quick ? QUICK_MINUTES : options.minutes) * MINUTE_MS
+  while (performance.now() < end) recoveries.push(await runRound(fleet, model, actions, options.quick ? QUICK_ACTIONS : ACTIONS))
+  reportRun(recoveries, fleet, model, report)
   for (const [name, count] of [...actions.counts].sort()) report({ name: `actions-${name}`, value: count, unit: 'times' })
 }
 
-function reportRun (recoveries: readonly IRecovery[], fleet: Fleet, model: SoakModel, report: (figure: IFigure) => void): void {
+function reportRun (recoveries: readonly IRecovery[], fleet: Fleet, model: DocumentSoakModel, report: (figure: IFigure) => void): void {
   report({ name: 'recoveries', value: recoveries.length, unit: 'recoveries' })
   report({ name: 'agree-after-recovery-max', value: Math.max(...recoveries.map((each) => each.agreed)), unit: 'ms', bound: BOUNDS.convergenceMs })
   report({ name: 'reported-after-recovery-max', value: Math.max(...recoveries.map((each) => each.reported)), unit: 'ms' })
@@ -78,8 +74,4 @@
   report({ name: 'reports-ahead', value: model.reportsAhead, unit: 'reports that counted too much', bound: BOUNDS.none })
 }
 
-export const SOAK: IBench = Object.freeze({
-  name: 'soak',
-  summary: 'A long randomised run of changes, races, kills, pauses, cuts and faults of the store.',
-  run
-})
+export const DOCUMENT_SOAK = fleetBench('document-soak', 'A long randomised run of changes, races, kills, pauses, cuts and faults of the store.', run)
--- a/bench/HerdBench.ts
+++ b/bench/HerdBench.ts
@@ -1,11 +1,12 @@
 /** A whole failure domain dies and returns while documents change. */
 import { IMembershipService } from '../src/membership/Services.js'
-import { Fleet } from '../testing/fleet/Fleet.js'
+import type { Fleet } from '../testing/fleet/Fleet.js'
 import { BOUNDS } from './Bounds.js'
+import { fleetBench } from './fleet/FleetBench.js'
 import { SETTLE_LIMIT_MS } from './fleet/Sizes.js'
 import type { Milliseconds, ServiceName } from '../src/common/Types.js'
 import type { FleetNode } from '../testing/fleet/FleetNode.js'
-import type { IBench, IBenchOptions, IFigure } from './Types.js'
+import type { IBenchOptions, IFigure } from './Types.js'
 
 const NODES = 48
 const QUICK_NODES = 12
@@ -44,18 +45,7 @@
   }
 }
 
-export const HERD_BENCH: IBench = {
-  name: 'herd',
-  summary: 'A whole failure domain dies at once and returns at once while documents change',
-  run: async (options, report) => {
-    const fleet = new Fleet({ seed: options.seed })
-    try {
-      await run(fleet, options, report)
-    } finally {
-      await fleet.stop()
-    }
-  }
-}
+export const HERD_BENCH = fleetBench('herd', 'A whole failure domain dies at once and returns at once while documents change', run)
 
 async function run (fleet: Fleet, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
   await fleet.add(options.quick ? QUICK_NODES : NODES, (position) => `service-${position % SERVICES}` as ServiceName)
--- a/bench/PartitionBench.ts
+++ b/bench/PartitionBench.ts
@@ -1,11 +1,12 @@
 /** Cuts between failure domains and from the store, in random order, and how soon all agree after they heal. */
 import { IMembershipService } from '../src/membership/Services.js'
-import { Fleet } from '../testing/fleet/Fleet.js'
+import type { Fleet } from '../testing/fleet/Fleet.js'
 import { BOUNDS } from './Bounds.js'
+import { fleetBench } from './fleet/FleetBench.js'
 import { SETTLE_LIMIT_MS } from './fleet/Sizes.js'
 import type { Milliseconds, ServiceName } from '../src/common/Types.js'
 import type { FleetNode } from '../testing/fleet/FleetNode.js'
-import type { IBench, IBenchOptions, IFigure } from './Types.js'
+import type { IBenchOptions, IFigure } from './Types.js'
 
 const NODES = 24
 const QUICK_NODES = 12
@@ -26,18 +27,7 @@
   readonly accepted: number
 }
 
-export const PARTITION_BENCH: IBench = {
-  name: 'partition',
-  summary: 'Failure domains are cut from each other and from the store, and heal',
-  run: async (options, report) => {
-    const fleet = new Fleet({ seed: options.seed })
-    try {
-      await run(fleet, options, report)
-    } finally {
-      await fleet.stop()
-    }
-  }
-}
+export const PARTITION_BENCH = fleetBench('partition', 'Failure domains are cut from each other and from the store, and heal', run)
 
 async function run (fleet: Fleet, options: IBenchOptions, report: (figure: IFigure) => void): Promise<void> {
   // Every node of a failure domain has an endpoint of the same service, so each part has endpoints of its own.
--- a/bench/fleet/SoakActions.ts
+++ b/bench/fleet/DocumentSoakActions.ts
@@ -3,7 +3,7 @@
 import { domainName } from '../../testing/fleet/FleetShape.js'
 import type { Fleet } from '../../testing/fleet/Fleet.js'
 import type { FleetNode } from '../../testing/fleet/FleetNode.js'
-import type { SoakModel } from './SoakModel.js'
+import type { DocumentSoakModel } from './DocumentSoakModel.js'
 
 const SERVICES = 12
 /** Nodes that may be missing at the same time because they were killed. */
@@ -12,14 +12,14 @@
 type Action = () => Promise<void> | void
 
 /** Draws one action after another and counts them by name. */
-export class SoakActions {
+export class DocumentSoakActions {
   public readonly counts = new Map<string, number>()
   private readonly _gone: FleetNode[] = []
   private readonly _submissions = new Set<Promise<void>>()
   /** Name, weight and effect of each action. */
   private readonly _actions: ReadonlyArray<readonly [string, number, Action]>
 
-  constructor (private readonly _fleet: Fleet, private readonly _model: SoakModel) {
+  constructor (private readonly _fleet: Fleet, private readonly _model: DocumentSoakModel) {
     this._actions = [
       ['submit', 10, () => this._begin(() => this._submit())],
       ['race', 4, () => this._begin(() => this._race())],
--- a/bench/fleet/SoakModel.ts
+++ b/bench/fleet/DocumentSoakModel.ts
@@ -6,7 +6,7 @@
 import type { FleetNode } from '../../testing/fleet/FleetNode.js'
 
 /** Watches each node from outside, apart from the invariants inside the program. */
-export class SoakModel {
+export class DocumentSoakModel {
   /** Times that a version in force on a node was followed by a lower one. */
   public stepsBack = 0
   /** Times that a report counted more members at a version or above than had it. */
