Tell in the log when callers leave, and what the nodes do after that

Turns are libuv's own count, read once for each attempt at the gate and ten times a second. No change of logic. The cost in processor time was not measured.

--- a/src/cli/explain/RequestStory.ts
+++ b/src/cli/explain/RequestStory.ts
@@ -62,11 +62,12 @@
   return Array.isArray(finished.fields.attempts) ? finished.fields.attempts as readonly Attempt[] : []
 }
 
-function describeAttempt ({ node, endpoint, expectedMs, tookMs, handledMs, outcome }: Attempt): string {
+function describeAttempt ({ node, endpoint, expectedMs, tookMs, handledMs, connectMs, outcome }: Attempt): string {
   const expected = `sent to endpoint ${String(endpoint)} beside ${String(node)}, answer expected after ${String(expectedMs)} ms`
   if (outcome === undefined) return `${expected}; no outcome when the request ended`
   const handled = handledMs === undefined ? '' : `, ${String(handledMs)} ms of it there`
-  return `${expected}; ${String(outcome)} after ${String(tookMs)} ms${handled}`
+  const connecting = connectMs === undefined ? '' : `, ${String(connectMs)} ms of it before there was a connection`
+  return `${expected}; ${String(outcome)} after ${String(tookMs)} ms${handled}${connecting}`
 }
 
 /** Calls that the endpoint made while it ran the request bear its id, a dot and an id of their own. */
--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -11,7 +11,7 @@
 export const NODE_STOPPED = define(9004, 'node-stopped', 'info', 'The planned stop has ended. The field unfinished counts the requests that were cut.')
 export const SETTINGS_RELOADED = define(9005, 'settings-reloaded', 'info', 'The settings file was read again after SIGHUP. Values that belong to the start of a process keep their old value.')
 export const SETTINGS_REJECTED = define(9006, 'settings-rejected', 'error', 'The settings file could not be read after SIGHUP; the earlier settings stay in use. Correct the file and send SIGHUP again.')
-export const PROCESS_DELAYED = define(9007, 'process-delayed', 'warn', 'The process could not run for the time in the field lateMs. If processorMs is as long, one step of its own took that time; if it is short, the processor was busy elsewhere or taken away.')
+export const PROCESS_DELAYED = define(9007, 'process-delayed', 'warn', 'The process could not run for the time in the field lateMs. If processorMs is as long, one step of its own took that time, or several in the field turns; if it is short, the processor was busy elsewhere or taken away.')
 
 export const CONFIGURATION_APPLIED = define(9101, 'configuration-applied', 'info', 'A newer configuration is in force; new requests are routed by it. The field source names the node that sent it, or the store; learntAt is when it arrived.')
 export const CONFIGURATION_REJECTED = define(9102, 'configuration-rejected', 'error', 'A configuration could not be read or contradicts itself; the one before stays in force.')
@@ -36,16 +36,17 @@
 export const REGISTRATION_STORED = define(9305, 'registration-stored', 'info', 'The store holds the present row of this node.')
 export const REGISTRATION_FAILED = define(9306, 'registration-failed', 'warn', 'The row of this node could not be written; it is tried again until the store takes it. Logged for the first failure in a row.')
 
-export const CALL_FINISHED = define(9401, 'call-finished', 'info', 'One request of a caller has its final answer. The fields name the route, the configuration, the endpoint of the last attempt, the outcome and the time in milliseconds.')
+export const CALL_FINISHED = define(9401, 'call-finished', 'info', 'One request of a caller has its final answer. The fields name the route, the configuration, the endpoint of the last attempt, the outcome and the time in milliseconds; leftAfterMs is when the caller left, if it did.')
 export const CALL_REPEATED = define(9402, 'call-repeated', 'info', 'An attempt did not bring an answer, and the request is sent to another endpoint. The fields tell why that is allowed.')
 export const CALL_SETTLED = define(9403, 'call-settled', 'info', 'An attempt stayed without an answer, and its node was asked what became of it.')
-export const CALL_REFUSED_AT_GATE = define(9404, 'call-refused-at-gate', 'info', 'The node beside the endpoint refused an attempt; it has not run and never will.')
+export const CALL_REFUSED_AT_GATE = define(9404, 'call-refused-at-gate', 'info', 'The node beside the endpoint refused an attempt; it has not run and never will. The fields afterMs and turns tell how long after its reading, and how many turns of the event loop.')
 export const ANSWER_SPOILT = define(9405, 'answer-spoilt', 'warn', 'What an endpoint sent was no whole answer to the request: wrong id, no signature, cut short or not in the protocol. It was dropped with its connection.')
 export const CALLER_MALFORMED = define(9406, 'caller-malformed', 'warn', 'A request of a caller broke the protocol or its limits and was refused.')
 export const NODE_SUSPECT = define(9407, 'node-suspect', 'warn', 'Another node does not answer; requests go elsewhere until it does.')
 export const NODE_TRUSTED = define(9408, 'node-trusted', 'info', 'A node that was suspect answers again.')
 export const CALL_NOT_REPEATED = define(9409, 'call-not-repeated', 'info', 'A request that the rules would let go to a further endpoint did not: the field reason tells whether the allowance of repeats was spent or no endpoint was left.')
 export const CALL_UNROUTED = define(9410, 'call-unrouted', 'info', 'No route of the configuration in force fits a request, and it got 404. The field viewAgeMs tells how long ago that configuration was confirmed to be the newest.')
+export const CALL_ABANDONED = define(9411, 'call-abandoned', 'info', 'The caller of an attempt, or the node that sent it, left after the attempt had its slot at the endpoint. The fields tell when it was sent to the endpoint and when the leaving was seen, both after the reading of the attempt, and how many turns of the event loop lay between reading and seeing.')
 
 export const MESH_EVENTS: readonly IEventDefinition[] = Object.freeze([
   NODE_STARTED, NODE_STARTING, NODE_STOPPING, NODE_STOPPED, SETTINGS_RELOADED, SETTINGS_REJECTED, PROCESS_DELAYED,
@@ -55,5 +56,5 @@
   VIEW_BATCH_READ, VIEW_CONFIGURATION_SENT,
   ENDPOINT_CHANGED, ENDPOINT_REPORT_IGNORED, ENDPOINT_UNREACHABLE, ENDPOINT_REACHABLE, REGISTRATION_STORED, REGISTRATION_FAILED,
   CALL_FINISHED, CALL_REPEATED, CALL_SETTLED, CALL_REFUSED_AT_GATE, ANSWER_SPOILT, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED,
-  CALL_NOT_REPEATED, CALL_UNROUTED
+  CALL_NOT_REPEATED, CALL_UNROUTED, CALL_ABANDONED
 ])
--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -178,11 +178,16 @@
   | 'shed'
 
 /** What became of one attempt. */
-export type AttemptOutcome =
-  | { readonly kind: 'answered', readonly answer: IWholeAnswer, readonly load?: IEndpointLoad }
+export type AttemptOutcome = (
+  | { readonly kind: 'answered', readonly answer: IWholeAnswer }
   /** Not run, and never will be. `retryAfter`: when room is expected. */
-  | { readonly kind: 'refused', readonly reason: RefusalReason, readonly retryAfter?: Milliseconds, readonly load?: IEndpointLoad }
+  | { readonly kind: 'refused', readonly reason: RefusalReason, readonly retryAfter?: Milliseconds }
   /** The attempt may have run. */
-  | { readonly kind: 'unknown', readonly reason: string, readonly load?: IEndpointLoad }
+  | { readonly kind: 'unknown', readonly reason: string }
+) & {
+  readonly load?: IEndpointLoad
+  /** Time until there was a connection to the other node; undefined if none was waited for. */
+  readonly connectTime?: Milliseconds
+}
 
 export type { FailureDomain }
--- a/src/mesh/calls/AttemptRecord.ts
+++ b/src/mesh/calls/AttemptRecord.ts
@@ -8,13 +8,18 @@
   /** From the arrival of the request to the start of the attempt. */
   readonly afterMs: number
   readonly expectedMs: number
-  /** Undefined while the attempt runs, as for one that lost against another. */
+  /** Until there was a connection to the other node; undefined if one was free. */
+  connectMs?: number
+  /** For one that lost against another, until it was cancelled. Undefined while the attempt runs. */
   tookMs?: number
   /** Part of that at the node beside the endpoint. */
   handledMs?: number
   outcome?: string
 }
 
+/** Outcome of an attempt that was cancelled because another one had answered. */
+export const LOST_ATTEMPT = 'lost'
+
 /** Kind of an outcome with its status or reason. */
 export function describeOutcome (outcome: AttemptOutcome): string {
   return outcome.kind === 'answered' ? `answered ${outcome.answer.status}` : `${outcome.kind}: ${outcome.reason}`
--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -4,7 +4,7 @@
 import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { CALL_NOT_REPEATED, CALL_REPEATED } from '../Events.js'
 import type { AttemptOutcome, IMeshCall, IMeshRoute, IWholeAnswer } from '../Types.js'
-import { describeOutcome, type AttemptRecord } from './AttemptRecord.js'
+import { describeOutcome, LOST_ATTEMPT, type AttemptRecord } from './AttemptRecord.js'
 import type { EndpointDirectory } from './EndpointDirectory.js'
 import type { EndpointView } from './EndpointView.js'
 import { AbortableAttempt, firstUseful } from './ParallelAttempts.js'
@@ -110,9 +110,19 @@
     const winner = await firstUseful(running, hedge)
     first.abort()
     second.abort()
+    this._noteLost(this._services.clock.now())
     return winner
   }
 
+  /** For the log; an attempt that ends later tells its own outcome then. */
+  private _noteLost (now: Timestamp): void {
+    for (const record of this._records) {
+      if (record.outcome !== undefined) continue
+      record.tookMs = now - this._request.arrivedAt - record.afterMs
+      record.outcome = LOST_ATTEMPT
+    }
+  }
+
   /** True if the attempt has not ended after `delay`. */
   private _isLate (running: Promise<AttemptOutcome>, delay: Milliseconds): Promise<boolean> {
     return new Promise((resolve) => {
@@ -168,6 +178,7 @@
     }
     this._records.push(record)
     const outcome = await directory.execute(view, this._callTo(view), expected, onCancelled)
+    record.connectMs = outcome.connectTime
     record.tookMs = clock.now() - now
     record.handledMs = outcome.load?.handled
     record.outcome = describeOutcome(outcome)
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -159,8 +159,12 @@
       onCancelled: inbound.onCancelled,
       isCancelled: () => inbound.isCancelled
     })
+    let leftAt = inbound.isCancelled ? this._options.clock.now() : undefined
+    const leaving = inbound.onCancelled(() => { leftAt ??= this._options.clock.now() })
     const result = await task.run()
-    this._logResult(route, requestId, task, result, arrivedAt, inbound.isCancelled)
+    leaving.dispose()
+    if (inbound.isCancelled) leftAt ??= this._options.clock.now()
+    this._logResult(route, requestId, task, result, arrivedAt, leftAt)
     this._writeResult(message, response, requestId, result)
   }
 
@@ -222,12 +226,12 @@
   }
 
   private _logResult (
-    route: IMeshRoute, requestId: string | undefined, task: CallTask, result: CallResult, arrivedAt: Timestamp, isCancelled: boolean
+    route: IMeshRoute, requestId: string | undefined, task: CallTask, result: CallResult, arrivedAt: Timestamp, leftAt?: Timestamp
   ): void {
     const { clock, configuration, directory, log, viewConfirmedAt } = this._options
     const now = clock.now()
     const duration = now - arrivedAt
-    const outcome = isCancelled ? 'cancelled' : result.kind
+    const outcome = leftAt === undefined ? result.kind : 'cancelled'
     this._latency.observe({ outcome, rank: String(route.rank) }, duration / MILLISECONDS_PER_SECOND)
     log.log(CALL_FINISHED, {
       step: 'caller.answer',
@@ -243,6 +247,7 @@
       endpoint: task.lastEndpoint,
       tries: task.tries,
       attempts: task.records,
+      leftAfterMs: leftAt === undefined ? undefined : leftAt - arrivedAt,
       durationMs: duration
     })
   }
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -73,15 +73,19 @@
 
   /** Runs one attempt. Never rejects. `expected`: usual time to the answer. */
   public async execute (call: IMeshCall, expected: Milliseconds, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
+    const { clock } = this._options
+    let connectTime: Milliseconds | undefined
     for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
+      const askedAt = clock.now()
       const connection = await this._acquire()
-      if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
+      connectTime = addedWait(connectTime, clock.now() - askedAt)
+      if (connection === undefined) return { kind: 'refused', reason: 'unreachable', connectTime }
       const attempt = new Attempt(this._options, call, this._processToken, () => this._suspect('no answer to a question'))
       const end = await attempt.run(connection, expected, onCancelled)
       this._connections.release(connection, end.kind === 'answer')
-      if (end.kind !== 'not-sent') return await this._interpret(attempt, end, call)
+      if (end.kind !== 'not-sent') return { ...await this._interpret(attempt, end, call), connectTime }
     }
-    return { kind: 'refused', reason: 'unreachable' }
+    return { kind: 'refused', reason: 'unreachable', connectTime }
   }
 
   private async _interpret (attempt: Attempt, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, call: IMeshCall): Promise<AttemptOutcome> {
@@ -139,6 +143,11 @@
   }
 }
 
+/** Undefined while nothing was waited for. */
+function addedWait (sum: Milliseconds | undefined, wait: number): Milliseconds | undefined {
+  return wait > 0 ? (sum ?? 0) + wait as Milliseconds : sum
+}
+
 /** One attempt under way: deadline, cancellation, and the question what became of it. */
 class Attempt {
   /** True once the node has said that the request never will run. */
--- a/src/mesh/daemon/EventLoopWatch.ts
+++ b/src/mesh/daemon/EventLoopWatch.ts
@@ -9,6 +9,8 @@
   readonly log: ILogService
   /** Processor time that this process has used so far. */
   readonly processorTime: () => Milliseconds
+  /** Turns of the event loop so far. */
+  readonly turns: () => number
 }
 
 const INTERVAL_MS = 100 as Milliseconds
@@ -22,16 +24,19 @@
   constructor (private readonly _options: IEventLoopWatchOptions) {}
 
   public start (): void {
-    const { clock, log, processorTime } = this._options
+    const { clock, log, processorTime, turns } = this._options
     let lastAt = clock.now()
     let lastTime = processorTime()
+    let lastTurn = turns()
     this._timer = clock.every(INTERVAL_MS, () => {
       const now = clock.now()
       const time = processorTime()
+      const turn = turns()
       const late = now - lastAt - INTERVAL_MS
-      if (late >= NOTICED_LATENESS_MS) log.log(PROCESS_DELAYED, { step: 'process.watch', lateMs: late, processorMs: time - lastTime })
+      if (late >= NOTICED_LATENESS_MS) log.log(PROCESS_DELAYED, { step: 'process.watch', lateMs: late, processorMs: time - lastTime, turns: turn - lastTurn })
       lastAt = now
       lastTime = time
+      lastTurn = turn
     })
   }
 
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -2,6 +2,7 @@
 import { randomBytes, randomInt } from 'node:crypto'
 import { ClockService } from '../../common/ClockService.js'
 import { InvariantService } from '../../common/InvariantService.js'
+import { loopTurns } from '../../common/LoopTurns.js'
 import { MetricsService } from '../../common/MetricsService.js'
 import { RandomService } from '../../common/RandomService.js'
 import { IClockService, IInvariantService, ILogService, IMetricsService, IRandomService, type IKernel } from '../../common/Services.js'
@@ -73,7 +74,7 @@
   kernel.register({
     key: MESH_KEY.eventLoopWatch,
     dependsOn: FOUNDATION,
-    create: () => new EventLoopWatch({ ...foundationOf(kernel), processorTime })
+    create: () => new EventLoopWatch({ ...foundationOf(kernel), processorTime, turns: loopTurns })
   })
 }
 
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -3,8 +3,9 @@
 import { Disposable } from '../../common/Disposable.js'
 import type { IClockService, IInvariantService, ILogService, IMetricsService } from '../../common/Services.js'
 import type { IEvent, Milliseconds, RequestId, Timestamp } from '../../common/Types.js'
+import { loopTurns } from '../../common/LoopTurns.js'
 import { StartedRequests } from '../../gate/StartedRequests.js'
-import { CALL_REFUSED_AT_GATE } from '../Events.js'
+import { CALL_ABANDONED, CALL_REFUSED_AT_GATE } from '../Events.js'
 import { presentTime } from '../exchange/SlowAge.js'
 import type { IConfigurationService, ILocalEndpoint, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointLoad, IEndpointRecord, IMeshCall, RefusalReason } from '../Types.js'
@@ -66,12 +67,12 @@
   public async execute (call: IMeshCall, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
     const arrivedAt = this._options.clock.now()
     const objective = Math.max(0, call.objectiveAt - arrivedAt) as Milliseconds
-    const gated = new GatedCall(call, this._times.expected(call.route, objective))
+    const gated = new GatedCall(call, this._times.expected(call.route, objective), arrivedAt, loopTurns())
     const cancelListener = onCancelled(() => this._cancel(gated))
     const outcome = await this._admit(gated, arrivedAt)
     cancelListener.dispose()
     const now = this._options.clock.now()
-    if (outcome.kind === 'refused') this._logRefusal(call, outcome.reason, outcome.retryAfter)
+    if (outcome.kind === 'refused') this._logRefusal(gated, outcome.reason, outcome.retryAfter)
     return { ...outcome, load: this.load(arrivedAt, now) }
   }
 
@@ -172,6 +173,7 @@
 
   private _cancel (gated: GatedCall): void {
     gated.isCancelled = true
+    if (gated.startedAt !== undefined) this._logAbandoned(gated)
     if (this._line.withdraw(gated)) gated.refuse('cancelled')
     // A request that must not run twice is left to finish: its caller may still learn by other ways that it ran.
     else if (gated.call.repeat === 'idempotent') gated.exchange?.abort('cancelled')
@@ -186,7 +188,20 @@
     for (const gated of this._line.withdrawAll()) gated.refuse('draining')
   }
 
-  private _logRefusal (call: IMeshCall, reason: RefusalReason, retryAfter: Milliseconds | undefined): void {
+  private _logAbandoned ({ call, readAt, sentAt, readTurn }: GatedCall): void {
+    const { clock, log } = this._options
+    log.log(CALL_ABANDONED, {
+      step: 'gate.cancel',
+      request: call.callerRequestId,
+      route: call.route,
+      endpoint: this._record?.id,
+      sentAfterMs: sentAt === undefined ? undefined : sentAt - readAt,
+      leftAfterMs: clock.now() - readAt,
+      turns: loopTurns() - readTurn
+    })
+  }
+
+  private _logRefusal ({ call, readAt, readTurn }: GatedCall, reason: RefusalReason, retryAfter: Milliseconds | undefined): void {
     this._options.log.log(CALL_REFUSED_AT_GATE, {
       step: 'gate.admit',
       request: call.callerRequestId,
@@ -194,6 +209,8 @@
       rank: call.rank,
       reason,
       retryAfter,
+      afterMs: this._options.clock.now() - readAt,
+      turns: loopTurns() - readTurn,
       endpoint: this._record?.id,
       phase: this._record?.phase,
       running: this._line.running,
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -91,6 +91,7 @@
     let isForbidden = false
     const mayStartNow = (): boolean => {
       isForbidden = !mayStart()
+      if (!isForbidden) gated.sentAt = this._options.clock.now()
       return !isForbidden
     }
     for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
--- a/src/mesh/endpoint/GatedCall.ts
+++ b/src/mesh/endpoint/GatedCall.ts
@@ -12,13 +12,21 @@
   /** Resolves with undefined when the request may run, else with its refusal. */
   public readonly turn: Promise<AttemptOutcome | undefined>
   public isCancelled = false
+  /** When the request began to be sent to the endpoint. */
+  public sentAt: Timestamp | undefined
   /** When the request got its slot; undefined while it waits. */
   public startedAt: Timestamp | undefined
   /** Set once the request is sent to the endpoint. */
   public exchange: HttpExchange | undefined
   private _resolve: ((refusal: AttemptOutcome | undefined) => void) | undefined
 
-  constructor (public readonly call: IMeshCall, public readonly expected: Milliseconds) {
+  /** `readAt`, `readTurn`: when the request was read, by the clock and in turns of the event loop. */
+  constructor (
+    public readonly call: IMeshCall,
+    public readonly expected: Milliseconds,
+    public readonly readAt: Timestamp,
+    public readonly readTurn: number
+  ) {
     this.rank = call.rank
     this.objectiveAt = call.objectiveAt
     this.deadlineAt = call.deadlineAt
--- a/testing/mesh/MeshRig.ts
+++ b/testing/mesh/MeshRig.ts
@@ -38,6 +38,13 @@
   readonly deadline?: number
 }
 
+/** A request under way. */
+export interface IBegunRequest {
+  readonly answer: Promise<IClientAnswer>
+  /** Closes the connection. */
+  readonly leave: () => void
+}
+
 const CHECK_INTERVAL_MS = 10
 const CHECKS = 500
 
@@ -100,6 +107,11 @@
     return await send(node.ports.caller, request)
   }
 
+  /** Sends a client's request to a node, for a client that may leave before its answer. */
+  public begin (node: IRigNode, request: IClientRequest): IBegunRequest {
+    return begin(node.ports.caller, request)
+  }
+
   public async ready (node: IRigNode): Promise<number> {
     return (await send(node.ports.ready, { path: '/api/ready', host: 'ready' })).status
   }
@@ -120,16 +132,22 @@
   throw new Error('what was waited for did not come')
 }
 
-function send (port: number, { method, host, path, id, body, deadline }: IClientRequest): Promise<IClientAnswer> {
+async function send (port: number, request: IClientRequest): Promise<IClientAnswer> {
+  return await begin(port, request).answer
+}
+
+function begin (port: number, { method, host, path, id, body, deadline }: IClientRequest): IBegunRequest {
   const headers: Record<string, string> = { host: host ?? 'mesh.example', 'x-savoryknot-attempt-id': id ?? 'attempt', 'x-savoryknot-deadline-ms': String(deadline ?? 1_500) }
-  return new Promise((resolve) => {
-    const request = sendRequest({ host: '127.0.0.1', port, method: method ?? 'GET', path: path ?? '/', headers, agent: false }, (answer) => {
+  const request = sendRequest({ host: '127.0.0.1', port, method: method ?? 'GET', path: path ?? '/', headers, agent: false })
+  const answer = new Promise<IClientAnswer>((resolve) => {
+    request.once('response', (answer) => {
       const chunks: Buffer[] = []
       answer.on('data', (chunk: Buffer) => chunks.push(chunk))
       answer.on('end', () => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(chunks).toString() }))
       answer.on('error', () => resolve({ status: 0, headers: {}, body: '' }))
     })
     request.on('error', () => resolve({ status: 0, headers: {}, body: '' }))
-    request.end(body)
   })
+  request.end(body)
+  return { answer, leave: () => { request.destroy() } }
 }
