Keep that a caller has left as a state of its request

Cause, one part of it: that a caller leaves was an event. Who subscribed after it never heard of it: an attempt that waited for its connection (up to 200 ms, three times), a request that had its slot and waited for a connection to the endpoint, a request whose body was being read. A request that must not run twice was not withdrawn at another node at all, not even while it waited there in line. Class: a state told as an event, to those who happen to listen.

Mend: ICancellation is asked at each step, and calls a late listener at once; a wait for a connection ends with the caller or the deadline; the last look is right before the first byte to the endpoint. The other node takes a request of any kind out of its line when its asker goes; one that runs and must not run twice is left to finish, and counts as in flight in a planned stop until it has.

--- a/src/gate/HttpInbound.ts
+++ b/src/gate/HttpInbound.ts
@@ -1,7 +1,7 @@
 /** Reads one HTTP request into the parts of a call. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
-import { toDisposable } from '../common/Disposable.js'
+import { CancellationSource, type ICancellation } from '../common/Cancellation.js'
 import type { IEvent } from '../common/Types.js'
 import { readBodyStart } from './KeptBody.js'
 import { contentLength, endToEndHeaders } from './HeaderRules.js'
@@ -10,7 +10,7 @@
 export const SMALL_BODY_BYTES = 65_536
 
 /** One request as it came, and whether its sender still waits. */
-export class HttpInbound {
+export class HttpInbound implements ICancellation {
   public readonly method: string
   /** Path with query, as it came. */
   public readonly path: string
@@ -20,21 +20,27 @@
   public readonly body: Readable | undefined
   /** Size of the body from its header; undefined if it is not known. */
   public readonly bodyBytes: number | undefined
-  private readonly _response: ServerResponse
+  private readonly _cancellation = new CancellationSource()
 
-  constructor (message: IncomingMessage, response: ServerResponse) {
-    this.method = message.method ?? ''
-    this.path = message.url ?? ''
-    this.headers = endToEndHeaders(message.headers)
-    this.bodyBytes = contentLength(message.headers)
-    const isChunked = message.headers['transfer-encoding'] !== undefined
-    this.body = isChunked || (this.bodyBytes ?? 0) > 0 ? message : undefined
-    this._response = response
+  constructor (private readonly _message: IncomingMessage, private readonly _response: ServerResponse) {
+    this.method = _message.method ?? ''
+    this.path = _message.url ?? ''
+    this.headers = endToEndHeaders(_message.headers)
+    this.bodyBytes = contentLength(_message.headers)
+    const isChunked = _message.headers['transfer-encoding'] !== undefined
+    this.body = isChunked || (this.bodyBytes ?? 0) > 0 ? _message : undefined
+    if (_response.destroyed) this._noteClosed()
+    else _response.once('close', () => this._noteClosed())
   }
 
-  /** True if the sender went away before its answer was whole. */
+  /** True if the sender went away before its answer was whole; known as soon as the end of its connection was read. */
   public get isCancelled (): boolean {
-    return this._response.destroyed && !this._response.writableFinished
+    return this._cancellation.isCancelled || (this._message.socket.readableEnded && !this._response.writableFinished)
+  }
+
+  /** Fires if the sender went away before its answer was whole. */
+  public get onCancelled (): IEvent<void> {
+    return this._cancellation.onCancelled
   }
 
   /**
@@ -48,12 +54,7 @@
     return start.isWhole ? start.content : undefined
   }
 
-  /** Fires if the sender went away before its answer was whole. */
-  public readonly onCancelled: IEvent<void> = (listener) => {
-    const notify = (): void => {
-      if (!this._response.writableFinished) listener()
-    }
-    this._response.on('close', notify)
-    return toDisposable(() => this._response.off('close', notify))
+  private _noteClosed (): void {
+    if (!this._response.writableFinished) this._cancellation.cancel()
   }
 }
--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -1,6 +1,7 @@
 /** Connections to one upstream: opened ahead, one after the other, never above the upstream's limit. */
 import { connect, type Socket } from 'node:net'
 import { Client, type buildConnector } from 'undici'
+import { NO_CANCELLATION, type ICancellation } from '../common/Cancellation.js'
 import { Disposable } from '../common/Disposable.js'
 import { splitAddress } from '../common/HostPort.js'
 import type { IClockService } from '../common/Services.js'
@@ -135,13 +136,18 @@
     return connection
   }
 
-  /** A connection as soon as there is one; rejects with `UpstreamUnreachableError` when opening fails. */
-  public acquire (): Promise<UpstreamConnection> {
+  /**
+   * A connection as soon as there is one; rejects with `UpstreamUnreachableError` when opening fails, or when nobody waits for it
+   * any more.
+   */
+  public acquire (cancellation: ICancellation = NO_CANCELLATION): Promise<UpstreamConnection> {
     const idle = this.tryAcquire()
     if (idle !== undefined) return Promise.resolve(idle)
     if (this.isDisposed) return Promise.reject(new UpstreamUnreachableError('gate stopped', { step: 'gate.connect', peer: this._options.address }))
     return new Promise((resolve, reject) => {
-      this._waiters.push({ resolve, reject })
+      const waiter = { resolve, reject }
+      this._waiters.push(waiter)
+      cancellation.onCancelled(() => this._withdraw(waiter))
       this._openMore()
     })
   }
@@ -164,6 +170,13 @@
     for (const connection of [...this._open]) connection.close()
   }
 
+  private _withdraw (waiter: IWaiter): void {
+    const position = this._waiters.indexOf(waiter)
+    if (position < 0) return
+    this._waiters.splice(position, 1)
+    waiter.reject(new UpstreamUnreachableError('nobody waits any more', { step: 'gate.connect', peer: this._options.address }))
+  }
+
   private _lend (connection: UpstreamConnection): void {
     const waiter = this._waiters.shift()
     if (waiter === undefined) this._idle.push(connection)
--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -1,7 +1,8 @@
 /** One request of a caller, from its route to its final answer. */
 import type { IClockService, ILogService } from '../../common/Services.js'
+import type { ICancellation } from '../../common/Cancellation.js'
 import { createRequestId } from '../../common/Ids.js'
-import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
+import type { Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { CALL_NOT_REPEATED, CALL_REPEATED } from '../Events.js'
 import type { AttemptOutcome, IMeshCall, IMeshRoute, IWholeAnswer } from '../Types.js'
 import { describeOutcome, LOST_ATTEMPT, type AttemptRecord } from './AttemptRecord.js'
@@ -34,8 +35,8 @@
   readonly body: Buffer | undefined
   readonly arrivedAt: Timestamp
   readonly deadlineAt: Timestamp
-  readonly onCancelled: IEvent<void>
-  readonly isCancelled: () => boolean
+  /** Cancelled when the caller goes away. */
+  readonly cancellation: ICancellation
 }
 
 /** The final answer. */
@@ -89,6 +90,7 @@
     allowance.noteRequest(this._request.service, clock.now())
     for (;;) {
       const now = clock.now()
+      if (this._request.cancellation.isCancelled) return this._conclude({ kind: 'refused', reason: 'cancelled' })
       const view = this._choose(now)
       if (view === undefined) return this._conclude({ kind: 'refused', reason: this._retryAfter === undefined ? 'no-endpoint' : 'overloaded' })
       const outcome = await this._attemptHedged(view, now)
@@ -98,15 +100,15 @@
 
   /** One attempt; if it takes unusually long and the request may run twice, a second one beside it. The first answer counts. */
   private async _attemptHedged (view: EndpointView, now: Timestamp): Promise<AttemptOutcome> {
-    const first = new AbortableAttempt(this._request.onCancelled)
-    const running = this._attempt(view, now, first.onCancelled)
+    const first = new AbortableAttempt(this._request.cancellation)
+    const running = this._attempt(view, now, first)
     if (this._request.route.repeat !== 'idempotent') return await running
     const expected = this._services.placement.expectedTime(view, typicalServiceTime([view]), now)
     const isLate = await this._isLate(running, Math.max(LEAST_HEDGE_DELAY_MS, expected * HEDGE_FACTOR) as Milliseconds)
     const other = isLate ? this._chooseHedge(this._services.clock.now()) : undefined
     if (other === undefined) return await running
-    const second = new AbortableAttempt(this._request.onCancelled)
-    const hedge = this._attempt(other, this._services.clock.now(), second.onCancelled)
+    const second = new AbortableAttempt(this._request.cancellation)
+    const hedge = this._attempt(other, this._services.clock.now(), second)
     const winner = await firstUseful(running, hedge)
     first.abort()
     second.abort()
@@ -137,8 +139,8 @@
   /** Another endpoint for a request whose first attempt is late, if the rules and the shared allowance let it have one. */
   private _chooseHedge (now: Timestamp): EndpointView | undefined {
     const { allowance, directory, log } = this._services
-    const { route, service, deadlineAt, isCancelled, callerRequestId } = this._request
-    if (isCancelled() || this._arrivals + 1 >= route.attempts) return undefined
+    const { route, service, deadlineAt, cancellation, callerRequestId } = this._request
+    if (cancellation.isCancelled || this._arrivals + 1 >= route.attempts) return undefined
     const view = this._choose(now)
     if (view === undefined) return undefined
     const answerAt = now + this._services.placement.expectedTime(view, typicalServiceTime([view]), now)
@@ -166,7 +168,7 @@
     return placement.choose(candidates, { objective: route.objective, left: arrivedAt + route.objective - now as Milliseconds }, now)
   }
 
-  private async _attempt (view: EndpointView, now: Timestamp, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
+  private async _attempt (view: EndpointView, now: Timestamp, cancellation: ICancellation): Promise<AttemptOutcome> {
     const { clock, directory, placement } = this._services
     const expected = placement.expectedTime(view, typicalServiceTime([view]), now) as Milliseconds
     this._tried.add(view)
@@ -177,7 +179,7 @@
       expectedMs: Math.round(expected)
     }
     this._records.push(record)
-    const outcome = await directory.execute(view, this._callTo(view), expected, onCancelled)
+    const outcome = await directory.execute(view, this._callTo(view), expected, cancellation)
     record.connectMs = outcome.connectTime
     record.tookMs = clock.now() - now
     record.handledMs = outcome.load?.handled
@@ -212,8 +214,8 @@
 
   private _mayGoOn (outcome: AttemptOutcome, now: Timestamp): boolean {
     const { log } = this._services
-    const { route, deadlineAt, isCancelled, callerRequestId } = this._request
-    const subject = { repeat: route.repeat, attempts: route.attempts, deadlineAt, isCancelled: isCancelled() }
+    const { route, deadlineAt, cancellation, callerRequestId } = this._request
+    const subject = { repeat: route.repeat, attempts: route.attempts, deadlineAt, isCancelled: cancellation.isCancelled }
     const verdict = judgeRepeat(subject, outcome, this._history, now)
     if (verdict === 'final') return false
     if (verdict === 'again-if-allowed' && this._isBarred(now)) return false
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -136,7 +136,6 @@
     const deadlineAt = arrivedAt + patience as Timestamp
     const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_BODY_BYTES)
     const body = inbound.body === undefined ? EMPTY_BODY : await readBodyInTime(inbound.body, limit, deadlineAt, clock)
-    if (inbound.isCancelled) return
     if (body === undefined) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
     if (!body.isWhole) return this._refuse(message, response, STATUS.tooLarge, requestId)
     const content = inbound.body === undefined ? undefined : body.content
@@ -156,8 +155,7 @@
       body,
       arrivedAt,
       deadlineAt,
-      onCancelled: inbound.onCancelled,
-      isCancelled: () => inbound.isCancelled
+      cancellation: inbound
     })
     let leftAt = inbound.isCancelled ? this._options.clock.now() : undefined
     const leaving = inbound.onCancelled(() => { leftAt ??= this._options.clock.now() })
--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -1,7 +1,8 @@
 /** Endpoints and their nodes, as this node sees and uses them. */
+import type { ICancellation } from '../../common/Cancellation.js'
 import { Disposable, toDisposable } from '../../common/Disposable.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
-import type { IEvent, Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
+import type { Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { localityTier } from '../../routing/LocalityTiers.js'
 import type { StorePosition } from '../../platform/Types.js'
 import type { EndpointGate } from '../endpoint/EndpointGate.js'
@@ -66,12 +67,12 @@
   }
 
   /** Runs one attempt at an endpoint and keeps what it shows. */
-  public async execute (view: EndpointView, call: IMeshCall, expected: Milliseconds, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
+  public async execute (view: EndpointView, call: IMeshCall, expected: Milliseconds, cancellation: ICancellation): Promise<AttemptOutcome> {
     const { clock, gate, self } = this._options
     const startedAt = clock.now()
     const attempt = view.begin(startedAt)
     const isLocal = view.target.node.node === self.name
-    const outcome = isLocal ? await gate.execute(call, onCancelled) : await this._remote(view.target).execute(call, expected, onCancelled)
+    const outcome = isLocal ? await gate.execute(call, cancellation) : await this._remote(view.target).execute(call, expected, cancellation)
     view.end(attempt)
     const now = clock.now()
     view.observe(outcome, now - startedAt as Milliseconds, now)
--- a/src/mesh/calls/ParallelAttempts.ts
+++ b/src/mesh/calls/ParallelAttempts.ts
@@ -1,23 +1,28 @@
 /** Two attempts of one request under way at once. */
+import { CancellationSource, type ICancellation } from '../../common/Cancellation.js'
 import { toDisposable } from '../../common/Disposable.js'
-import { Emitter } from '../../common/Emitter.js'
 import type { IEvent } from '../../common/Types.js'
 import { isServed } from '../exchange/Statuses.js'
 import type { AttemptOutcome } from '../Types.js'
 
 /** Lets one attempt be cancelled by the caller or by the end of the other one. */
-export class AbortableAttempt {
-  private readonly _aborted = new Emitter<void>()
+export class AbortableAttempt implements ICancellation {
+  private readonly _aborted = new CancellationSource()
 
-  constructor (private readonly _onCancelled: IEvent<void>) {}
+  /** `_caller`: of the request. */
+  constructor (private readonly _caller: ICancellation) {}
+
+  public get isCancelled (): boolean {
+    return this._caller.isCancelled || this._aborted.isCancelled
+  }
 
   public readonly onCancelled: IEvent<void> = (listener) => {
-    const subscriptions = [this._onCancelled(listener), this._aborted.event(listener)]
+    const subscriptions = [this._caller.onCancelled(listener), this._aborted.onCancelled(listener)]
     return toDisposable(() => { for (const subscription of subscriptions) subscription.dispose() })
   }
 
   public abort (): void {
-    this._aborted.fire()
+    this._aborted.cancel()
   }
 }
 
--- a/src/mesh/calls/RemoteNode.test.ts
+++ b/src/mesh/calls/RemoteNode.test.ts
@@ -2,13 +2,14 @@
 import { expect } from 'chai'
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { NO_CANCELLATION } from '../../common/Cancellation.js'
 import { ClockService } from '../../common/ClockService.js'
-import { Emitter } from '../../common/Emitter.js'
-import type { EndpointId, Milliseconds, NetworkAddress, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
+import type { Milliseconds, NetworkAddress } from '../../common/Types.js'
+import { meshCall } from '../../../testing/mesh/MeshCalls.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import { INNER_HEADER } from '../exchange/CallCodec.js'
-import type { ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
-import type { IMeshCall, NodeName, RepeatKind } from '../Types.js'
+import type { IProbeAnswer, ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
+import type { NodeName, RepeatKind } from '../Types.js'
 import { RemoteNode } from './RemoteNode.js'
 
 /** Longer than the first question waits. */
@@ -40,7 +41,8 @@
       const reply = replies[Math.min(questionsAsked++, replies.length - 1)]
       return reply === undefined ? undefined : { reply, load: undefined }
     }
-    const questions = { settle, probe: async () => undefined } as unknown as NodeQuestions
+    const greet = async (): Promise<IProbeAnswer> => ({ load: undefined, processToken: 'one' })
+    const questions = { settle, greet, probe: async () => undefined } as unknown as NodeQuestions
     node = new RemoteNode({
       name: 'n' as NodeName, address: `127.0.0.1:${port}` as NetworkAddress, questions, clock, log: new RecordingLog(), onLoad: () => undefined
     })
@@ -54,33 +56,13 @@
 
   /** Kind and reason of the outcome of a call whose answer is slow, after one that was not. */
   async function outcomeOf (settled: ReadonlyArray<SettleReply | undefined>, repeat: RepeatKind): Promise<string> {
-    await node.execute(callOf(repeat), EXPECTED, new Emitter<void>().event)
+    await node.execute(meshCall(repeat, clock.now()), EXPECTED, NO_CANCELLATION)
     replies = settled
     delay = SLOW_MS
-    const outcome = await node.execute(callOf(repeat), EXPECTED, new Emitter<void>().event)
+    const outcome = await node.execute(meshCall(repeat, clock.now()), EXPECTED, NO_CANCELLATION)
     return outcome.kind === 'answered' ? outcome.kind : `${outcome.kind}: ${outcome.reason}`
   }
 
-  function callOf (repeat: RepeatKind): IMeshCall {
-    const now = clock.now()
-    return {
-      requestId: 'r' as RequestId,
-      callerRequestId: 'c',
-      route: 'route' as RouteName,
-      service: 's' as ServiceName,
-      endpoint: 'e' as EndpointId,
-      callerService: 'caller',
-      repeat,
-      rank: 0,
-      objectiveAt: now + 1_000 as Timestamp,
-      deadlineAt: now + 5_000 as Timestamp,
-      method: 'GET',
-      path: '/',
-      fields: ['host', 'mesh.example'],
-      body: undefined
-    }
-  }
-
   it('waits for a node that runs the request, and for one that was restarted before the request came', async () => {
     expect(await outcomeOf(['running'], 'idempotent')).to.equal('answered')
     expect(await outcomeOf(['other-process'], 'idempotent')).to.equal('answered')
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -1,13 +1,14 @@
 /** One other node, as the way to its endpoint. */
+import { CancellationSource, type ICancellation } from '../../common/Cancellation.js'
 import { Disposable } from '../../common/Disposable.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
-import type { IDisposable, IEvent, Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
+import type { IDisposable, Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
 import { CALL_SETTLED, NODE_SUSPECT, NODE_TRUSTED } from '../Events.js'
 import { decodeOutcome, encodeCall, INNER_HEADER } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
 import type { ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
-import type { AttemptOutcome, IEndpointLoad, IMeshCall, NodeName } from '../Types.js'
+import type { AttemptOutcome, IEndpointLoad, IMeshCall, NodeName, RefusalReason } from '../Types.js'
 
 /** What a remote node needs. */
 export interface IRemoteNodeOptions {
@@ -72,16 +73,16 @@
   }
 
   /** Runs one attempt. Never rejects. `expected`: usual time to the answer. */
-  public async execute (call: IMeshCall, expected: Milliseconds, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
+  public async execute (call: IMeshCall, expected: Milliseconds, cancellation: ICancellation): Promise<AttemptOutcome> {
     const { clock } = this._options
     let connectTime: Milliseconds | undefined
     for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
       const askedAt = clock.now()
-      const connection = await this._acquire()
+      const connection = await this._acquire(call, cancellation)
       connectTime = addedWait(connectTime, clock.now() - askedAt)
-      if (connection === undefined) return { kind: 'refused', reason: 'unreachable', connectTime }
+      if (typeof connection === 'string') return { kind: 'refused', reason: connection, connectTime }
       const attempt = new Attempt(this._options, call, this._processToken, () => this._suspect('no answer to a question'))
-      const end = await attempt.run(connection, expected, onCancelled)
+      const end = await attempt.run(connection, expected, cancellation)
       this._connections.release(connection, end.kind === 'answer')
       if (end.kind !== 'not-sent') return { ...await this._interpret(attempt, end, call), connectTime }
     }
@@ -107,13 +108,26 @@
     if (typeof token === 'string') this._processToken = token
   }
 
-  private async _acquire (): Promise<UpstreamConnection | undefined> {
+  /** A connection, or why there is none in time. */
+  private async _acquire ({ deadlineAt }: IMeshCall, cancellation: ICancellation): Promise<UpstreamConnection | RefusalReason> {
+    const { clock } = this._options
+    const wait = new CancellationSource()
+    const left = cancellation.onCancelled(() => wait.cancel())
+    const deadline = clock.after(deadlineAt - clock.now() as Milliseconds, () => wait.cancel())
     try {
-      return await this._connections.acquire()
+      const connection = await this._connections.acquire(wait)
+      if (!wait.isCancelled) return connection
+      this._connections.release(connection, true)
     } catch (error) {
-      this._suspect(String(error))
-      return undefined
+      if (!wait.isCancelled) {
+        this._suspect(String(error))
+        return 'unreachable'
+      }
+    } finally {
+      left.dispose()
+      deadline.dispose()
     }
+    return cancellation.isCancelled ? 'cancelled' : 'deadline'
   }
 
   private _suspect (reason: string): void {
@@ -168,11 +182,12 @@
     })
   }
 
-  public async run (connection: UpstreamConnection, expected: Milliseconds, onCancelled: IEvent<void>): Promise<ExchangeEnd> {
+  public async run (connection: UpstreamConnection, expected: Milliseconds, cancellation: ICancellation): Promise<ExchangeEnd> {
     const { clock } = this._options
     const remaining = this._call.deadlineAt - clock.now()
     const deadline = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => this._exchange.abort('deadline'))
-    const cancel = onCancelled(() => { if (this._call.repeat === 'idempotent') this._exchange.abort('cancelled') })
+    // The other node withdraws a request that waits; one that runs and must not run twice it leaves to finish.
+    const cancel = cancellation.onCancelled(() => this._exchange.abort('cancelled'))
     this._askAfter(Math.max(LEAST_PATIENCE_MS, expected * PATIENCE_FACTOR) as Milliseconds)
     const end = await this._exchange.run(connection)
     this._isOver = true
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -1,8 +1,9 @@
 /** The only way to the endpoint beside this node. */
 import { Gauge } from 'prom-client'
+import type { ICancellation } from '../../common/Cancellation.js'
 import { Disposable } from '../../common/Disposable.js'
 import type { IClockService, IInvariantService, ILogService, IMetricsService } from '../../common/Services.js'
-import type { IEvent, Milliseconds, RequestId, Timestamp } from '../../common/Types.js'
+import type { Milliseconds, RequestId, Timestamp } from '../../common/Types.js'
 import { loopTurns } from '../../common/LoopTurns.js'
 import { StartedRequests } from '../../gate/StartedRequests.js'
 import { CALL_ABANDONED, CALL_REFUSED_AT_GATE } from '../Events.js'
@@ -64,11 +65,13 @@
   }
 
   /** Runs one attempt. Never rejects. */
-  public async execute (call: IMeshCall, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
+  public async execute (call: IMeshCall, cancellation: ICancellation): Promise<AttemptOutcome> {
     const arrivedAt = this._options.clock.now()
     const objective = Math.max(0, call.objectiveAt - arrivedAt) as Milliseconds
-    const gated = new GatedCall(call, this._times.expected(call.route, objective), arrivedAt, loopTurns())
-    const cancelListener = onCancelled(() => this._cancel(gated))
+    const gated = new GatedCall(call, {
+      expected: this._times.expected(call.route, objective), cancellation, readAt: arrivedAt, readTurn: loopTurns()
+    })
+    const cancelListener = cancellation.onCancelled(() => this._cancel(gated))
     const outcome = await this._admit(gated, arrivedAt)
     cancelListener.dispose()
     const now = this._options.clock.now()
@@ -107,7 +110,7 @@
   }
 
   private async _admit (gated: GatedCall, now: Timestamp): Promise<AttemptOutcome> {
-    const refusal = this._refusal(gated.call, now)
+    const refusal = gated.isCancelled ? 'cancelled' : this._refusal(gated.call, now)
     if (refusal !== undefined) return { kind: 'refused', reason: refusal }
     this._inFlight.set(gated.call.requestId, gated)
     try {
@@ -148,7 +151,7 @@
   private async _runInSlot (gated: GatedCall): Promise<AttemptOutcome> {
     gated.startedAt = this._options.clock.now()
     try {
-      return await this._sender.run(gated, () => this._mayStart(gated.call))
+      return await this._sender.run(gated, () => this._mayStart(gated))
     } finally {
       this._line.release(gated)
       this._startNext()
@@ -165,14 +168,14 @@
     }
   }
 
-  /** Asked again right before the first byte, since the endpoint may have begun to leave meanwhile. */
-  private _mayStart (call: IMeshCall): boolean {
+  /** Asked again right before the first byte, since the endpoint may have begun to leave meanwhile, or the caller have left. */
+  private _mayStart ({ call, isCancelled }: GatedCall): boolean {
+    if (isCancelled) return false
     const isServing = this._record?.phase === 'serving' && this._record.service === call.service
     return isServing && this._started.start(call.requestId, this._options.clock.now())
   }
 
   private _cancel (gated: GatedCall): void {
-    gated.isCancelled = true
     if (gated.startedAt !== undefined) this._logAbandoned(gated)
     if (this._line.withdraw(gated)) gated.refuse('cancelled')
     // A request that must not run twice is left to finish: its caller may still learn by other ways that it ran.
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -1,4 +1,5 @@
 /** HTTP server for calls and questions of other nodes. */
+import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Emitter } from '../../common/Emitter.js'
 import { listenAt } from '../../common/Listening.js'
@@ -71,20 +72,30 @@
     switch (message.headers[INNER_HEADER.purpose]) {
       case 'probe': return this._answerProbe(response)
       case 'settle': return this._answerSettle(message, response)
-      default: return await this._serveCall(message, response)
+      default: return await this._countCall(message, response)
     }
   }
 
-  private async _serveCall (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** A call whose asker has gone may still run, and ends with its outcome. */
+  private async _countCall (message: IncomingMessage, response: ServerResponse): Promise<void> {
     this._inFlight++
-    response.once('close', () => { this._inFlight-- })
+    const closed = once(response, 'close')
+    try {
+      await this._serveCall(message, response)
+      await closed
+    } finally {
+      this._inFlight--
+    }
+  }
+
+  private async _serveCall (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const inbound = new HttpInbound(message, response)
     const call = await this._readCall(inbound)
     if (call === undefined) {
       this._options.log.log(CALLER_MALFORMED, { step: 'gate.decode', peer: message.socket.remoteAddress })
       return this._write(response, encodeOutcome({ kind: 'refused', reason: 'cancelled' }))
     }
-    const outcome = await this._options.gate.execute(call, inbound.onCancelled)
+    const outcome = await this._options.gate.execute(call, inbound)
     this._write(response, encodeOutcome(outcome))
   }
 
--- a/src/routing/ClientRequest.ts
+++ b/src/routing/ClientRequest.ts
@@ -53,6 +53,7 @@
 
   public readonly onCancelled: IEvent<void> = (listener) => {
     const notify = (): void => listener()
+    if (this.isCancelled) notify()
     this._signal?.addEventListener('abort', notify)
     return toDisposable(() => this._signal?.removeEventListener('abort', notify))
   }
