Read what a process has been sent before acting on a part of it

Cause: a process that is late reads a request in one turn of its event loop, sends it on in the same turn, and reads the end of the connection that lay right behind it one turn later; the event of the response comes two turns later. Class: acting on what is read before the rest of what has come is read.

Mend: between reading a request and acting on it the loop reads once more (two setImmediate), at the caller's port and at the gate. Where nothing is late, nothing waits.

--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { listenAt } from '../../common/Listening.js'
+import { pendingInputRead } from '../../common/PendingInput.js'
 import type { ILogService, IMetricsService, IService } from '../../common/Services.js'
 import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { HeaderRules } from '../../gate/HeaderRules.js'
@@ -139,6 +140,7 @@
     if (body === undefined) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
     if (!body.isWhole) return this._refuse(message, response, STATUS.tooLarge, requestId)
     const content = inbound.body === undefined ? undefined : body.content
+    await pendingInputRead()
     await this._route({ message, response, inbound, route, requestId, body: content, arrivedAt, deadlineAt })
   }
 
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Emitter } from '../../common/Emitter.js'
 import { listenAt } from '../../common/Listening.js'
+import { pendingInputRead } from '../../common/PendingInput.js'
 import type { IClockService, ILogService, IService } from '../../common/Services.js'
 import type { IEvent, NetworkAddress, RequestId } from '../../common/Types.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
@@ -95,6 +96,7 @@
       this._options.log.log(CALLER_MALFORMED, { step: 'gate.decode', peer: message.socket.remoteAddress })
       return this._write(response, encodeOutcome({ kind: 'refused', reason: 'cancelled' }))
     }
+    await pendingInputRead()
     const outcome = await this._options.gate.execute(call, inbound)
     this._write(response, encodeOutcome(outcome))
   }
