Send a request only where the other process has answered on the connection

Their callers left, and their requests ran afterwards (GONE).

Cause: one turn of an event loop accepts one connection of a port (measured: Node.js 20, libuv 1.46). Up to 16 openings a node at once, from 62 nodes, made requests lie unread in connections that nobody had accepted, for as many turns as there were connections. The node that sends sees an open connection all the same. Class: silence taken for work.

Mend: a new connection asks the other process for its load first, and is lent when that has answered; the first one alone, then four at a time. Until then a request waits at its own node, where it can be withdrawn, refused as not run, or sent elsewhere. The answer also tells load and process before the first request.

--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -18,8 +18,10 @@
   readonly openInterval: Milliseconds
   /** An opening that takes longer has failed. */
   readonly openTimeout: Milliseconds
-  /** Most openings under way at once; one if not given. */
+  /** Most openings under way at once; one if not given, and one as long as no connection is open. */
   readonly parallelOpenings?: number
+  /** Asked on each new connection before it is lent; false if the other side does not answer. Part of the opening. */
+  readonly greet?: (connection: UpstreamConnection) => Promise<boolean>
 }
 
 /** Idle time after which a connection is closed, unless the upstream asks for less. */
@@ -185,8 +187,9 @@
 
   private _openMore (): void {
     const { parallelOpenings = 1 } = this._options
+    const most = this._open.size === 0 ? 1 : parallelOpenings
     const wanted = Math.min(this._limit, Math.max(this._warm, this._open.size + this._waiters.length))
-    while (!this.isDisposed && this._pause === undefined && this._opening.size < parallelOpenings) {
+    while (!this.isDisposed && this._pause === undefined && this._opening.size < most) {
       if (this._open.size + this._opening.size >= wanted) return
       this._openOne()
     }
@@ -201,17 +204,28 @@
     socket.once('error', fail)
     socket.once('close', fail)
     socket.once('connect', () => {
-      timeout.dispose()
       socket.off('error', fail)
       socket.off('close', fail)
-      this._onOpened(socket)
+      this._onConnected(socket, timeout)
     })
     socket.once('close', () => timeout.dispose())
   }
 
-  private _onOpened (socket: Socket): void {
+  private _onConnected (socket: Socket, timeout: IDisposable): void {
+    const { address, greet } = this._options
+    const connection = new UpstreamConnection(socket, `http://${address}`)
+    const finish = (hasAnswered: boolean): void => {
+      timeout.dispose()
+      if (hasAnswered && connection.isOpen) return this._onOpened(socket, connection)
+      connection.close()
+      this._onFailed(socket, new Error('no answer on a new connection'))
+    }
+    if (greet === undefined) return finish(true)
+    greet(connection).then(finish, () => finish(false))
+  }
+
+  private _onOpened (socket: Socket, connection: UpstreamConnection): void {
     this._opening.delete(socket)
-    const connection = new UpstreamConnection(socket, `http://${this._options.address}`)
     this._open.add(connection)
     socket.once('close', () => { this._onClosed(connection) })
     this._lend(connection)
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -25,10 +25,10 @@
 const CONNECTION_LIMIT = 256
 /** Time between two openings of connections. */
 const OPEN_INTERVAL_MS = 1 as Milliseconds
-/** After a restart many requests need a connection at once, each opening takes a round trip. */
-const PARALLEL_OPENINGS = 16
-/** Well above a round trip between regions, well below the time that callers wait. */
-const OPEN_TIMEOUT_MS = 200 as Milliseconds
+/** A process takes one new connection in each turn of its event loop; many at once would lie there unread. */
+const PARALLEL_OPENINGS = 4
+/** Two round trips between regions and a busy process on the other side; well below the time that callers wait. */
+const OPEN_TIMEOUT_MS = 400 as Milliseconds
 /** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
 const CONNECTION_TRIES = 3
 /** Time after the deadline in which the node's own answer may still come. */
@@ -58,7 +58,8 @@
       openInterval: OPEN_INTERVAL_MS,
       openTimeout: OPEN_TIMEOUT_MS,
       parallelOpenings: PARALLEL_OPENINGS,
-      onUnreachable: () => undefined
+      onUnreachable: () => undefined,
+      greet: async (connection) => await this._greet(connection)
     }))
     this._connections.resize(0, CONNECTION_LIMIT)
   }
@@ -89,6 +90,19 @@
     return { kind: 'refused', reason: 'unreachable', connectTime }
   }
 
+  /**
+   * A request is sent only where the other process has answered: one that is busy with its start accepts connections late, and
+   * reads what was sent on them when nobody waits for it any more. Meanwhile the request can still go elsewhere.
+   */
+  private async _greet (connection: UpstreamConnection): Promise<boolean> {
+    const { questions, address, onLoad, clock } = this._options
+    const answer = await questions.greet(connection, address)
+    if (answer === undefined) return false
+    this._processToken = answer.processToken
+    if (answer.load !== undefined) onLoad(answer.load, clock.now())
+    return true
+  }
+
   private async _interpret (attempt: Attempt, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, call: IMeshCall): Promise<AttemptOutcome> {
     if (end.kind === 'answer') {
       this._noteToken(end)
--- a/src/mesh/exchange/NodeQuestions.ts
+++ b/src/mesh/exchange/NodeQuestions.ts
@@ -1,4 +1,4 @@
-/** Questions that one node asks another beside calls, each on a connection of its own. */
+/** Questions that one node asks another beside calls. */
 import type { IncomingHttpHeaders } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import { splitAddress } from '../../common/HostPort.js'
@@ -19,6 +19,8 @@
 
 const REPLIES: ReadonlySet<string> = new Set<SettleReply>(['never-will-be', 'running', 'finished', 'other-process'])
 
+const PROBE_FIELDS: readonly string[] = Object.freeze([INNER_HEADER.purpose, 'probe'])
+
 /** Answer to a probe. */
 export interface IProbeAnswer {
   readonly load: IEndpointLoad | undefined
@@ -40,17 +42,19 @@
   readonly timeout: Milliseconds
 }
 
-/** New connections only: one that has fallen silent says nothing about the node behind it. */
+/** Questions on connections of their own, since one that has fallen silent says nothing about the node behind it. */
 export class NodeQuestions {
   constructor (private readonly _options: INodeQuestionsOptions) {}
 
   /** Undefined if there is no answer in time. */
   public async probe (address: NetworkAddress, timeout = this._options.timeout): Promise<IProbeAnswer | undefined> {
-    const end = await this._ask(address, [INNER_HEADER.purpose, 'probe'], timeout)
-    if (end.kind !== 'answer') return undefined
-    const { headers } = end
-    const token = headers[INNER_HEADER.processToken]
-    return { load: loadOf(headers), processToken: typeof token === 'string' ? token : undefined }
+    const end = await this._ask(address, PROBE_FIELDS, timeout)
+    return probeAnswerOf(end)
+  }
+
+  /** As `probe`, on a connection that was opened for calls; it can be used further after an answer. Whoever asks limits the time. */
+  public async greet (connection: UpstreamConnection, address: NetworkAddress): Promise<IProbeAnswer | undefined> {
+    return probeAnswerOf(await this._exchangeFor(address, PROBE_FIELDS).run(connection))
   }
 
   /** Undefined if there is no answer in time. */
@@ -65,8 +69,8 @@
   }
 
   private _ask (address: NetworkAddress, fields: readonly string[], timeout: Milliseconds): Promise<ExchangeEnd> {
-    const { clock, peerAddress } = this._options
-    const exchange = new HttpExchange({ method: 'GET', path: '/', fields: [...fields, 'host', address, INNER_HEADER.peer, peerAddress], body: undefined })
+    const { clock } = this._options
+    const exchange = this._exchangeFor(address, fields)
     return new Promise((resolve) => {
       const socket: Socket = connect({ ...splitAddress(address), noDelay: true })
       const finish = (end: ExchangeEnd): void => {
@@ -85,6 +89,18 @@
       })
     })
   }
+
+  private _exchangeFor (address: NetworkAddress, fields: readonly string[]): HttpExchange {
+    return new HttpExchange({
+      method: 'GET', path: '/', fields: [...fields, 'host', address, INNER_HEADER.peer, this._options.peerAddress], body: undefined
+    })
+  }
+}
+
+function probeAnswerOf (end: ExchangeEnd): IProbeAnswer | undefined {
+  if (end.kind !== 'answer') return undefined
+  const token = end.headers[INNER_HEADER.processToken]
+  return { load: loadOf(end.headers), processToken: typeof token === 'string' ? token : undefined }
 }
 
 function loadOf (headers: IncomingHttpHeaders): IEndpointLoad | undefined {
