Let timers act only after what has come is read

What callers saw: attempts ended as silent, and nodes taken for suspect, by a node that had been late itself (found by review: a stall of 1.2 s ends attempts whose answers lie unread, and takes every other node for silent). Cause: timers fire before sockets are read in a turn of the event loop. Class: own lateness taken for the other side's. Mend: ClockService.after acts after the loop has read once more.

--- a/src/common/ClockService.ts
+++ b/src/common/ClockService.ts
@@ -15,9 +15,17 @@
     return Math.floor(this._origin + performance.now()) as Timestamp
   }
 
+  /**
+   * Acts only after the event loop has read once more: where this process itself was late, what the timer waits for may have
+   * come long before.
+   */
   public after (delay: Milliseconds, action: () => void): IDisposable {
-    const timer = setTimeout(action, delay)
-    return toDisposable(() => clearTimeout(timer))
+    let immediate: NodeJS.Immediate | undefined
+    const timer = setTimeout(() => { immediate = setImmediate(action) }, delay)
+    return toDisposable(() => {
+      clearTimeout(timer)
+      clearImmediate(immediate)
+    })
   }
 
   public every (interval: Milliseconds, action: () => void): IDisposable {
