Turn to an endpoint whose node has just come back with little at first

Cause: what was known of the endpoint from before had faded, so that it looked empty to everyone, and an endpoint of which nothing is known is hoped to be fast until it answers, which the slowest does last. Class: everyone turns to one at the same moment.

Mend: what was observed is dropped when a node leaves; an endpoint without a report of its load gets one request at a time from each node; in the first 2 s it costs up to four usual times more, drawn anew for each request, so that its share grows. Tests: two new ones in Placement.test.ts. 'tries an endpoint that it has never used' had an endpoint that had appeared at that very moment, which is no longer tried at once by everybody; it now has one that is known for five seconds, and the growth is tested beside it.

--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -107,14 +107,17 @@
     return remote
   }
 
-  /** Forgets nodes that are in the table no more. */
+  /** Forgets nodes that are in the table no more, and what was observed of endpoints that take no requests. */
   private _retain (): void {
     const { nodes } = this._options.nodes
+    for (const name of this._views.keys()) {
+      const node = nodes.get(name)
+      if (node === undefined || node.isLeaving || node.endpoint?.phase !== 'serving') this._views.delete(name)
+    }
     for (const [name, remote] of this._remotes) {
       if (nodes.has(name)) continue
       remote.dispose()
       this._remotes.delete(name)
-      this._views.delete(name)
     }
   }
 }
--- a/src/mesh/calls/EndpointView.ts
+++ b/src/mesh/calls/EndpointView.ts
@@ -14,6 +14,9 @@
 /** How long an endpoint gets no requests after a refusal that is not about one request, in milliseconds. */
 const PAUSE_MS: Readonly<Partial<Record<RefusalReason, number>>> = Object.freeze({ draining: 1_000, 'no-endpoint': 500, unreachable: 300 })
 
+/** Time in which the share of requests of an endpoint that has appeared grows: a process that has just started is slow. */
+const NEW_MS = 2_000
+
 /** An attempt that was sent from here and is not answered yet. */
 export interface IOutstandingAttempt { readonly startedAt: Timestamp }
 
@@ -40,11 +43,25 @@
   private _pausedUntil = 0
   private _full: IFullState | undefined
 
-  constructor (public target: IMeshEndpoint, public readonly tier: LocalityTier) {}
+  private readonly _appearedAt: Timestamp
+
+  constructor (public target: IMeshEndpoint, public readonly tier: LocalityTier) {
+    this._appearedAt = target.node.learntAt
+  }
 
-  /** Requests that the endpoint runs at once. */
+  /** Requests that the endpoint runs at once; one as long as nothing is known of it. */
   public get slots (): number {
-    return this.target.endpoint.slots
+    return this.isObserved ? this.target.endpoint.slots : 1
+  }
+
+  /** True once its node has told of its load. */
+  public get isObserved (): boolean {
+    return this._load !== undefined
+  }
+
+  /** Falls from 1 to 0 in the first seconds after the endpoint or its node has appeared. */
+  public newness (now: Timestamp): number {
+    return Math.min(1, Math.max(0, 1 - (now - this._appearedAt) / NEW_MS))
   }
 
   /** Attempts sent from here and not answered yet. */
--- a/src/mesh/calls/Placement.test.ts
+++ b/src/mesh/calls/Placement.test.ts
@@ -9,6 +9,7 @@
 
 const NOW = 10_000 as Timestamp
 const OBJECTIVE = 600 as Milliseconds
+const LONG_AGO_MS = 5_000
 
 function viewOf (name: string, tier: LocalityTier, load: Partial<IEndpointLoad> | undefined, warmUpLeft = 0): EndpointView {
   const view = new EndpointView({
@@ -19,7 +20,7 @@
       gateAddress: '10.0.0.1:1' as NetworkAddress,
       peerAddress: '10.0.0.1:2' as NetworkAddress,
       isLeaving: false,
-      learntAt: NOW
+      learntAt: (warmUpLeft > 0 ? NOW : NOW - LONG_AGO_MS) as Timestamp
     },
     endpoint: {
       id: name as EndpointId,
@@ -88,7 +89,27 @@
   })
 
   it('tries an endpoint that it has never used', () => {
-    expect(chooseMany([viewOf('known', 0, {}), viewOf('new', 0, undefined, 3_000)], 1)).to.deep.equal({ new: 1 })
+    expect(chooseMany([viewOf('known', 0, {}), viewOf('new', 0, undefined)], 1)).to.deep.equal({ new: 1 })
+  })
+
+  it('gives an endpoint that has not told of its load one request at a time', () => {
+    const views = ['full', 'fuller'].map((name) => viewOf(name, 0, { occupied: 10 }))
+    expect(chooseMany([...views, viewOf('new', 0, undefined)], 4).new).to.equal(1)
+  })
+
+  it('gives an endpoint that has just appeared a share that grows, where everyone would turn to it at once', () => {
+    const placement = new Placement(new RandomService(1))
+    const appeared = viewOf('appeared', 0, {}, 1)
+    const full = viewOf('full', 0, { occupied: 12 })
+    const shares = [0, 700, 1_400, 2_100].map((after) => {
+      const now = NOW + after as Timestamp
+      full.observeLoad({ occupied: 12, slots: 8, serviceTime: 200 as Milliseconds, failurePercent: 0, handled: 0 as Milliseconds }, now)
+      const chosen = Array.from({ length: 200 }, () => placement.choose([appeared, full], { objective: OBJECTIVE, left: OBJECTIVE }, now))
+      return chosen.filter((view) => view === appeared).length / 2
+    })
+    expect(shares).to.deep.equal([...shares].sort((left, right) => left - right))
+    expect(shares[0]).to.be.lessThan(60)
+    expect(shares[3]).to.equal(100)
   })
 
   it('has nothing to choose of no candidates', () => {
--- a/src/mesh/calls/Placement.ts
+++ b/src/mesh/calls/Placement.ts
@@ -12,6 +12,8 @@
   readonly crowdingShare: number
   /** Multiple of the usual time at an endpoint that has just started. */
   readonly warmUpFactor: number
+  /** Usual times that an endpoint costs which has appeared just now, with its node or without. */
+  readonly newCost: number
   /** Part of a request's objective that a sure failure costs. */
   readonly failureCost: number
   /** Part of a request's objective that an answer costs which is sure to be late. */
@@ -25,6 +27,7 @@
   distanceCost: Object.freeze([0, 60, 300]) as unknown as readonly [Milliseconds, Milliseconds, Milliseconds],
   crowdingShare: 0.3,
   warmUpFactor: 2,
+  newCost: 2,
   failureCost: 1.5,
   lateCost: 0.5,
   noise: 0.04
@@ -49,8 +52,8 @@
 
 /**
  * Takes the endpoint at which the answer is expected first, distance and the risk of a late or failed answer counted as
- * time. Answers endpoints of different
- * speed, bursts in one failure domain, endpoints that are slow, that start, or that fail a part of their requests:
+ * time. Answers endpoints of different speed, bursts in one failure domain, endpoints that are slow, that start, whose nodes come back, or that fail a part of their
+ * requests:
  * all of them change the expected time, and none is ever shut out for good.
  */
 export class Placement {
@@ -79,17 +82,19 @@
     const { crowdingShare, warmUpFactor } = this._options
     const occupied = view.occupied(now)
     const known = view.serviceTimeAt(typical, now)
-    const service = known === undefined ? typical * UNKNOWN_SHARE : known * (view.isWarming(now) ? warmUpFactor : 1)
+    const service = known === undefined ? typical * (view.outstanding === 0 ? UNKNOWN_SHARE : 1) : known * (view.isWarming(now) ? warmUpFactor : 1)
     const wait = Math.max(0, occupied + 1 - view.slots) * service / view.slots
     const crowding = Math.min(1, occupied / view.slots) ** 2 * crowdingShare * service
     return presentTime(wait + service + crowding + view.roundTrip, view.startTimes(), now)
   }
 
   private _cost (view: EndpointView, typical: number, { objective, left }: IPlacementWish, now: Timestamp): number {
-    const { distanceCost, failureCost, lateCost, noise } = this._options
+    const { distanceCost, failureCost, lateCost, newCost, noise } = this._options
     const time = this.expectedTime(view, typical, now) * (1 + noise * this._random.fraction())
     const risk = view.failureShare(now) * failureCost + chanceOfLateness(time, left) * lateCost
-    return time + distanceCost[view.tier] + risk * objective
+    // Drawn anew for each request, so that all nodes together send a share that grows, and not everything at one moment.
+    const newness = view.newness(now) * newCost * typical * this._random.fraction() * 2
+    return time + distanceCost[view.tier] + newness + risk * objective
   }
 }
 
