Keep the first compiled code of the HTTP parser

Cause: the HTTP client's parser is WebAssembly. V8 compiles it once at first use, which takes 3 ms, and its one large function again with the optimizing compiler once some bytes were parsed, in every process: 246 ms of processor time and 39 MB (--trace-wasm-compilation-times). A fleet that starts 167 processes in a minute spends some 41 s on it.

The test runs the bundle as the deploy file does and looks at which compilers worked; it fails with the earlier flags (Liftoff and TurboFan).

--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -10,7 +10,7 @@
 
 const HOST = '127.0.0.1'
 /** As the deploy file starts it, with a time of day that jumps. */
-const NODE_ARGUMENTS = ['--max-old-space-size=96', '--max-semi-space-size=4', '--require', join(REPOSITORY, 'bench/soak/JumpingClock.cjs')]
+const NODE_ARGUMENTS = ['--max-old-space-size=96', '--max-semi-space-size=4', '--no-wasm-dynamic-tiering', '--no-wasm-tier-up', '--require', join(REPOSITORY, 'bench/soak/JumpingClock.cjs')]
 /** Time that the daemon has for a planned stop, in seconds. */
 export const STOP_SECONDS = 3
 
--- a/deploy/Bundle.test.ts
+++ b/deploy/Bundle.test.ts
@@ -5,7 +5,9 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { RandomService } from '../src/common/RandomService.js'
 import { findFreePorts } from '../testing/demonstration/FreePorts.js'
+import { configurationText, idleRoutes } from '../testing/mesh/ConfigurationText.js'
 import { StoreStandIn } from '../testing/mesh/StoreStandIn.js'
 import { until } from '../testing/mesh/MeshRig.js'
 
@@ -22,6 +24,8 @@
   }
   require('node:module').syncBuiltinESMExports()
 `
+/** Enough for the parser to have read so much that it would be optimized. */
+const MANY_ROUTES = 1_200
 const PORT_NAMES = ['caller', 'gate', 'peer', 'ready', 'control', 'metrics']
 
 /** Flags and file of the deploy file's command. */
@@ -74,6 +78,21 @@
     expect([(await exited)[0], complaints]).to.deep.equal([0, ''])
   })
 
+  it('takes its view and stops without a second, costly compilation of the HTTP parser', async function () {
+    this.timeout(30_000)
+    store.put('op', 'config', configurationText(2, idleRoutes(MANY_ROUTES, new RandomService(1))))
+    const command = ['--trace-wasm-compilation-times', ...deployedCommand(), '--settings', await writeSettings()]
+    daemon = spawn(process.execPath, command, { stdio: ['ignore', 'pipe', 'ignore'] })
+    let output = ''
+    daemon.stdout?.on('data', (chunk: Buffer) => { output += chunk.toString() })
+    await until(() => output.includes('"node-started"'))
+    const exited = once(daemon, 'exit')
+    daemon.kill('SIGTERM')
+    await exited
+    const compilers = new Set([...output.matchAll(/^Compiled function .* using (\w+),/gm)].map(([, compiler]) => compiler))
+    expect([...compilers]).to.deep.equal(['Liftoff'])
+  })
+
   for (const command of [() => deployedCommand(), () => ['bin/savoryknotd.js']]) {
     it(`is not ended by a signal to reload that comes while it starts: ${command().at(-1) ?? ''}`, async function () {
       this.timeout(30_000)
