Believe no answer of an endpoint that names no request

Callers got 503, which says that a request has not run and never will, for requests that an endpoint was running, and requests that must not run twice ran at a second endpoint too. Cause: the gate compared the id that an answer names with the request's id only if the answer named one. A refusal written once more on a kept connection without an id, or with two, passed for the refusal of the next request; a signed success without an id passed for its answer.

Now an answer has to name exactly its request. Any other one makes the outcome unknown and closes the connection, so that the caller gets 502 and, if the request may run twice, another endpoint serves it.

Ruled out by tests that passed before: a refusal that names an earlier request or has an empty name.

--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -203,10 +203,12 @@
   }
 }
 
-/** Why an answer is not that of the request; undefined if it is. */
+/**
+ * Why an answer is not that of the request; undefined if it is. One that names no request may be an earlier answer that was
+ * written once more, or belong to none: it does not even prove that the request was refused.
+ */
 function faultOf (call: IMeshCall, { status, headers }: Answer, head: IEndpointAnswerHead): string | undefined {
-  const isOther = head.requestId !== undefined && call.callerRequestId !== undefined && head.requestId !== call.callerRequestId
-  if (isOther) return 'answer of another request'
+  if (head.requestId !== call.callerRequestId) return head.requestId === undefined ? 'answer that names no request' : 'answer of another request'
   if (headers['content-encoding'] !== undefined) return 'encoded answer'
   const isSuccess = status >= 200 && status < 300
   return isSuccess && !head.isSigned ? 'success without signature' : undefined
--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -1,12 +1,16 @@
 /** An endpoint of the users' platform, with faults to be switched on. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 /** What goes on without end, until the other side closes: bytes that are no answer, a head, answers before the final one, a body. */
 export type EndlessMode = 'endless-noise' | 'endless-head' | 'endless-interim' | 'endless-chunk-head' | 'endless-body' | 'endless-whole'
 
 /** How the endpoint treats a request after it has read it. */
-export type EndpointMode = 'well' | 'shed' | 'fail' | 'reset-after-run' | 'silent' | 'unsigned' | 'other-id' | 'cut-without-length' | 'whole-without-length' | EndlessMode
+export type EndpointMode =
+  | 'well' | 'shed' | 'fail' | 'reset-after-run' | 'silent' | 'unsigned' | 'other-id' | 'cut-without-length' | 'whole-without-length' | 'scripted' | EndlessMode
+
+/** Writes the answer to a request that ran; `fields`: lines of the head by which an endpoint marks its answer. */
+export type AnswerScript = (socket: Socket, fields: string, run: IRunRequest) => void
 
 const ENDLESS_BLOCK_BYTES = 65_536
 
@@ -32,6 +36,8 @@
   public readonly runs: IRunRequest[] = []
   /** Time that a request for this path takes, in milliseconds. */
   public workTimeOf: (path: string) => number = () => this.workTime
+  /** What mode `scripted` answers. */
+  public script: AnswerScript = () => undefined
   /** Called when a request begins to run. */
   public onRun: (run: IRunRequest) => void = () => undefined
   /** Called with the id of a request whose connection closed before its answer. */
@@ -108,6 +114,7 @@
         request.socket.resetAndDestroy()
         return
       case 'silent': return
+      case 'scripted': return this.script(request.socket, fieldLines(signed), run)
       case 'unsigned': return write(response, 200, echo, 'unsigned')
       case 'cut-without-length': return writeWithoutLength(request, signed, 'half', true)
       case 'endless-noise': return this._writeEndlessly(request, '', '\u0001\u0002')
