Pass on no status of a refusal for a request that may have run

An endpoint's own 503, 429 or 408 without the mark of a refusal went on to the caller as it was, and the caller takes these statuses for the word that its request has not run and may be sent again. Only the mark says that; without it the outcome is unknown: 502, or another endpoint for what may run twice (before, 408 and 429 were final even for these). 421 is left as it was: it is a refusal without a mark by the protocol.

Evidence: three tests of platform/DoubtfulAnswers.test.ts failed before, signed and unsigned answers alike (408, 429 and 503 in place of three times 502 for requests that ran; 408 and 429 in place of 200 for those that may run twice), all pass now.

--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -7,7 +7,7 @@
 import { AnswerMemory } from '../exchange/AnswerMemory.js'
 import { answerFields } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
-import { isEndpointFailure, isServed } from '../exchange/Statuses.js'
+import { isEndpointFailure, isRefusalStatus, isServed } from '../exchange/Statuses.js'
 import type { IConfigurationService, IEndpointAnswerHead, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointRecord, IMeshCall } from '../Types.js'
 import type { FailureShare } from './FailureShare.js'
@@ -209,6 +209,8 @@
  */
 function faultOf (call: IMeshCall, { status, headers }: Answer, head: IEndpointAnswerHead): string | undefined {
   if (head.requestId !== call.callerRequestId) return head.requestId === undefined ? 'answer that names no request' : 'answer of another request'
+  // Without the endpoint's mark the request may have run, which its caller would take such a status to rule out.
+  if (isRefusalStatus(status) && !head.isNotExecuted) return `status ${status} without the mark of a refusal`
   if (headers['content-encoding'] !== undefined) return 'encoded answer'
   const isSuccess = status >= 200 && status < 300
   return isSuccess && !head.isSigned ? 'success without signature' : undefined
