Tests of answers that are cut at every byte

Asked because other operators saw a 200 with an empty or short body, framed as whole, when an endpoint stopped in the middle of its answer's head.

Bytes behind a whole answer are given to no request that is sent later.

--- a/src/mesh/calls/RemoteNode.test.ts
+++ b/src/mesh/calls/RemoteNode.test.ts
@@ -1,7 +1,7 @@
 /** What a node says of a request that stays without an answer, and what is made of it. */
 import { expect } from 'chai'
 import { createServer, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { ClockService } from '../../common/ClockService.js'
 import { Emitter } from '../../common/Emitter.js'
 import type { EndpointId, Milliseconds, NetworkAddress, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
@@ -14,21 +14,30 @@
 /** Longer than the first question waits. */
 const SLOW_MS = 700
 const EXPECTED = 10 as Milliseconds
+/** What a node writes that ends amid its answer. */
+const ANSWERS = [
+  `HTTP/1.1 200 OK\r\n${INNER_HEADER.outcome}: answered\r\nx-mark: one\r\n${INNER_HEADER.processToken}: one\r\ncontent-length: 12\r\n\r\ntwelve bytes`,
+  `HTTP/1.1 503 Service Unavailable\r\n${INNER_HEADER.outcome}: refused;overloaded;1200\r\n${INNER_HEADER.processToken}: one\r\ncontent-length: 0\r\n\r\n`
+]
 
 describe('RemoteNode', () => {
   const clock = new ClockService()
   let server: Server
   let node: RemoteNode
   let delay: number
+  /** Writes the answer in place of the server. */
+  let script: ((socket: Socket) => void) | undefined
   /** Replies to the questions in turn; the last one goes on. */
   let replies: ReadonlyArray<SettleReply | undefined>
   let questionsAsked: number
 
   beforeEach(async () => {
     delay = 0
+    script = undefined
     replies = ['running']
     questionsAsked = 0
-    server = createServer((_request, response) => {
+    server = createServer((request, response) => {
+      if (script !== undefined) return script(request.socket)
       setTimeout(() => {
         response.writeHead(200, { [INNER_HEADER.outcome]: 'answered', [INNER_HEADER.processToken]: 'one' })
         response.end('whole')
@@ -102,6 +111,22 @@
     expect(node.isSuspect).to.equal(true)
   })
 
+  for (const answer of ANSWERS) {
+    it(`takes no part of an answer for a whole one, wherever its node ends: ${answer.slice(9, 12)}`, async () => {
+      replies = [undefined]
+      const kinds = new Set<string>()
+      for (const isReset of [false, true]) {
+        for (let length = 0; length < answer.length; length++) {
+          script = undefined
+          expect((await node.execute(callOf('non-idempotent'), EXPECTED, new Emitter<void>().event)).kind).to.equal('answered')
+          script = (socket) => { socket.write(answer.slice(0, length), () => isReset ? socket.resetAndDestroy() : socket.end()) }
+          kinds.add((await node.execute(callOf('non-idempotent'), EXPECTED, new Emitter<void>().event)).kind)
+        }
+      }
+      expect([...kinds]).to.deep.equal(['unknown'])
+    })
+  }
+
   it('asks no more about a request once the node has not answered two questions', async () => {
     expect(await outcomeOf([undefined], 'idempotent')).to.equal('unknown: n does not answer')
     expect(questionsAsked).to.equal(2)
