Take no answer with a transfer coding other than chunked for whole

A caller got 200 with a part of the body, framed as whole, from an endpoint that sends "transfer-encoding: identity" or "gzip" and is reset in its answer. Such an answer ends with its connection, but any transfer-encoding counted as a frame of its own, so that no reset was looked for. "gzip, chunked" passed the coded bytes on as the body.

Requests of callers had that rule already; it stands once now.

--- a/src/gate/HeaderRules.ts
+++ b/src/gate/HeaderRules.ts
@@ -31,6 +31,7 @@
 const TARGET_PATTERN = /^\/[\x21-\x7e]*$/
 
 const FORBIDDEN_IN_VALUE = /[\0\r\n]/
+const CHUNKED = 'chunked'
 const DIGITS_PATTERN = /^\d{1,15}$/
 
 /** Tells whether a field with this lower-case name concerns one connection only. */
@@ -75,6 +76,19 @@
   return Number(text)
 }
 
+/** True if the head of an answer with a body tells where it ends; otherwise it ends with its connection. */
+export function isFramed (headers: IncomingHttpHeaders): boolean {
+  if (hasForeignCoding(headers)) return false
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
+/** True if the body has a transfer coding other than chunked, which neither ends it reliably nor is taken off. */
+export function hasForeignCoding (headers: IncomingHttpHeaders): boolean {
+  // A field that came more than once is a list.
+  const coding: unknown = headers['transfer-encoding']
+  return coding !== undefined && (typeof coding !== 'string' || coding.toLowerCase() !== CHUNKED)
+}
+
 /** Checks the head of requests. */
 export class HeaderRules {
   private readonly _options: IHeaderRulesOptions
@@ -107,7 +121,7 @@
   const encoding = message.headers['transfer-encoding']
   const length = message.headers['content-length']
   if (encoding !== undefined && length !== undefined) return 'both content-length and transfer-encoding'
-  if (encoding !== undefined && encoding.toLowerCase() !== 'chunked') return 'unsupported transfer-encoding'
+  if (hasForeignCoding(message.headers)) return 'unsupported transfer-encoding'
   if (encoding === undefined && length === undefined) return undefined
   if (length !== undefined && !DIGITS_PATTERN.test(length)) return 'content-length is not a number'
   return countFramingFields(message.rawHeaders) > 1 ? 'content-length or transfer-encoding given twice' : undefined
--- a/src/mesh/exchange/HttpExchange.test.ts
+++ b/src/mesh/exchange/HttpExchange.test.ts
@@ -26,7 +26,8 @@
 ]
 /** Heads of answers that end with their connection. */
 const HEADS_WITHOUT_LENGTH: ReadonlyArray<readonly [string, string]> = [
-  ['no field', 'HTTP/1.1 200 OK\r\nx-mark: one\r\nconnection: close\r\n\r\n']
+  ['no field', 'HTTP/1.1 200 OK\r\nx-mark: one\r\nconnection: close\r\n\r\n'],
+  ['a coding other than chunked', 'HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\n']
 ]
 /** Time within which a reset shows. */
 const SETTLE_MS = 10 as Milliseconds
