--- a/src/gate/GateBreaks.test.ts
+++ b/src/gate/GateBreaks.test.ts
@@ -19,7 +19,8 @@
 
   it('tells the outcome for every fault of the upstream, and never passes a part on as a whole', async () => {
     const faults = [
-      'cut-before-head', 'cut-in-body', 'short-body', 'no-length', 'oversized', 'hang', 'hang-in-body', 'crossed', 'malformed', 'early'
+      'cut-before-head', 'cut-in-head', 'cut-in-body', 'short-body', 'no-length', 'other-coding', 'oversized', 'hang', 'hang-in-body', 'crossed',
+      'malformed', 'early'
     ]
     const outcomes: Record<string, string> = {}
     for (const fault of faults) {
--- a/src/gate/UpstreamExchange.ts
+++ b/src/gate/UpstreamExchange.ts
@@ -5,7 +5,7 @@
 import type { IClockService } from '../common/Services.js'
 import type { IDisposable, Milliseconds } from '../common/Types.js'
 import { ExchangeAbortedError, StartRefusedError } from './GateErrors.js'
-import { contentLength, fieldsOf } from './HeaderRules.js'
+import { contentLength, fieldsOf, hasForeignCoding } from './HeaderRules.js'
 import { FINGERPRINT_BODY_BYTES } from './KeptBody.js'
 import { HEADER, type IAnswerSink, type ICall, type NotRunReason } from './Types.js'
 import type { UpstreamConnection } from './UpstreamConnections.js'
@@ -185,7 +185,7 @@
     const length = contentLength(headers)
     if (length !== undefined) return length > this._options.responseBytes ? 'answer-too-large' : undefined
     // An answer that ends with its connection cannot be told from a truncated one.
-    return headers['transfer-encoding'] === undefined ? 'answer-without-length' : undefined
+    return headers['transfer-encoding'] === undefined || hasForeignCoding(headers) ? 'answer-without-length' : undefined
   }
 }
 
--- a/testing/upstream/UpstreamStandIn.ts
+++ b/testing/upstream/UpstreamStandIn.ts
@@ -30,7 +30,7 @@
 
 /** Faults of one answer, asked for by the header `x-fault` of a request. */
 export type AnswerFault =
-  | 'cut-before-head' | 'cut-in-body' | 'short-body' | 'no-length' | 'oversized' | 'hang' | 'hang-in-body' | 'crossed' | 'malformed' | 'crash' | 'early'
+  | 'cut-before-head' | 'cut-in-head' | 'cut-in-body' | 'short-body' | 'no-length' | 'other-coding' | 'oversized' | 'hang' | 'hang-in-body' | 'crossed' | 'malformed' | 'crash' | 'early'
 
 /** What the health endpoint says. */
 export type HealthReport = 'truth' | 'always-well' | 'always-ill' | 'draining'
@@ -204,6 +204,8 @@
     if (fault === 'cut-before-head') socket.destroy()
     if (fault === 'malformed') socket.end('nonsense\r\n\r\n')
     if (fault === 'no-length') socket.end('HTTP/1.1 200 OK\r\n\r\npart')
+    if (fault === 'cut-in-head') socket.end('HTTP/1.1 200 OK\r\nContent-Length: 1')
+    if (fault === 'other-coding') socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\npart')
     if (fault === 'short-body') socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart')
     if (fault === 'crossed') response.writeHead(200, { [HEADER.requestId]: 'another-request' }).end('not yours')
     if (fault === 'oversized') writeMany(response, OVERSIZED_BYTES)
