--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -2,12 +2,13 @@
 import { Disposable } from '../../common/Disposable.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import { hasForeignCoding } from '../../gate/HeaderRules.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
 import { ANSWER_SPOILT, ENDPOINT_REACHABLE, ENDPOINT_UNREACHABLE } from '../Events.js'
 import { AnswerMemory } from '../exchange/AnswerMemory.js'
 import { answerFields } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
-import { isEndpointFailure, isServed } from '../exchange/Statuses.js'
+import { isEndpointFailure, isRefusalStatus, isServed } from '../exchange/Statuses.js'
 import type { IConfigurationService, IEndpointAnswerHead, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointRecord, IMeshCall } from '../Types.js'
 import type { FailureShare } from './FailureShare.js'
@@ -204,11 +205,15 @@
   }
 }
 
-/** Why an answer is not that of the request; undefined if it is. */
+/**
+ * Why an answer is not that of the request; undefined if it is. One that names no request may be an earlier answer that was
+ * written once more, or belong to none: it does not even prove that the request was refused.
+ */
 function faultOf (call: IMeshCall, { status, headers }: Answer, head: IEndpointAnswerHead): string | undefined {
-  const isOther = head.requestId !== undefined && call.callerRequestId !== undefined && head.requestId !== call.callerRequestId
-  if (isOther) return 'answer of another request'
-  if (headers['content-encoding'] !== undefined) return 'encoded answer'
+  if (head.requestId !== call.callerRequestId) return head.requestId === undefined ? 'answer that names no request' : 'answer of another request'
+  // Without the endpoint's mark the request may have run, which its caller would take such a status to rule out.
+  if (isRefusalStatus(status) && !head.isNotExecuted) return `status ${status} without the mark of a refusal`
+  if (headers['content-encoding'] !== undefined || hasForeignCoding(headers)) return 'encoded answer'
   const isSuccess = status >= 200 && status < 300
   return isSuccess && !head.isSigned ? 'success without signature' : undefined
 }
