Refuse in a planned stop a request whose body comes after callers are refused

What callers saw: in a planned stop in calm, a request that must not run twice was passed on and its connection ended without an answer. On real sockets (stop = 3 s): the head arrives before the stop, the body 1.5 s into it, after callers are refused; the request ran at the endpoint and the caller got no answer at 2.55 s.

Cause: whether callers are refused was asked once, when the head had arrived. A body may take until the deadline. Class: a decision taken before a wait and used after it. The gate asks after its body was read, and again before the first byte to the endpoint; the caller's port did not.

Mend: asked again once the body is whole; the answer is 503 with a time to return, and the request never runs. Ruled out: the same request towards the endpoint beside the stopping node, which its gate refuses by then.

--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -137,7 +137,8 @@
     const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_BODY_BYTES)
     const body = inbound.body === undefined ? EMPTY_BODY : await readBodyInTime(inbound.body, limit, deadlineAt, clock)
     if (inbound.isCancelled) return
-    if (body === undefined) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
+    // The node may have begun to refuse requests while the body came.
+    if (body === undefined || this._isRefusing) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
     if (!body.isWhole) return this._refuse(message, response, STATUS.tooLarge, requestId)
     const content = inbound.body === undefined ? undefined : body.content
     await this._route({ message, response, inbound, route, requestId, body: content, arrivedAt, deadlineAt })
