Answer every request before a planned stop ends

What callers saw: at the end of a planned stop in calm, connections were closed without an answer, among them those of requests that must not run twice. On real sockets (stop = 3 s, endpoint at work for 8 s, deadline 8 s) each of these ended with no answer at 2.55 s: taken before the stop and 0 s into it, repeatable or not; passed on to another node by one whose endpoint has ended; and waiting for a slot, never run.

Cause: a request that came during the stop kept its own deadline (the endpoint was handed 7,999 ms with 2.5 s left), and the end closed the connections of whatever had no answer yet. With 6 s for the stop, a node whose endpoint has ended takes callers until 3 s and ends at 5.1 s: any request taken after 2.6 s on a route of 2.5 s may be cut. Such a cut is excused only if the endpoint is at work then; not while the request waits at another node or is asked about.

Mend: StopSchedule.deadlineOf gives a request that comes during the stop a deadline no later than the answers at its end, so that endpoint, waiting line and time-out treat it as any short one; one that may outlast the stop is refused from 2.8 s on, as not run and with a time to return, also if its body came late. At the end the step `conclude` refuses what still waits at the gate (503), makes no further attempt, and answers the rest as unknown (502, or 504 at the deadline) while the process lives; 50 ms later it ends. That is 0.05 s later than before where something runs, 0.85 s before the limit of 6 s; no request is ended sooner than before.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -113,6 +113,12 @@
   leave (id: EndpointId, bornAt: number): Promise<void>
 }
 
+/** How long requests may take that come during a planned stop. */
+export interface IStopBounds {
+  /** The deadline of a request that could wait until `deadlineAt`; undefined if it must be refused, as it may outlast the stop. */
+  deadlineOf (deadlineAt: Timestamp, now: Timestamp): Timestamp | undefined
+}
+
 /** Everything that depends on the platform on which the mesh runs. */
 export interface IMeshAdapter {
   readonly decoder: IConfigurationDecoder
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -10,9 +10,10 @@
 import { readBodyInTime } from '../../gate/KeptBody.js'
 import { CALL_FINISHED, CALL_UNROUTED, CALLER_MALFORMED } from '../Events.js'
 import { BODILESS_STATUSES, MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
-import type { IConfigurationService, IMessageFormat } from '../Services.js'
+import type { IConfigurationService, IMessageFormat, IStopBounds } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
 import { WeightedSplit } from '../configuration/WeightedSplit.js'
+import { CallConclusion } from './CallConclusion.js'
 import { CallTask, type CallResult, type ICallServices } from './CallTask.js'
 
 /** What the port needs. */
@@ -30,8 +31,8 @@
   readonly metrics: IMetricsService
 }
 
-/** Time after which a caller is asked to come again while the node starts. */
-const STARTING_RETRY_AFTER_MS = 500 as Milliseconds
+/** Time after which a caller is asked to come again while the node starts or stops. */
+const RETURN_AFTER_MS = 500 as Milliseconds
 /** Room for the first request line beside the fields that the configuration allows. */
 const MAXIMUM_HEAD_BYTES = 65_536
 const MAXIMUM_FIELDS = 200
@@ -53,10 +54,13 @@
   private readonly _latency: Histogram
   private readonly _busy = new WeakMap<Socket, number>()
   private _inFlight = 0
-  private _isClosing = false
+  private readonly _conclusion: CallConclusion
+  /** Undefined while no stop is under way. */
+  private _stopBounds: IStopBounds | undefined
   private _isRefusing = false
 
   constructor (private readonly _options: ICallerPortOptions) {
+    this._conclusion = new CallConclusion(_options.clock)
     this._server = createServer({
       requestTimeout: 0, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, maxHeaderSize: MAXIMUM_HEAD_BYTES, noDelay: true
     })
@@ -86,9 +90,9 @@
     await listenAt(this._server, this._options.address)
   }
 
-  /** Asks callers to close their connections with each answer from now on. */
-  public close (): void {
-    this._isClosing = true
+  /** From now on callers are asked to close their connections with each answer, and new requests are kept within `bounds`. */
+  public close (bounds: IStopBounds): void {
+    this._stopBounds = bounds
   }
 
   /** Refuses new requests from now on, as not run; those that were taken go on. */
@@ -96,6 +100,11 @@
     this._isRefusing = true
   }
 
+  /** Answers the requests that are left: those that turn out not to have run as refused, the others as unknown. */
+  public conclude (): void {
+    this._conclusion.begin()
+  }
+
   public stop (): void {
     this._server.close()
     this._server.closeAllConnections()
@@ -127,23 +136,31 @@
     const fault = this._rules.faultOf(message)
     if (fault !== undefined) return this._refuseMalformed(message, response, fault)
     const index = configuration.current
-    const isServing = index !== undefined && this._options.isReady() && !this._isRefusing
-    if (!isServing) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
+    if (index === undefined || !this._options.isReady() || this._isRefusing) return this._askToReturn(message, response, requestId)
     const inbound = new HttpInbound(message, response)
     const route = index.match(message.headers.host ?? '', inbound.path)
     if (route === undefined) return this._refuseUnrouted(message, response, requestId, arrivedAt)
     const patience = Math.min(route.timeout, format.callerPatience(message.headers) ?? route.timeout)
-    const deadlineAt = arrivedAt + patience as Timestamp
+    const latestAt = arrivedAt + patience as Timestamp
+    const bodyDeadlineAt = this._deadlineOf(latestAt)
+    if (bodyDeadlineAt === undefined) return this._askToReturn(message, response, requestId)
     const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_BODY_BYTES)
-    const body = inbound.body === undefined ? EMPTY_BODY : await readBodyInTime(inbound.body, limit, deadlineAt, clock)
+    const body = inbound.body === undefined ? EMPTY_BODY : await readBodyInTime(inbound.body, limit, bodyDeadlineAt, clock)
     if (inbound.isCancelled) return
-    // The node may have begun to refuse requests while the body came.
-    if (body === undefined || this._isRefusing) return this._refuse(message, response, STATUS.refused, requestId, STARTING_RETRY_AFTER_MS)
+    // A stop may have begun, or come to its next step, while the body came.
+    const deadlineAt = this._deadlineOf(latestAt)
+    if (body === undefined || deadlineAt === undefined) return this._askToReturn(message, response, requestId)
     if (!body.isWhole) return this._refuse(message, response, STATUS.tooLarge, requestId)
     const content = inbound.body === undefined ? undefined : body.content
     await this._route({ message, response, inbound, route, requestId, body: content, arrivedAt, deadlineAt })
   }
 
+  /** The deadline of a request that comes now; undefined if it must be refused. */
+  private _deadlineOf (latestAt: Timestamp): Timestamp | undefined {
+    if (this._isRefusing) return undefined
+    return this._stopBounds === undefined ? latestAt : this._stopBounds.deadlineOf(latestAt, this._options.clock.now())
+  }
+
   private async _route (accepted: IAcceptedRequest): Promise<void> {
     const { message, response, inbound, route, requestId, body, arrivedAt, deadlineAt } = accepted
     const task = new CallTask(this._options, {
@@ -158,9 +175,9 @@
       arrivedAt,
       deadlineAt,
       onCancelled: inbound.onCancelled,
-      isCancelled: () => inbound.isCancelled
+      isCancelled: () => inbound.isCancelled || this._conclusion.hasBegun
     })
-    const result = await task.run()
+    const result = await this._conclusion.resultOf(task.run())
     this._logResult(route, requestId, task, result, arrivedAt, inbound.isCancelled)
     this._writeResult(message, response, requestId, result)
   }
@@ -175,6 +192,11 @@
     response.end(body)
   }
 
+  /** Not run, and never will be; the node starts or stops, or the body did not come. */
+  private _askToReturn (message: IncomingMessage, response: ServerResponse, requestId: string | undefined): void {
+    this._refuse(message, response, STATUS.refused, requestId, RETURN_AFTER_MS)
+  }
+
   private _refuse (
     message: IncomingMessage, response: ServerResponse, status: number, requestId: string | undefined, retryAfter?: Milliseconds
   ): void {
@@ -205,7 +227,7 @@
   }
 
   private _closingFields (): readonly string[] {
-    return this._isClosing ? CLOSE : KEEP
+    return this._stopBounds !== undefined ? CLOSE : KEEP
   }
 
   /** The parser gave up. While a request of the connection is under way, nothing may be said that looks like its answer. */
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -93,12 +93,13 @@
     const kind = this._kernel.get(MESH_KEY.endpoint).record?.phase === 'serving' ? 'returning' : 'without-endpoint'
     const schedule = new StopSchedule(clock.now(), this._settings.bounds.stop, kind)
     this._log.log(NODE_STOPPING, { step: 'daemon.stop', kind, inFlight: this._inFlight })
-    callerPort.close()
+    callerPort.close(schedule)
     for (;;) {
       const step = schedule.next({ inFlight: this._inFlight, noticedAt: this._stopNoticedAt }, clock.now())
       if (step === 'announce') await this._kernel.get(MESH_KEY.registration).leave()
       if (step === 'refuse-nodes') this._kernel.get(MESH_KEY.gate).close()
       if (step === 'refuse-callers') callerPort.refuseNew()
+      if (step === 'conclude') this._conclude()
       if (step === 'end') break
       await clock.sleep(STOP_CHECK_INTERVAL_MS)
     }
@@ -107,6 +108,12 @@
     this._log.log(NODE_STOPPED, { step: 'daemon.stop', unfinished })
   }
 
+  /** What waits for the endpoint is refused as not run; what runs is answered as unknown. */
+  private _conclude (): void {
+    this._kernel.get(MESH_KEY.gate).conclude()
+    this._kernel.get(MESH_KEY.callerPort).conclude()
+  }
+
   private get _now (): ReturnType<IClockService['now']> {
     return this._kernel.get(IClockService).now()
   }
--- a/src/mesh/daemon/StopSchedule.ts
+++ b/src/mesh/daemon/StopSchedule.ts
@@ -1,8 +1,9 @@
 /** Decides when a node that stops tells the others, refuses their requests, and ends. */
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import type { IStopBounds } from '../Services.js'
 
-/** What to do now; `announce`, `refuse-nodes` and `refuse-callers` are given once each. */
-export type StopStep = 'wait' | 'announce' | 'refuse-nodes' | 'refuse-callers' | 'end'
+/** What to do now; all but `wait` are given once each. `conclude`: answer what still runs. */
+export type StopStep = 'wait' | 'announce' | 'refuse-nodes' | 'refuse-callers' | 'conclude' | 'end'
 
 /** How far the stop has come. */
 export interface IStopProgress {
@@ -24,9 +25,13 @@
   readonly announceAt: Milliseconds
   /** Time between that and the moment from which requests of nodes that have not heard of it are refused as not run. */
   readonly announcement: Milliseconds
-  /** Left of the time for the stop when requests that still run are cut, to end in; at most `reserveShare` of that time. */
+  /** Requests that may outlast the stop are taken until then; later ones must have a deadline within it. */
+  readonly longRequests: Milliseconds
+  /** Left of the time for the stop when requests that still run are answered, to end in; at most `reserveShare` of that time. */
   readonly reserve: Milliseconds
   readonly reserveShare: number
+  /** Part of that for these answers to be sent. */
+  readonly conclusion: Milliseconds
   /** Part of the time for the stop in which a node without an endpoint serves callers; nobody waits for its return. */
   readonly servingShare: number
 }
@@ -38,8 +43,10 @@
   departure: 200 as Milliseconds,
   announceAt: 1_300 as Milliseconds,
   announcement: 800 as Milliseconds,
+  longRequests: 2_800 as Milliseconds,
   reserve: 900 as Milliseconds,
   reserveShare: 0.15,
+  conclusion: 50 as Milliseconds,
   servingShare: 0.5
 })
 
@@ -49,8 +56,9 @@
 /**
  * Answers planned stops of nodes in turn: no request is cut, and the endpoint is away as shortly as possible. A node whose
  * endpoint has ended stays longer: in a failure domain with few ready nodes callers are sent to all of them, ready or not.
+ * No request is left without an answer: one that is taken gets its deadline within the stop, or is refused.
  */
-export class StopSchedule {
+export class StopSchedule implements IStopBounds {
   private readonly _options: IStopScheduleOptions
   private readonly _given = new Set<StopStep>()
 
@@ -75,11 +83,24 @@
       this._given.add(step)
       return step
     }
-    if (elapsed >= this._endAt) return 'end'
+    if (elapsed >= this._concludeAt) return this._lastStep(progress.inFlight, elapsed)
     return this._kind === 'returning' && this._given.size === due.length && progress.inFlight === 0 ? 'end' : 'wait'
   }
 
-  private get _endAt (): number {
+  public deadlineOf (deadlineAt: Timestamp, now: Timestamp): Timestamp | undefined {
+    const latest = this._startedAt + this._concludeAt as Timestamp
+    if (deadlineAt <= latest) return deadlineAt
+    return now - this._startedAt < this._options.longRequests ? latest : undefined
+  }
+
+  private _lastStep (inFlight: number, elapsed: number): StopStep {
+    if (inFlight === 0) return 'end'
+    if (this._given.has('conclude')) return elapsed >= this._concludeAt + this._options.conclusion ? 'end' : 'wait'
+    this._given.add('conclude')
+    return 'conclude'
+  }
+
+  private get _concludeAt (): number {
     const { reserve, reserveShare } = this._options
     return this._limit - Math.min(reserve, this._limit * reserveShare)
   }
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -62,6 +62,11 @@
     this._isClosing = true
   }
 
+  /** Refuses the requests that wait; those that run go on. */
+  public conclude (): void {
+    for (const gated of this._line.withdrawAll()) gated.refuse('draining')
+  }
+
   /** Runs one attempt. Never rejects. */
   public async execute (call: IMeshCall, onCancelled: IEvent<void>): Promise<AttemptOutcome> {
     const arrivedAt = this._options.clock.now()
@@ -183,7 +188,7 @@
     this._line.resize(record.slots)
     if (before?.id !== record.id || before.bornAt !== record.bornAt || before.address !== record.address) this._sender.renew(record)
     if (record.phase === 'serving') return
-    for (const gated of this._line.withdrawAll()) gated.refuse('draining')
+    this.conclude()
   }
 
   private _logRefusal (call: IMeshCall, reason: RefusalReason, retryAfter: Milliseconds | undefined): void {
