--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -37,6 +37,8 @@
   readonly deadlineAt: Timestamp
   /** Cancelled when the caller goes away. */
   readonly cancellation: ICancellation
+  /** True once the node ends, and no further attempt may begin. */
+  readonly isEnding: () => boolean
 }
 
 /** The final answer. */
@@ -139,8 +141,8 @@
   /** Another endpoint for a request whose first attempt is late, if the rules and the shared allowance let it have one. */
   private _chooseHedge (now: Timestamp): EndpointView | undefined {
     const { allowance, directory, log } = this._services
-    const { route, service, deadlineAt, cancellation, callerRequestId } = this._request
-    if (cancellation.isCancelled || this._arrivals + 1 >= route.attempts) return undefined
+    const { route, service, deadlineAt, callerRequestId } = this._request
+    if (this._mustNotGoOn || this._arrivals + 1 >= route.attempts) return undefined
     const view = this._choose(now)
     if (view === undefined) return undefined
     const answerAt = now + this._services.placement.expectedTime(view, typicalServiceTime([view]), now)
@@ -214,8 +216,8 @@
 
   private _mayGoOn (outcome: AttemptOutcome, now: Timestamp): boolean {
     const { log } = this._services
-    const { route, deadlineAt, cancellation, callerRequestId } = this._request
-    const subject = { repeat: route.repeat, attempts: route.attempts, deadlineAt, isCancelled: cancellation.isCancelled }
+    const { route, deadlineAt, callerRequestId } = this._request
+    const subject = { repeat: route.repeat, attempts: route.attempts, deadlineAt, isCancelled: this._mustNotGoOn }
     const verdict = judgeRepeat(subject, outcome, this._history, now)
     if (verdict === 'final') return false
     if (verdict === 'again-if-allowed' && this._isBarred(now)) return false
@@ -232,6 +234,10 @@
     return true
   }
 
+  private get _mustNotGoOn (): boolean {
+    return this._request.cancellation.isCancelled || this._request.isEnding()
+  }
+
   /** An answer is worth more than a refusal for want of another endpoint, which therefore is looked for first. */
   private _isBarred (now: Timestamp): boolean {
     const { allowance, directory } = this._services
