--- a/src/mesh/calls/Placement.ts
+++ b/src/mesh/calls/Placement.ts
@@ -52,9 +52,9 @@
 
 /**
  * Takes the endpoint at which the answer is expected first, distance and the risk of a late or failed answer counted as
- * time. Answers endpoints of different speed, bursts in one failure domain, endpoints that are slow, that start, whose nodes come back, or that fail a part of their
- * requests:
- * all of them change the expected time, and none is ever shut out for good.
+ * time. Answers endpoints of different speed, bursts in one
+ * failure domain, endpoints that are slow, that start, whose nodes come back, or that fail a part of their requests: all of
+ * them change the expected time, and none is ever shut out for good.
  */
 export class Placement {
   private readonly _options: IPlacementOptions
@@ -82,7 +82,7 @@
     const { crowdingShare, warmUpFactor } = this._options
     const occupied = view.occupied(now)
     const known = view.serviceTimeAt(typical, now)
-    const service = known === undefined ? typical * (view.outstanding === 0 ? UNKNOWN_SHARE : 1) : known * (view.isWarming(now) ? warmUpFactor : 1)
+    const service = known === undefined ? unknownTime(view, typical) : known * (view.isWarming(now) ? warmUpFactor : 1)
     const wait = Math.max(0, occupied + 1 - view.slots) * service / view.slots
     const crowding = Math.min(1, occupied / view.slots) ** 2 * crowdingShare * service
     return presentTime(wait + service + crowding + view.roundTrip, view.startTimes(), now)
@@ -98,6 +98,11 @@
   }
 }
 
+/** Little is hoped for beyond the first request, or the endpoint that is slowest to tell of itself would be liked best. */
+function unknownTime (view: EndpointView, typical: number): number {
+  return view.outstanding === 0 ? typical * UNKNOWN_SHARE : typical
+}
+
 /** Grows from 0 to 1 as the expected time nears what is left; 0 if nothing is, since all endpoints are alike then. */
 function chanceOfLateness (time: number, left: number): number {
   if (left <= 0) return 0
