Red tests of callers that leave before their node has sent the request

A request that waited for a connection to another node was sent there though its caller had left, or another attempt had answered, before there was one: who attends to the caller listens only once a connection is there, and the leaving is told once. A call whose caller had left begins its first attempt all the same.

--- /dev/null
+++ b/src/gate/HttpInbound.test.ts
@@ -0,0 +1,43 @@
+/** Whether the sender of a request still waits. */
+import { expect } from 'chai'
+import { once } from 'node:events'
+import { createServer, type Server } from 'node:http'
+import { connect, type AddressInfo } from 'node:net'
+import { HttpInbound } from './HttpInbound.js'
+
+describe('HttpInbound', () => {
+  let server: Server
+
+  beforeEach(async () => {
+    server = createServer()
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+  })
+
+  afterEach(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+
+  /** A request whose sender has left. */
+  async function inboundOfLeft (): Promise<HttpInbound> {
+    const inbound = new Promise<HttpInbound>((resolve) => {
+      server.once('request', (message, response) => {
+        response.once('close', () => resolve(created))
+        const created = new HttpInbound(message, response)
+        sender.destroy()
+      })
+    })
+    const sender = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    sender.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+    return await inbound
+  }
+
+  it('tells that its sender has left to those who ask later', async () => {
+    const inbound = await inboundOfLeft()
+    let told = 0
+    inbound.onCancelled(() => { told++ })
+    await new Promise((resolve) => setImmediate(resolve))
+    expect([inbound.isCancelled, told]).to.deep.equal([true, 1])
+  })
+})
