Red test of a caller that leaves while its request waits at another node

Only idempotent attempts are ended when the caller leaves, so that a request that must not run twice keeps its place in the other node's line and runs, though nothing of it had been sent to the endpoint. The same test with an idempotent request holds.

--- /dev/null
+++ b/src/mesh/calls/CallerLeftInLine.test.ts
@@ -0,0 +1,45 @@
+/** A caller that leaves while its request waits in the line of another node. */
+import { expect } from 'chai'
+import { MeshRig, until, type IRigNode } from '../../../testing/mesh/MeshRig.js'
+
+const ROUTES = [
+  { prefix: '/status/', service: 'status' },
+  { prefix: '/pay/', service: 'status', kind: 'non_idempotent' }
+]
+const SLOTS = 4
+const WORK_MS = 1_000
+const WAITING = /^savoryknot_endpoint_waiting (\d+)$/m
+
+describe('A caller that leaves while its request waits at another node', () => {
+  let rig: MeshRig
+  let near: IRigNode
+  let far: IRigNode
+
+  beforeEach(async () => {
+    rig = new MeshRig()
+    await rig.start(ROUTES)
+    near = await rig.startServing('other')
+    far = await rig.startServing('status', 'z2')
+    far.endpoint.workTimeOf = (path) => path.includes('busy') ? WORK_MS : 0
+  })
+
+  afterEach(() => rig.stop())
+
+  async function waiting (): Promise<number> {
+    const text = await (await fetch(`http://127.0.0.1:${far.ports.metrics}/metrics`)).text()
+    return Number(WAITING.exec(text)?.[1])
+  }
+
+  for (const prefix of ['/status/', '/pay/']) {
+    it(`has it taken out of the line: ${prefix}`, async () => {
+      const busy = Array.from({ length: SLOTS }, (_, index) => rig.call(near, { path: `/pay/busy-${index}`, id: `busy-${index}`, deadline: 1_900 }))
+      await until(() => far.endpoint.runs.length === SLOTS)
+      const left = rig.begin(near, { path: `${prefix}left`, id: 'left', deadline: 1_900 })
+      await until(async () => await waiting() === 1)
+      left.leave()
+      await Promise.all(busy)
+      await rig.call(near, { path: '/status/later', id: 'later', deadline: 1_900 })
+      expect(far.endpoint.runs.slice(SLOTS).map(({ id }) => id)).to.deep.equal(['later'])
+    })
+  }
+})
