--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -82,7 +82,8 @@
     const chunks: Buffer[] = []
     for await (const chunk of request) chunks.push(chunk as Buffer)
     const id = String(request.headers['x-savoryknot-attempt-id'] ?? '')
-    const echo = { 'x-savoryknot-attempt-id': this.mode === 'other-id' ? 'another' : id }
+    const named = this.mode === 'other-id' ? 'another' : id
+    const echo: Record<string, string> = named === '' ? {} : { 'x-savoryknot-attempt-id': named }
     const expected = String(request.headers['x-savoryknot-expect-instance'] ?? '')
     if (expected !== this.id) {
       this.misdirected++
