Test that an early answer leaves the rest of a long body in its place

An endpoint may answer before it has read a long body and read on later on the same connection. The rest of the body comes before the next request: the client queues both on the socket. The test did not fail; it shows that this does not happen here.

--- a/src/mesh/exchange/HttpExchange.test.ts
+++ b/src/mesh/exchange/HttpExchange.test.ts
@@ -29,6 +29,8 @@
   ['no field', 'HTTP/1.1 200 OK\r\nx-mark: one\r\nconnection: close\r\n\r\n'],
   ['a coding other than chunked', 'HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\n']
 ]
+/** More than the system takes without the other side reading. */
+const LONG_BODY_BYTES = 12_000_000
 /** Time within which a reset shows. */
 const SETTLE_MS = 10 as Milliseconds
 
@@ -128,6 +130,27 @@
     })
   }
 
+  it('sends the rest of a body behind an early answer before the next request', async () => {
+    const connection = await connections.acquire()
+    const received: Buffer[] = []
+    const body = Buffer.alloc(LONG_BODY_BYTES, 'b')
+    behaviours.push((socket) => {
+      socket.removeAllListeners('data').pause().write(WHOLE)
+    })
+    const first = await new HttpExchange({ method: 'POST', path: '/', fields: ['host', 'mesh.example'], body }).run(connection)
+    const second = new HttpExchange({ method: 'GET', path: '/second', fields: ['host', 'mesh.example'], body: undefined }).run(connection)
+    const [socket] = sockets
+    socket?.on('data', (chunk: Buffer) => {
+      received.push(chunk)
+      if (chunk.toString('latin1').endsWith('\r\n\r\n')) socket.write(WHOLE)
+    })
+    socket?.resume()
+    const end = await second
+    const text = Buffer.concat(received).toString('latin1')
+    const rest = text.slice(0, text.indexOf('GET /second'))
+    expect([first.kind, end.kind, /^b+$/.test(rest), rest.length <= LONG_BODY_BYTES]).to.deep.equal(['answer', 'answer', true, true])
+  })
+
   it('gives no answer that came before its request was sent to that request', async () => {
     const connection = await connections.acquire()
     const first = await exchange(connection, 'GET', (socket) => { socket.write(`${WHOLE}${WHOLE}`) })
