Take a signed success with the mark of a refusal for neither

An answer that bears both says of itself that the request ran and that it did not; the caller got 503, which promises the latter. The outcome is unknown now: 502, or another endpoint for what may run twice.

--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -214,5 +214,6 @@
   if (isRefusalStatus(status) && !head.isNotExecuted) return `status ${status} without the mark of a refusal`
   if (headers['content-encoding'] !== undefined || hasForeignCoding(headers)) return 'encoded answer'
   const isSuccess = status >= 200 && status < 300
-  return isSuccess && !head.isSigned ? 'success without signature' : undefined
+  if (isSuccess && !head.isSigned) return 'success without signature'
+  return isSuccess && head.isNotExecuted ? 'success with the mark of a refusal' : undefined
 }
