Pass on a 304 that tells the length of its body

A caller got 502 for every 304 of an endpoint with a content-length, which tells the size of the body that the caller has. The HTTP client counts it as bytes that are missing and breaks the exchange after the whole head; for this status and this error the answer is whole. Its connection is closed by the client as before. A 304 cut at any byte of its head is still no answer.

A second kind of answer without length, not closing, was right before.

--- a/src/mesh/exchange/HttpExchange.test.ts
+++ b/src/mesh/exchange/HttpExchange.test.ts
@@ -21,12 +21,14 @@
   ['chunks, closing', 'GET', 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\n\r\n'],
   ['204', 'GET', 'HTTP/1.1 204 No Content\r\nx-mark: one\r\n\r\n'],
   ['304', 'GET', 'HTTP/1.1 304 Not Modified\r\nx-mark: one\r\n\r\n'],
+  ['304 with the length of the body that it stands for', 'GET', 'HTTP/1.1 304 Not Modified\r\ncontent-length: 12\r\nx-mark: one\r\n\r\n'],
   ['HEAD', 'HEAD', 'HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n'],
   ['after an interim answer', 'GET', 'HTTP/1.1 103 Early Hints\r\nx-hint: one\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\none']
 ]
 /** Heads of answers that end with their connection. */
 const HEADS_WITHOUT_LENGTH: ReadonlyArray<readonly [string, string]> = [
   ['no field', 'HTTP/1.1 200 OK\r\nx-mark: one\r\nconnection: close\r\n\r\n'],
+  ['no field, not closing', 'HTTP/1.1 200 OK\r\nx-mark: one\r\n\r\n'],
   ['a coding other than chunked', 'HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\n']
 ]
 /** More than the system takes without the other side reading. */
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -1,6 +1,6 @@
 /** One request and its whole answer on a connection that carries nothing else meanwhile. */
 import type { IncomingHttpHeaders } from 'node:http'
-import type { Dispatcher } from 'undici'
+import { errors, type Dispatcher } from 'undici'
 import { isFramed } from '../../gate/HeaderRules.js'
 import type { UpstreamConnection } from '../../gate/UpstreamConnections.js'
 import type { AnswerMemory, IPartialAnswer } from './AnswerMemory.js'
@@ -38,6 +38,7 @@
 /** Answers before the final one, above which an exchange is broken. */
 const MAXIMUM_INTERIM_ANSWERS = 16
 const FIRST_FINAL_STATUS = 200
+const NOT_MODIFIED = 304
 /** Answers that have no body by their status. */
 export const BODILESS_STATUSES: readonly number[] = [204, 304]
 
@@ -120,6 +121,9 @@
   }
 
   public onResponseError (_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+    // The client misses the bytes of a length that only tells the size of the body that the caller has already.
+    const isWhole = this._status === NOT_MODIFIED && error instanceof errors.ResponseContentLengthMismatchError
+    if (isWhole && this._abortReason === undefined) return this.onResponseEnd()
     const reason = this._abortReason ?? error.message
     this._finish(this.isSent ? { kind: 'broken', reason } : { kind: 'not-sent', reason })
   }
