Find and apply deltas of long texts piece by piece

Callers saw slow answers while a large configuration changed several times a second: each follower stood still while it restored a version, and each node with followers while it encoded one.

In a process that has just started, most of it runs in the interpreter.

Long texts are now cut behind lines and behind lists, so that the rows of a table are pieces; a delta names runs of pieces of the base and the new text. It is applied with slices. Texts within reach of DEFLATE are coded as before; limit and hash are checked as before, and a receiver still asks for the whole if it cannot use a delta.

Existing tests of bodies and storms hold unchanged.

--- a/src/distribution/BodyCodec.ts
+++ b/src/distribution/BodyCodec.ts
@@ -1,9 +1,9 @@
 /** Compresses texts for the network, against an earlier version where the receiver has one. */
-import { applyDelta, createDelta, getDeltaTargetSize } from 'fossil-delta'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { hashContent } from '../common/Ids.js'
 import { SavoryknotError } from '../common/SavoryknotError.js'
 import type { ContentHash } from '../common/Types.js'
+import { applyTextDelta, createTextDelta, DELTA_EXTRA_BYTES } from './TextDelta.js'
 
 /** A body could not be inflated within its limit, or is not what its hash says. */
 export class BodyError extends SavoryknotError {}
@@ -29,7 +29,7 @@
   if (base === undefined || base.length === 0) return deflateRawSync(text)
   const dictionary = Buffer.from(base)
   if (dictionary.length <= WINDOW_BYTES) return deflateRawSync(text, { dictionary })
-  return deflateRawSync(createDelta(dictionary, Buffer.from(text)))
+  return deflateRawSync(createTextDelta(base, text))
 }
 
 /** Restores a text and checks it. Throws `BodyError`. */
@@ -45,7 +45,7 @@
     if (base === undefined || base.length === 0) return inflate(content, maximumBytes)
     const dictionary = Buffer.from(base)
     if (dictionary.length <= WINDOW_BYTES) return inflate(content, maximumBytes, dictionary)
-    return apply(dictionary, inflate(content, maximumBytes), maximumBytes)
+    return apply(base, inflate(content, maximumBytes + DELTA_EXTRA_BYTES), maximumBytes)
   } catch (cause) {
     throw new BodyError('content cannot be restored', { step: 'body.restore', peer, cause })
   }
@@ -55,8 +55,8 @@
   return inflateRawSync(content, { dictionary, maxOutputLength: maximumBytes })
 }
 
-function apply (base: Buffer, delta: Buffer, maximumBytes: number): Uint8Array {
-  const size = getDeltaTargetSize(delta)
-  if (size > maximumBytes) throw new RangeError(`text of ${size} bytes is above the limit`)
-  return applyDelta(base, delta)
+function apply (base: string, delta: Buffer, maximumBytes: number): Uint8Array {
+  const text = Buffer.from(applyTextDelta(base, delta.toString('utf8'), maximumBytes))
+  if (text.length > maximumBytes) throw new RangeError(`text of ${text.length} bytes is above the limit`)
+  return text
 }
