Give a request up at its deadline while its connection to the endpoint opens

Callers of an endpoint that lets connections hang saw their request held past the deadline, and past the timeout of its route: an opening may take 500 ms, the pause after a failed one and the next opening come on top, and nothing ended the wait for it. Where the connection came after all, the request was sent after its deadline, with 1 ms left, and ran. Class: a decision (the request has time left) is used after a wait without being asked again. The gate asks for phase, service and caller right before the first byte, but not for the time, and the wait itself had no bound.

Evidence: with a connection that is held back the request with 100 ms ended after the one that worked 600 ms, as 'unknown', and the endpoint had run it. Now it is refused at its deadline, as not run, its slot is free, and the endpoint gets nothing. A request of another node was cut at its deadline there already; the wait of the request beside the endpoint and the slot were not.

Why it works: the wait is withdrawn at the deadline, as RemoteNode does it; a connection that comes later goes to the next waiter or back into the pool. The end of a wait for lack of time is no failure of the endpoint (second test: its share of failures stays 0). The check of an answer without length is bound by the deadline and its grace in the same way.

Ruled out: a shorter time for the opening, which would only make the excess smaller and take slow but sound endpoints for unreachable.

--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -1,4 +1,5 @@
 /** Sends requests to the endpoint beside this node and judges its answers. */
+import { CancellationSource } from '../../common/Cancellation.js'
 import { Disposable } from '../../common/Disposable.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
@@ -97,7 +98,8 @@
     }
     for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
       const connections = this._connections
-      const connection = await this._acquire()
+      const connection = await this._acquire(gated.deadlineAt)
+      if (connection === 'late') return { kind: 'refused', reason: 'deadline' }
       // A new incarnation may have reported meanwhile; its connections are tried next.
       if (connection === undefined && connections !== this._connections) continue
       if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
@@ -132,7 +134,7 @@
     gated.exchange = exchange
     const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
     const connections = this._connections
-    const end = await this._checkEnd(await exchange.run(connection), connection)
+    const end = await this._checkEnd(await exchange.run(connection), connection, call.deadlineAt + DEADLINE_GRACE_MS as Timestamp)
     timer.dispose()
     const outcome = end.kind === 'not-sent' ? undefined : this._judge(call, end, startedAt)
     connections?.release(connection, outcome !== undefined && outcome.kind !== 'unknown')
@@ -143,13 +145,13 @@
    * An answer without length ends with its connection, also when that was reset or the endpoint crashed. A reset shows
    * on the connection; a crash closes every connection and refuses new ones.
    */
-  private async _checkEnd (end: ExchangeEnd, connection: UpstreamConnection): Promise<ExchangeEnd> {
+  private async _checkEnd (end: ExchangeEnd, connection: UpstreamConnection, latestAt: Timestamp): Promise<ExchangeEnd> {
     if (end.kind !== 'answer' || end.hasLength) return end
     await this._options.clock.sleep(END_CHECK_MS)
     if (connection.hasFailed) return { kind: 'broken', reason: 'answer without length was cut' }
     if ((this._connections?.open.size ?? 0) > 0) return end
-    const other = await this._acquire()
-    if (other === undefined) return { kind: 'broken', reason: 'endpoint ended with its answer' }
+    const other = await this._acquire(latestAt)
+    if (other === undefined || other === 'late') return { kind: 'broken', reason: 'endpoint ended with its answer' }
     this._connections?.release(other, true)
     return end
   }
@@ -187,21 +189,34 @@
     log.log(ENDPOINT_REACHABLE, { step: 'gate.exchange', endpoint: this._record?.id })
   }
 
-  private async _acquire (): Promise<UpstreamConnection | undefined> {
-    const { clock, log, failures } = this._options
+  /** Undefined if the endpoint cannot be reached; an opening may take longer than the request has. */
+  private async _acquire (latestAt: Timestamp): Promise<UpstreamConnection | 'late' | undefined> {
+    const { clock } = this._options
     const connections = this._connections
+    const wait = new CancellationSource()
+    const timer = clock.after(latestAt - clock.now() as Milliseconds, () => wait.cancel())
     try {
-      return await connections?.acquire()
+      const connection = await connections?.acquire(wait)
+      if (connection === undefined || !wait.isCancelled) return connection
+      connections?.release(connection, true)
+      return 'late'
     } catch (error) {
-      if (connections !== this._connections) return undefined
-      if (this._unreachableUntil === 0) {
-        log.log(ENDPOINT_UNREACHABLE, { step: 'gate.connect', peer: this._record?.address, endpoint: this._record?.id, reason: String(error) })
-      }
-      const now = clock.now()
-      this._unreachableUntil = now + UNREACHABLE_PAUSE_MS
-      failures.record(true, now)
+      if (wait.isCancelled) return 'late'
+      if (connections === this._connections) this._noteUnreachable(error)
       return undefined
+    } finally {
+      timer.dispose()
+    }
+  }
+
+  private _noteUnreachable (error: unknown): void {
+    const { clock, log, failures } = this._options
+    if (this._unreachableUntil === 0) {
+      log.log(ENDPOINT_UNREACHABLE, { step: 'gate.connect', peer: this._record?.address, endpoint: this._record?.id, reason: String(error) })
     }
+    const now = clock.now()
+    this._unreachableUntil = now + UNREACHABLE_PAUSE_MS
+    failures.record(true, now)
   }
 }
 
