Keep an incarnation in service whose predecessor under the same id deregistered late

An endpoint may start again under its id. After a restart of the node a late deregistration of the earlier incarnation that came before the node had read its own row marked the present incarnation of that row as gone, and since a phase never goes back within one incarnation, its reports did not bring it back: the endpoint got no request until its next start. Class: an identity that was read before is taken for the present one. Only the id was kept, not the birth.

Evidence: the test saw the endpoint born at 20 'gone' after a deregistration of the one born at 10 and a report of its own; now it is 'serving'. The same or an earlier incarnation than the one that deregistered is gone as before (its test is unchanged), also where no birth is told.

--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -77,6 +77,13 @@
     expect(endpoint.record?.phase).to.equal('gone')
   })
 
+  it('keeps a later incarnation under the same id whose predecessor deregistered late, before the row of an earlier process was read', () => {
+    endpoint.leave('a' as EndpointId, 10, NOW)
+    endpoint.adopt({ ...report('a', 20, 0), phase: 'serving' }, NOW)
+    endpoint.report(report('a', 20, 7), NOW)
+    expect([endpoint.record?.bornAt, endpoint.record?.phase]).to.deep.equal([20, 'serving'])
+  })
+
   it('goes on with the endpoint of an earlier process until it reports itself', () => {
     endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
     expect(endpoint.heardAt).to.equal(undefined)
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -23,8 +23,8 @@
 export class LocalEndpoint implements ILocalEndpoint {
   private readonly _onChanged = new Emitter<IEndpointRecord>()
   private _incarnation: IIncarnation | undefined
-  /** Endpoint that deregistered before this process knew of it, so that an earlier process's record does not revive it. */
-  private _leftBefore: EndpointId | undefined
+  /** Incarnation that deregistered before this process knew of it, so that an earlier process's record does not revive it. */
+  private _leftBefore: Pick<IEndpointRecord, 'id' | 'bornAt'> | undefined
   /** Last report of an endpoint that was taken for an earlier incarnation. */
   private _outdated: IEndpointReport | undefined
 
@@ -48,7 +48,7 @@
   /** Takes the endpoint as an earlier process of this node left it, unless it has reported meanwhile. */
   public adopt (record: IEndpointRecord, now: Timestamp): void {
     if (this._incarnation !== undefined) return
-    if (record.id === this._leftBefore) record = { ...record, phase: 'gone' }
+    if (this._leftBefore?.id === record.id && compareIncarnations(record, this._leftBefore) <= 0) record = { ...record, phase: 'gone' }
     this._replace({ record, sequence: NO_SEQUENCE, heardAt: now }, 'adopted')
   }
 
@@ -66,7 +66,7 @@
 
   public leave (id: EndpointId, bornAt: number, now: Timestamp): ReportOutcome {
     const present = this._incarnation
-    if (present === undefined) this._leftBefore = id
+    if (present === undefined) this._leftBefore = { id, bornAt }
     if (present === undefined || compareIncarnations({ id, bornAt }, present.record) !== 0) return 'outdated'
     if (present.record.phase !== 'gone') this._replace({ ...present, record: { ...present.record, phase: 'gone' }, heardAt: now }, 'deregistered')
     return 'accepted'
