Send answers to their end in a planned stop while time is left

What callers saw: a whole request, passed on and answered by its endpoint, whose answer was cut at the end of a planned stop. On real sockets (stop = 3 s, answer of 12 MB, caller that reads on at 2.7 s) 3,919,665 of 12,000,000 bytes came.

Cause: the process ended 50 ms after it had answered what still ran (5.15 s of 6 s), whether or not answers were sent to their end; 0.85 s of the bound were not used. Such a cut is not excused, since the endpoint is at work no more. Class: an end by time where what is waited for can be seen. The same end cut requests of other nodes that ran at this node's endpoint.

Mend: after the step `conclude` the process ends when nothing is in flight, at the latest 0.3 s before the bound (5 % of a shorter one). Where nothing is left it ends when it did before, or sooner by up to 50 ms.

StopSchedule.test.ts: a new case (failed before), and in three cases the last step moves within the limit: 5,150 to 5,700, 1,750 to 1,900, 2,600 to 2,850, 9,150 to 9,700; the times of `conclude` are as they were. Ruled out: the leave announcement and a second SIGTERM, by reading (neither waits for the store, both stops are one).

--- a/src/mesh/daemon/StopSchedule.test.ts
+++ b/src/mesh/daemon/StopSchedule.test.ts
@@ -35,17 +35,22 @@
   })
 
   it('waits for what runs, but not beyond its limit', () => {
-    expect([stepsOf({ limit: 6_000, busyUntil: 3_000 }).at(-1), stepsOf({ limit: 6_000, busyUntil: 60_000 }).at(-1)]).to.deep.equal(['end 3000', 'end 5150'])
+    expect([stepsOf({ limit: 6_000, busyUntil: 3_000 }).at(-1), stepsOf({ limit: 6_000, busyUntil: 60_000 }).at(-1)]).to.deep.equal(['end 3000', 'end 5700'])
   })
 
   it('keeps every step within a short limit', () => {
     const steps = stepsOf({ limit: 2_000, busyUntil: 60_000 })
-    expect(steps).to.deep.equal(['announce 500', 'refuse-nodes 1000', 'refuse-callers 1050', 'conclude 1700', 'end 1750'])
+    expect(steps).to.deep.equal(['announce 500', 'refuse-nodes 1000', 'refuse-callers 1050', 'conclude 1700', 'end 1900'])
   })
 
   it('answers what still runs shortly before the end, in the last sixth of the limit', () => {
     const steps = [3_000, 6_000, 10_000].map((limit) => stepsOf({ limit, busyUntil: 60_000 }).slice(-2))
-    expect(steps).to.deep.equal([['conclude 2550', 'end 2600'], ['conclude 5100', 'end 5150'], ['conclude 9100', 'end 9150']])
+    expect(steps).to.deep.equal([['conclude 2550', 'end 2850'], ['conclude 5100', 'end 5700'], ['conclude 9100', 'end 9700']])
+  })
+
+  it('ends as soon as the last answer is sent, and lets a slow caller read it until shortly before the limit', () => {
+    const ends = [5_100, 5_300, 5_650, 60_000].map((busyUntil) => stepsOf({ limit: 6_000, busyUntil }).at(-1))
+    expect(ends).to.deep.equal(['end 5100', 'end 5300', 'end 5650', 'end 5700'])
   })
 
   it('leaves a request its deadline or the time until then, and after a while refuses one that could outlast the stop', () => {
--- a/src/mesh/daemon/StopSchedule.ts
+++ b/src/mesh/daemon/StopSchedule.ts
@@ -27,11 +27,12 @@
   readonly announcement: Milliseconds
   /** Requests that may outlast the stop are taken until then; later ones must have a deadline within it. */
   readonly longRequests: Milliseconds
-  /** Left of the time for the stop when requests that still run are answered, to end in; at most `reserveShare` of that time. */
+  /** Left of the time for the stop when requests that still run are answered; at most `reserveShare` of that time. */
   readonly reserve: Milliseconds
   readonly reserveShare: number
-  /** Part of that for these answers to be sent. */
-  readonly conclusion: Milliseconds
+  /** Left when the process ends although answers are not sent to their end; at most `endReserveShare` of the time for the stop. */
+  readonly endReserve: Milliseconds
+  readonly endReserveShare: number
   /** Part of the time for the stop in which a node without an endpoint serves callers; nobody waits for its return. */
   readonly servingShare: number
 }
@@ -46,7 +47,8 @@
   longRequests: 2_800 as Milliseconds,
   reserve: 900 as Milliseconds,
   reserveShare: 0.15,
-  conclusion: 50 as Milliseconds,
+  endReserve: 300 as Milliseconds,
+  endReserveShare: 0.05,
   servingShare: 0.5
 })
 
@@ -95,7 +97,8 @@
 
   private _lastStep (inFlight: number, elapsed: number): StopStep {
     if (inFlight === 0) return 'end'
-    if (this._given.has('conclude')) return elapsed >= this._concludeAt + this._options.conclusion ? 'end' : 'wait'
+    // A slow caller is still reading, or a request of another node runs; the process does as well until then.
+    if (this._given.has('conclude')) return elapsed >= this._endAt ? 'end' : 'wait'
     this._given.add('conclude')
     return 'conclude'
   }
@@ -105,6 +108,11 @@
     return this._limit - Math.min(reserve, this._limit * reserveShare)
   }
 
+  private get _endAt (): number {
+    const { endReserve, endReserveShare } = this._options
+    return this._limit - Math.min(endReserve, this._limit * endReserveShare)
+  }
+
   private _announceAt (noticed: number): number {
     return Math.min(noticed, this._options.announceAt, this._limit / 4)
   }
