End a caller's connection in a stop only with the answer to its newest request

What callers saw: a request that must not run twice, passed on and run, whose connection was closed without its answer. On real sockets: two requests on a kept connection, the second sent before the answer to the first; with a stop in between only the first was answered.

Cause: in a stop every answer said `connection: close`, after which the HTTP server ends the connection, whatever else was read from it. Class: a decision on the connection taken from one request alone.

Mend: CallerConnections knows the newest request of each connection. In a stop only its answer ends the connection; what is read behind that is logged and not passed on. The count of requests under way moves there from CallerPort.

--- /dev/null
+++ b/src/mesh/calls/CallerConnections.ts
@@ -0,0 +1,39 @@
+/** Connections of callers: which have a request under way, and which end with an answer that was given. */
+import type { ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+const CLOSE: readonly string[] = Object.freeze(['connection', 'close'])
+const KEEP: readonly string[] = Object.freeze([])
+
+/** A caller may send requests before earlier ones are answered; only the answer to the newest one may end the connection. */
+export class CallerConnections {
+  private readonly _busy = new WeakMap<Socket, number>()
+  private readonly _newest = new WeakMap<Socket, ServerResponse>()
+  private readonly _ending = new WeakSet<Socket>()
+
+  /** Notes a request; false if an answer that ends its connection was given already, so that it could get none. */
+  public take (response: ServerResponse): boolean {
+    const { socket } = response.req
+    if (this._ending.has(socket)) return false
+    this._busy.set(socket, (this._busy.get(socket) ?? 0) + 1)
+    this._newest.set(socket, response)
+    response.once('close', () => { this._busy.set(socket, (this._busy.get(socket) ?? 1) - 1) })
+    return true
+  }
+
+  /** True while a request of the connection has no whole answer. */
+  public isBusy (socket: Socket): boolean {
+    return (this._busy.get(socket) ?? 0) > 0
+  }
+
+  /** Fields of an answer after which the connection is of no more use. */
+  public end (response: ServerResponse): readonly string[] {
+    this._ending.add(response.req.socket)
+    return CLOSE
+  }
+
+  /** Fields of an answer after which the connection should end, unless a later request waits there for its own. */
+  public endIfLast (response: ServerResponse): readonly string[] {
+    return this._newest.get(response.req.socket) === response ? this.end(response) : KEEP
+  }
+}
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -15,6 +15,7 @@
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
 import { WeightedSplit } from '../configuration/WeightedSplit.js'
 import { CallConclusion } from './CallConclusion.js'
+import { CallerConnections } from './CallerConnections.js'
 import { CallTask, type CallResult, type ICallServices } from './CallTask.js'
 
 /** What the port needs. */
@@ -53,7 +54,7 @@
 
   private readonly _split = new WeightedSplit()
   private readonly _latency: Histogram
-  private readonly _busy = new WeakMap<Socket, number>()
+  private readonly _connections = new CallerConnections()
   private _inFlight = 0
   private readonly _conclusion: CallConclusion
   /** Undefined while no stop is under way. */
@@ -118,12 +119,12 @@
 
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
     const { socket } = message
+    if (!this._connections.take(response)) {
+      this._options.log.log(CALLER_MALFORMED, { step: 'caller.request', peer: socket.remoteAddress, reason: 'sent behind the end of its connection' })
+      return
+    }
     this._inFlight++
-    this._busy.set(socket, (this._busy.get(socket) ?? 0) + 1)
-    response.once('close', () => {
-      this._inFlight--
-      this._busy.set(socket, (this._busy.get(socket) ?? 1) - 1)
-    })
+    response.once('close', () => { this._inFlight-- })
     this._serve(message, response).catch((error: unknown) => {
       this._options.log.log(CALLER_MALFORMED, { step: 'caller.serve', peer: socket.remoteAddress, reason: String(error) })
       response.destroy()
@@ -193,7 +194,7 @@
     if (response.destroyed) return
     const { status, fields, body } = result.answer
     const length = BODILESS_STATUSES.includes(status) ? [] : ['content-length', String(body.byteLength)]
-    response.writeHead(status, [...fields, ...length, ...this._closingFields()])
+    response.writeHead(status, [...fields, ...length, ...this._closingFields(response)])
     response.end(body)
   }
 
@@ -208,7 +209,7 @@
     if (response.destroyed) return
     const fields = [...this._options.format.refusalFields(requestId, retryAfter), 'content-length', '0']
     // The rest of a body that nobody reads must not be taken for the next request.
-    const closing = message.complete ? this._closingFields() : CLOSE
+    const closing = message.complete ? this._closingFields(response) : this._connections.end(response)
     response.writeHead(status, [...fields, ...closing])
     response.end()
   }
@@ -231,13 +232,13 @@
     this._refuse(message, response, STATUS.malformed, undefined)
   }
 
-  private _closingFields (): readonly string[] {
-    return this._stopBounds !== undefined ? CLOSE : KEEP
+  private _closingFields (response: ServerResponse): readonly string[] {
+    return this._stopBounds === undefined ? NO_FIELDS : this._connections.endIfLast(response)
   }
 
   /** The parser gave up. While a request of the connection is under way, nothing may be said that looks like its answer. */
   private _onClientError (error: Error & { code?: string }, socket: Socket): void {
-    const isBusy = (this._busy.get(socket) ?? 0) > 0
+    const isBusy = this._connections.isBusy(socket)
     if (error.code !== 'ECONNRESET') {
       this._options.log.log(CALLER_MALFORMED, { step: 'caller.parse', peer: socket.remoteAddress, reason: error.message })
     }
@@ -290,5 +291,4 @@
 }
 
 const EMPTY_BODY = Object.freeze({ content: Buffer.alloc(0), isWhole: true })
-const CLOSE: readonly string[] = Object.freeze(['connection', 'close'])
-const KEEP: readonly string[] = Object.freeze([])
+const NO_FIELDS: readonly string[] = Object.freeze([])
