Do not take an answer for whole because its connection was closed here

Callers got 200 with a part of the body, framed as whole (MIXED), local and from another node, when an endpoint was in the middle of an answer without length and a report of a new incarnation was read: its gate closes the connections to the earlier incarnation at once.

Cause, class "what is read now is taken for what happens now": the HTTP client takes the end of its socket for the end of an answer without length. Only resets were noted on the connection; a close by this process looked like the endpoint's own. The check of such ends then opened a connection to the new incarnation, which proved that an endpoint is there, not that the answer was whole.

Why it works: a connection that is closed here before its socket has ended counts as failed before the client sees the close.

Ruled out: answers with a length or in chunks (they break with their connection), an abort of the exchange (its error comes first), and answers between nodes (they always have a length).

--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -61,13 +61,14 @@
     return !this._socket.destroyed && this._socket.writable
   }
 
-  /** True if the connection ended by an error, so that an answer without length may lack its end. Known soon after the end. */
+  /** True if the connection failed or was closed here, so that an answer without length may lack its end. Known soon after the end. */
   public get hasFailed (): boolean {
     return this._hasFailed
   }
 
-  /** Closes the connection at once. */
+  /** Closes the connection at once; the client takes that for the end of an answer without length. */
   public close (): void {
+    if (!this._socket.destroyed) this._hasFailed = true
     this._socket.destroy()
     this.client.destroy().catch(ignore)
   }
