Send nothing for a caller whose leaving lies unread when a wait ends

Callers saw work at endpoints for requests that they had left: a process that is late reads, in one turn of its event loop, both what ends a wait (a connection that opens or becomes free, a refusal, a failure) and the close of the caller's connection. It acted on the first at once and read the second afterwards. Class: what is read now is taken for what happens now; and a leaving that is told as an event only, which for a closed socket comes in the last phase of the turn.

Three places: - EndpointSender: a connection to the endpoint that opens while the request has its slot.

After a wait the input that had arrived is read once more, then the caller is looked at again. Where there was no wait (the same turn in which the input was read last) nothing is added. Answers that are final are not delayed. A connection to the endpoint that was acquired for a caller that has left is given back instead of closed.

Ruled out, with a test that passes before and after: a slot that becomes free in the turn that reads the leaving (undici starts the next request of a connection only after the turn's reading).

--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -2,13 +2,14 @@
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { ICancellation } from '../../common/Cancellation.js'
 import { createRequestId } from '../../common/Ids.js'
+import { pendingInputRead } from '../../common/PendingInput.js'
 import type { Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import { CALL_NOT_REPEATED, CALL_REPEATED } from '../Events.js'
 import type { AttemptOutcome, IMeshCall, IMeshRoute, IWholeAnswer } from '../Types.js'
 import { describeOutcome, LOST_ATTEMPT, type AttemptRecord } from './AttemptRecord.js'
 import type { EndpointDirectory } from './EndpointDirectory.js'
 import type { EndpointView } from './EndpointView.js'
-import { AbortableAttempt, firstUseful } from './ParallelAttempts.js'
+import { AbortableAttempt, firstUseful, isUseful } from './ParallelAttempts.js'
 import { typicalServiceTime, type Placement } from './Placement.js'
 import { hasArrived, judgeRepeat, type IRepeatHistory } from './RepeatRules.js'
 import type { RetryAllowance } from './RetryAllowance.js'
@@ -96,6 +97,8 @@
       const view = this._choose(now)
       if (view === undefined) return this._conclude({ kind: 'refused', reason: this._retryAfter === undefined ? 'no-endpoint' : 'overloaded' })
       const outcome = await this._attemptHedged(view, now)
+      // The caller's leaving may have arrived together with the refusal or failure.
+      if (!this._mustNotGoOn && !isUseful(outcome)) await pendingInputRead()
       if (!this._mayGoOn(outcome, clock.now())) return this._conclude(outcome)
     }
   }
--- a/src/mesh/calls/CallerLeft.test.ts
+++ b/src/mesh/calls/CallerLeft.test.ts
@@ -73,6 +73,23 @@
     })
   }
 
+  for (const repeat of ['idempotent', 'non-idempotent'] as const) {
+    it(`sends nothing to it on a connection that becomes free in the turn that reads the leaving: ${repeat}`, async () => {
+      let isLeft = false
+      // The end of a connection is known before its event comes.
+      const left: ICancellation = { get isCancelled () { return isLeft }, onCancelled: () => ({ dispose: () => undefined }) }
+      const first = node.execute(meshCall('idempotent', clock.now(), { path: '/first' }), EXPECTED, NO_CANCELLATION)
+      await until(() => firstAnswer !== undefined)
+      const second = node.execute(meshCall(repeat, clock.now(), { path: '/second' }), EXPECTED, left)
+      if (firstAnswer !== undefined) answer(firstAnswer)
+      // Comes in the same turn, behind what the answer has caused.
+      await first.then(() => setImmediate(() => { isLeft = true }))
+      await second
+      await node.execute(meshCall('idempotent', clock.now(), { path: '/third' }), EXPECTED, NO_CANCELLATION)
+      expect(came).to.deep.equal(['/first', '/third'])
+    })
+  }
+
   it('sends nothing to it afterwards if another attempt has answered meanwhile', async () => {
     const attempt = new AbortableAttempt(NO_CANCELLATION)
     expect(await leaveWhileWaiting('idempotent', attempt, () => attempt.abort())).to.deep.equal(['/first', '/third'])
--- a/src/mesh/calls/ParallelAttempts.ts
+++ b/src/mesh/calls/ParallelAttempts.ts
@@ -26,13 +26,18 @@
   }
 }
 
+/** True if the outcome is an answer other than a failure. */
+export function isUseful (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'answered' && isServed(outcome.answer.status)
+}
+
 /** The first of two outcomes that is an answer other than a failure; if neither is, the second to end. */
 export function firstUseful (left: Promise<AttemptOutcome>, right: Promise<AttemptOutcome>): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
     let ended = 0
     const take = (outcome: AttemptOutcome): void => {
       ended++
-      if (ended === 2 || (outcome.kind === 'answered' && isServed(outcome.answer.status))) resolve(outcome)
+      if (ended === 2 || isUseful(outcome)) resolve(outcome)
     }
     const fail = (error: unknown): void => take({ kind: 'unknown', reason: String(error) })
     left.then(take, fail)
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -1,6 +1,8 @@
 /** One other node, as the way to its endpoint. */
 import { CancellationSource, type ICancellation } from '../../common/Cancellation.js'
 import { Disposable } from '../../common/Disposable.js'
+import { loopTurns } from '../../common/LoopTurns.js'
+import { pendingInputReadSince } from '../../common/PendingInput.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { IDisposable, Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
@@ -76,10 +78,11 @@
   /** Runs one attempt. Never rejects. `expected`: usual time to the answer. */
   public async execute (call: IMeshCall, expected: Milliseconds, cancellation: ICancellation): Promise<AttemptOutcome> {
     const { clock } = this._options
+    const turn = loopTurns()
     let connectTime: Milliseconds | undefined
     for (let tries = 0; tries < CONNECTION_TRIES; tries++) {
       const askedAt = clock.now()
-      const connection = await this._acquire(call, cancellation)
+      const connection = await this._acquire(call, cancellation, turn)
       connectTime = addedWait(connectTime, clock.now() - askedAt)
       if (typeof connection === 'string') return { kind: 'refused', reason: connection, connectTime }
       const attempt = new Attempt(this._options, call, this._processToken, () => this._suspect('no answer to a question'))
@@ -122,15 +125,19 @@
     if (typeof token === 'string') this._processToken = token
   }
 
-  /** A connection, or why there is none in time. */
-  private async _acquire ({ deadlineAt }: IMeshCall, cancellation: ICancellation): Promise<UpstreamConnection | RefusalReason> {
+  /** A connection, or why there is none in time. `turn`: in which the caller was known to wait. */
+  private async _acquire (
+    { deadlineAt }: IMeshCall, cancellation: ICancellation, turn: number
+  ): Promise<UpstreamConnection | RefusalReason> {
     const { clock } = this._options
     const wait = new CancellationSource()
     const left = cancellation.onCancelled(() => wait.cancel())
     const deadline = clock.after(deadlineAt - clock.now() as Milliseconds, () => wait.cancel())
     try {
       const connection = await this._connections.acquire(wait)
-      if (!wait.isCancelled) return connection
+      // Where there was a wait, the caller's leaving may have arrived meanwhile; it is known before the event comes.
+      await pendingInputReadSince(turn)
+      if (!wait.isCancelled && !cancellation.isCancelled) return connection
       this._connections.release(connection, true)
     } catch (error) {
       if (!wait.isCancelled) {
--- a/src/mesh/endpoint/CallerLeftAtGate.test.ts
+++ b/src/mesh/endpoint/CallerLeftAtGate.test.ts
@@ -1,5 +1,7 @@
 /** A caller that leaves while its request has a slot and waits for a connection to the endpoint. */
 import { expect } from 'chai'
+import { subscribe, unsubscribe } from 'node:diagnostics_channel'
+import type { Socket } from 'node:net'
 import { CancellationSource, NO_CANCELLATION, type ICancellation } from '../../common/Cancellation.js'
 import { InvariantService } from '../../common/InvariantService.js'
 import { MetricsService } from '../../common/MetricsService.js'
@@ -15,6 +17,8 @@
 import { EndpointGate } from './EndpointGate.js'
 import { LocalEndpoint } from './LocalEndpoint.js'
 
+/** Channel on which Node.js tells of each socket that is about to connect. */
+const SOCKET_CHANNEL = 'net.client.socket'
 /** So long that the first request has its connection until the other ones have ended. */
 const WORK_MS = 300
 
@@ -69,5 +73,20 @@
       expect(endpoint.runs.map(({ path }) => path)).to.deep.equal(['/first', '/third'])
       expect(outcomes.map((outcome) => outcome.kind === 'refused' ? outcome.reason : outcome.kind)).to.deep.equal(['answered', 'cancelled', 'answered'])
     })
+
+    it(`has nothing sent for it if its leaving is read in the turn in which the connection opens: ${repeat}`, async () => {
+      const left = new CancellationSource()
+      const leaveWhenOpen = (message: unknown): void => {
+        // Comes in the same turn, behind what the opening has caused.
+        (message as { socket: Socket }).socket.once('connect', () => setImmediate(() => left.cancel()))
+      }
+      subscribe(SOCKET_CHANNEL, leaveWhenOpen)
+      const outcome = await execute('second', left, repeat)
+      unsubscribe(SOCKET_CHANNEL, leaveWhenOpen)
+      clock.letGo()
+      await execute('third', NO_CANCELLATION)
+      expect(endpoint.runs.map(({ path }) => path)).to.deep.equal(['/third'])
+      expect(outcome).to.deep.include({ kind: 'refused', reason: 'cancelled' })
+    })
   }
 })
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -1,5 +1,6 @@
 /** Sends requests to the endpoint beside this node and judges its answers. */
 import { Disposable } from '../../common/Disposable.js'
+import { pendingInputReadSince } from '../../common/PendingInput.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import { hasForeignCoding } from '../../gate/HeaderRules.js'
@@ -101,6 +102,12 @@
       // A new incarnation may have reported meanwhile; its connections are tried next.
       if (connection === undefined && connections !== this._connections) continue
       if (connection === undefined) return { kind: 'refused', reason: 'unreachable' }
+      // Where the request had to wait, its sender's leaving may have arrived meanwhile.
+      await pendingInputReadSince(gated.readTurn)
+      if (gated.isCancelled) {
+        connections?.release(connection, true)
+        return { kind: 'refused', reason: 'cancelled' }
+      }
       const outcome = await this._exchange(gated, connection, mayStartNow)
       if (outcome !== undefined) return outcome
       if (gated.isCancelled) return { kind: 'refused', reason: 'cancelled' }
