End the work for each request of a connection whose caller has left

Class: a leaving that is told as an event only. An answer that waits behind another one of its connection is not bound to the connection yet, and Node.js never closes it ("close" came for the first answer only). HttpInbound relied on that event.

It now takes the end of the connection itself, with one subscription for each connection. The end is also told when it is read, some turns of the event loop before the close that follows it.

UnreadRequests.ts: the patience of a request can be given, and its text is exported; existing tests send what they sent.

--- a/src/gate/HttpInbound.test.ts
+++ b/src/gate/HttpInbound.test.ts
@@ -40,4 +40,21 @@
     await new Promise((resolve) => setImmediate(resolve))
     expect([inbound.isCancelled, told]).to.deep.equal([true, 1])
   })
+
+  it('tells it for each request of a connection, also for one whose answer is not due yet', async () => {
+    const told: string[] = []
+    const whenTold = new Promise<void>((resolve) => {
+      server.on('request', (message, response) => {
+        new HttpInbound(message, response).onCancelled(() => {
+          told.push(message.url ?? '')
+          if (told.length === 2) resolve()
+        })
+        if (message.url === '/second') sender.destroy()
+      })
+    })
+    const sender = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    sender.write('GET /first HTTP/1.1\r\nhost: a\r\n\r\nGET /second HTTP/1.1\r\nhost: a\r\n\r\n')
+    await whenTold
+    expect(told).to.have.members(['/first', '/second'])
+  })
 })
--- a/src/gate/HttpInbound.ts
+++ b/src/gate/HttpInbound.ts
@@ -1,5 +1,6 @@
 /** Reads one HTTP request into the parts of a call. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Readable } from 'node:stream'
 import { CancellationSource, type ICancellation } from '../common/Cancellation.js'
 import type { IEvent } from '../common/Types.js'
@@ -9,6 +10,9 @@
 /** Bodies up to this size are read whole before a request is routed. */
 export const SMALL_BODY_BYTES = 65_536
 
+/** The end of each connection; one subscription to it, however many requests the connection carries. */
+const connectionEnds = new WeakMap<Socket, CancellationSource>()
+
 /** One request as it came, and whether its sender still waits. */
 export class HttpInbound implements ICancellation {
   public readonly method: string
@@ -29,8 +33,16 @@
     this.bodyBytes = contentLength(_message.headers)
     const isChunked = _message.headers['transfer-encoding'] !== undefined
     this.body = isChunked || (this.bodyBytes ?? 0) > 0 ? _message : undefined
-    if (_response.destroyed) this._noteClosed()
-    else _response.once('close', () => this._noteClosed())
+    if (_response.destroyed) {
+      this._noteClosed()
+      return
+    }
+    // An answer that waits behind another one of its connection has no connection yet, whose end it could tell.
+    const ended = endOf(_message.socket).onCancelled(() => this._noteClosed())
+    _response.once('close', () => {
+      ended.dispose()
+      this._noteClosed()
+    })
   }
 
   /** True if the sender went away before its answer was whole; known as soon as the end of its connection was read. */
@@ -58,3 +70,13 @@
     if (!this._response.writableFinished) this._cancellation.cancel()
   }
 }
+
+function endOf (socket: Socket): ICancellation {
+  const known = connectionEnds.get(socket)
+  if (known !== undefined) return known
+  const end = new CancellationSource()
+  socket.once('end', () => end.cancel())
+  socket.once('close', () => end.cancel())
+  connectionEnds.set(socket, end)
+  return end
+}
--- /dev/null
+++ b/src/mesh/calls/CallerLeftPipelined.test.ts
@@ -0,0 +1,33 @@
+/** A caller that leaves while several requests of its connection are under way. */
+import { connect } from 'node:net'
+import { MeshRig, until, type IRigNode } from '../../../testing/mesh/MeshRig.js'
+import { requestText } from '../../../testing/mesh/UnreadRequests.js'
+
+/** Milliseconds; no deadline ends the work while the test waits. */
+const PATIENCE = 60_000
+const ROUTES = [{ prefix: '/status/', service: 'status', timeout: PATIENCE }]
+
+describe('A caller that leaves a connection with several requests under way', () => {
+  let rig: MeshRig
+  let node: IRigNode
+
+  beforeEach(async () => {
+    rig = new MeshRig()
+    await rig.start(ROUTES)
+    node = await rig.startServing('status')
+    node.endpoint.workTime = PATIENCE
+  })
+
+  afterEach(() => rig.stop())
+
+  it('has the work for each of them ended', async () => {
+    const ids = ['one', 'two']
+    const socket = connect(node.ports.caller, '127.0.0.1')
+    socket.write(ids.map((id) => requestText({ id, path: '/status/1', patience: PATIENCE })).join(''))
+    await until(() => node.endpoint.runs.length === ids.length)
+    const abandoned = new Set<string>()
+    node.endpoint.onAbandoned = (id) => abandoned.add(id)
+    socket.destroy()
+    await until(() => abandoned.size === ids.length)
+  })
+})
--- a/testing/mesh/UnreadRequests.ts
+++ b/testing/mesh/UnreadRequests.ts
@@ -9,10 +9,11 @@
   /** Further fields, names and values in turn. */
   readonly fields?: readonly string[]
   readonly body?: string
+  /** How long the client waits, in milliseconds; far longer than a test takes if not given. */
+  readonly patience?: number
 }
 
-/** Milliseconds; far longer than a test takes. */
-const PATIENCE = 5_000
+const DEFAULT_PATIENCE_MS = 5_000
 
 /** Sends each text on a connection of its own and closes it once the system has taken the bytes. */
 const SENDER = `
@@ -25,12 +26,13 @@
 
 /** Returns when all senders have left. The loop of this process stands still meanwhile, so that nothing has been read by then. */
 export function sendAndLeave (port: number, requests: readonly IUnreadRequest[]): void {
-  const { status, stderr } = spawnSync(process.execPath, ['-e', SENDER, JSON.stringify([port, requests.map(textOf)])])
+  const { status, stderr } = spawnSync(process.execPath, ['-e', SENDER, JSON.stringify([port, requests.map(requestText)])])
   if (status !== 0) throw new Error(`sender failed: ${stderr.toString()}`)
 }
 
-function textOf ({ method = 'GET', path, id, fields = [], body }: IUnreadRequest): string {
-  const all = ['host', 'mesh.example', 'x-savoryknot-attempt-id', id, 'x-savoryknot-deadline-ms', String(PATIENCE), ...fields]
+/** The request as it goes over a connection. */
+export function requestText ({ method = 'GET', path, id, fields = [], body, patience = DEFAULT_PATIENCE_MS }: IUnreadRequest): string {
+  const all = ['host', 'mesh.example', 'x-savoryknot-attempt-id', id, 'x-savoryknot-deadline-ms', String(patience), ...fields]
   if (body !== undefined) all.push('content-length', String(Buffer.byteLength(body)))
   let head = `${method} ${path} HTTP/1.1\r\n`
   for (let index = 0; index < all.length; index += 2) head += `${all[index] ?? ''}: ${all[index + 1] ?? ''}\r\n`
