Count a request of a caller that has left as over, also behind another one of its connection

What operators saw: after a caller with two requests on one connection had left, a planned stop of its node waited to its limit, and the number of requests under way stayed one too high for good. Cause: Node.js tells no close of an answer that is queued behind another one of its connection. Class: a state told as an event. Mend: the close of the connection ends each of its requests, once; CallerConnections counts them. Test: CallerLeftPipelined.test.ts, failed before (1 unfinished at the end of the stop).

--- a/src/mesh/calls/CallerConnections.ts
+++ b/src/mesh/calls/CallerConnections.ts
@@ -11,13 +11,24 @@
   private readonly _newest = new WeakMap<Socket, ServerResponse>()
   private readonly _ending = new WeakSet<Socket>()
 
+  private _inFlight = 0
+
+  /** Requests that have no whole answer yet, and whose connection is open. */
+  public get inFlight (): number {
+    return this._inFlight
+  }
+
   /** Notes a request; false if an answer that ends its connection was given already, so that it could get none. */
   public take (response: ServerResponse): boolean {
     const { socket } = response.req
     if (this._ending.has(socket)) return false
+    this._inFlight++
     this._busy.set(socket, (this._busy.get(socket) ?? 0) + 1)
     this._newest.set(socket, response)
-    response.once('close', () => { this._busy.set(socket, (this._busy.get(socket) ?? 1) - 1) })
+    onceOver(response, () => {
+      this._inFlight--
+      this._busy.set(socket, (this._busy.get(socket) ?? 1) - 1)
+    })
     return true
   }
 
@@ -37,3 +48,18 @@
     return this._newest.get(response.req.socket) === response ? this.end(response) : KEEP
   }
 }
+
+/** An answer that waits behind another one of its connection does not tell that the connection has closed. */
+function onceOver (response: ServerResponse, action: () => void): void {
+  const { socket } = response.req
+  let isOver = false
+  const end = (): void => {
+    response.off('close', end)
+    socket.off('close', end)
+    // The one can be told while the other is.
+    if (!isOver) action()
+    isOver = true
+  }
+  response.once('close', end)
+  socket.once('close', end)
+}
--- a/src/mesh/calls/CallerLeftPipelined.test.ts
+++ b/src/mesh/calls/CallerLeftPipelined.test.ts
@@ -1,4 +1,5 @@
 /** A caller that leaves while several requests of its connection are under way. */
+import { expect } from 'chai'
 import { connect } from 'node:net'
 import { MeshRig, until, type IRigNode } from '../../../testing/mesh/MeshRig.js'
 import { requestText } from '../../../testing/mesh/UnreadRequests.js'
@@ -30,4 +31,16 @@
     socket.destroy()
     await until(() => abandoned.size === ids.length)
   })
+  it('leaves no request behind that a planned stop waits for', async () => {
+    node.endpoint.workTimeOf = (path) => path === '/status/last' ? 0 : PATIENCE
+    const socket = connect(node.ports.caller, '127.0.0.1')
+    socket.write(['one', 'two'].map((id) => requestText({ id, path: '/status/1', patience: PATIENCE })).join(''))
+    await until(() => node.endpoint.runs.length === 2)
+    socket.destroy()
+    await until(() => node.log.events.filter(({ name }) => name === 'call-finished').length === 2)
+    await rig.call(node, { path: '/status/last' })
+    await node.daemon.stop()
+    const stopped = node.log.events.find(({ name }) => name === 'node-stopped')
+    expect(stopped?.fields.unfinished).to.equal(0)
+  })
 })
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -55,7 +55,6 @@
   private readonly _split = new WeightedSplit()
   private readonly _latency: Histogram
   private readonly _connections = new CallerConnections()
-  private _inFlight = 0
   private readonly _conclusion: CallConclusion
   /** Undefined while no stop is under way. */
   private _stopBounds: IStopBounds | undefined
@@ -85,7 +84,7 @@
 
   /** Requests that have no whole answer yet. */
   public get inFlight (): number {
-    return this._inFlight
+    return this._connections.inFlight
   }
 
   public async start (): Promise<void> {
@@ -123,8 +122,6 @@
       this._options.log.log(CALLER_MALFORMED, { step: 'caller.request', peer: socket.remoteAddress, reason: 'sent behind the end of its connection' })
       return
     }
-    this._inFlight++
-    response.once('close', () => { this._inFlight-- })
     this._serve(message, response).catch((error: unknown) => {
       this._options.log.log(CALLER_MALFORMED, { step: 'caller.serve', peer: socket.remoteAddress, reason: String(error) })
       response.destroy()
