Let soaks suspend processes briefly while callers leave, and stop nodes in calm

Callers of both kinds now leave after 5 to 300 ms, some while the body is on its way. A late reader is suspended for 20 to 400 ms in series, some right after a restart, while callers leave at all nodes. Requests whose closes lay unread beside them must not run, at the node of the caller or of the endpoint; a suspension is no excuse for that. Two nodes are stopped in calm with new requests until they are gone. Endpoints repeat a refusal on a kept connection, and stop within the head.

--- a/bench/soak/DisruptionLog.ts
+++ b/bench/soak/DisruptionLog.ts
@@ -29,6 +29,15 @@
     return goingOn.find((disruption) => disruption.kind === kind && disruption.subject === subject)?.from
   }
 
+  /** Disruptions of these kinds that concerned the subject at some moment of the span, by their beginnings and ends. */
+  public during (
+    kinds: readonly DisruptionKind[], subject: Subject, from: Moment, until: Moment
+  ): ReadonlyArray<readonly [Moment, Moment]> {
+    const met = this._disruptions.filter((disruption) => disruption.from <= until && disruption.until >= from)
+    return met.filter((disruption) => kinds.includes(disruption.kind) && disruption.subject === subject)
+      .map((disruption) => [disruption.from, disruption.until] as const)
+  }
+
   /** True if nothing of these kinds concerned any of these subjects from shortly before `from` until `until`. */
   public isCalm (subjects: readonly Subject[], kinds: readonly DisruptionKind[], from: Moment, until: Moment): boolean {
     return !this._disruptions.some((disruption) => {
--- a/bench/soak/Main.ts
+++ b/bench/soak/Main.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { cac } from 'cac'
 import { RandomService } from '../../src/common/RandomService.js'
+import { LateReaders } from './LateReaders.js'
 import { Promises } from './Promises.js'
 import { REGRESSION_SEEDS } from './RegressionSeeds.js'
 import { SoakCallers } from './SoakCallers.js'
@@ -42,20 +43,24 @@
   // Callers and faults draw from numbers of their own, so that the faults of a seed do not depend on the speed of the calls.
   const callers = new SoakCallers(deployment, new RandomService(seed))
   const faults = new SoakFaults(deployment, new RandomService(seed + FAULT_SEEDS))
+  const lateReaders = new LateReaders(deployment, callers, new RandomService(seed + 2 * FAULT_SEEDS))
   const onSignal = (): void => endAtOnce(deployment)
   for (const signal of SIGNALS) process.once(signal, onSignal)
   try {
     await deployment.start(nodes, folder)
     callers.start()
     faults.start()
+    lateReaders.start()
     await sleep(minutes * MS_PER_MINUTE)
-    await faults.stop()
+    await Promise.all([faults.stop(), lateReaders.stop()])
+    await sleep(RECOVERY_MS)
+    await lateReaders.stopInCalm()
     await sleep(RECOVERY_MS)
     const calmFrom = deployment.now()
     await sleep(CALM_MS)
     await callers.stop()
     const breaches = new Promises(deployment).check(calmFrom)
-    printRun(seed, deployment, faults, breaches)
+    printRun(seed, deployment, new Map([...faults.counts, ['late reader', lateReaders.count]]), breaches)
     if (breaches.length > 0) await keepLogs(seed, folder)
     return breaches
   } finally {
@@ -78,7 +83,9 @@
   Promise.all(deployment.nodes.map((node) => node.kill())).finally(() => process.exit(EXIT_BROKEN))
 }
 
-function printRun (seed: number, { answers, runs, versions }: SoakDeployment, faults: SoakFaults, breaches: readonly IBreach[]): void {
+function printRun (
+  seed: number, { answers, runs, versions }: SoakDeployment, faults: ReadonlyMap<string, number>, breaches: readonly IBreach[]
+): void {
   const statuses: Record<number, number> = {}
   for (const { status } of answers) statuses[status] = (statuses[status] ?? 0) + 1
   const counts = {
@@ -86,7 +93,7 @@
     statuses,
     runs: runs.size,
     versions: versions.size,
-    faults: Object.fromEntries(faults.counts),
+    faults: Object.fromEntries(faults),
     breaches: breaches.length
   }
   process.stdout.write(`seed ${seed}: ${JSON.stringify(counts)}\n`)
--- a/bench/soak/Promises.test.ts
+++ b/bench/soak/Promises.test.ts
@@ -31,6 +31,7 @@
       signature,
       retryAfter: undefined,
       hasLeft: false,
+      isWholeSent: true,
       incarnation: 1,
       ...seen
     })
@@ -104,4 +105,73 @@
     answer('b', 'read', { status: 503, retryAfter: 1, sentAt: CALM_FROM + 10 }, [])
     expect(broken()).to.deep.equal(['nothing begins at an endpoint that drains', 'full service after the faults'])
   })
+
+  it('are not kept by a request that a planned stop ends though its node must have read it', () => {
+    disturb('stopping', 'n0', 10_000, 13_000)
+    answer('a', 'read', { status: 0, sentAt: 11_000, endedAt: 11_400 }, [])
+    answer('b', 'read', { status: 0, sentAt: 20_000, endedAt: 20_900 }, [])
+    expect(broken()).to.deep.equal([])
+    answer('c', 'pay', { status: 0, sentAt: 12_200, endedAt: 12_800 }, [])
+    expect(broken()).to.deep.equal(['no request is lost in planned work'])
+  })
+
+  describe('to callers that have left', () => {
+    const UNREAD = 'nothing begins whose close lay unread beside it'
+
+    /** A caller that leaves 40 ms after it sent; the run begins `begunAfter` it sent. */
+    function left (id: string, kind: RequestKind, begunAfter: number, seen: Partial<ICallerRecord> = {}): void {
+      const sentAt = 10_000
+      answer(id, kind, { status: 0, sentAt, endedAt: sentAt + 40, hasLeft: true, ...seen }, [])
+      const path = `/${kind}/usual/${id}`
+      deployment.runs.set(id, [{ id, node: 'n1', path, startedAt: sentAt + begunAfter, abandonedAt: sentAt + begunAfter + 10 }])
+    }
+
+    it('are not kept by a run of what was not sent whole', () => {
+      left('a', 'read', 5, { isWholeSent: false })
+      expect(broken()).to.deep.equal(['nothing runs that was not sent whole'])
+    })
+
+    it('are not kept by a run of what lay unread at the node of its caller together with its close', () => {
+      disturb('late', 'n0', 9_980, 10_300)
+      left('a', 'pay', 310)
+      left('b', 'read', 310)
+      expect(broken()).to.deep.equal([UNREAD, UNREAD])
+    })
+
+    it('allow a run of what may have been read before its node was suspended, or before its caller left', () => {
+      disturb('late', 'n0', 9_995, 10_030)
+      disturb('late', 'n0', 20_000, 20_300)
+      left('a', 'pay', 35)
+      left('b', 'pay', 10_310, { sentAt: 19_990, endedAt: 20_040 })
+      expect(broken()).to.deep.equal([])
+    })
+
+    it('are not kept by a run whose close came to the suspended node of the endpoint, unless a link or the other node held it', () => {
+      disturb('late', 'n1', 10_010, 10_300)
+      left('a', 'pay', 310)
+      expect(broken()).to.deep.equal([UNREAD])
+      disturb('late', 'n0', 10_100, 10_200)
+      expect(broken()).to.deep.equal([])
+    })
+
+    it('excuse such a run by the links between the two, and by a close that came as the process ran on', () => {
+      disturb('late', 'n1', 10_010, 10_120)
+      left('a', 'pay', 130)
+      expect(broken()).to.deep.equal([])
+      disturb('late', 'n1', 10_125, 10_300)
+      left('b', 'pay', 310)
+      expect(broken()).to.deep.equal([UNREAD])
+      disturb('link', 'n1', 9_000, 9_500)
+      expect(broken()).to.deep.equal([])
+    })
+
+    it('are not kept by a run of what may run once half a second later, unless a node on the way was suspended', () => {
+      left('a', 'read', 700)
+      expect(broken()).to.deep.equal([])
+      left('b', 'pay', 560)
+      expect(broken()).to.deep.equal(['what may run once does not begin after its caller has left'])
+      disturb('paused', 'n0', 8_000, 8_500)
+      expect(broken()).to.deep.equal([])
+    })
+  })
 })
--- a/bench/soak/Promises.ts
+++ b/bench/soak/Promises.ts
@@ -1,5 +1,6 @@
 /** Holds what callers and endpoints saw against what is promised. */
 import { endpointPrefix } from './EndpointReports.js'
+import { LeavingPromises } from './LeavingPromises.js'
 import { ROUTES, SHORT_TIMEOUT_MS, versionPrefix, type SoakDeployment } from './SoakDeployment.js'
 import { STOP_SECONDS } from './SoakNode.js'
 import { HARD_KINDS, type DisruptionKind, type IBreach, type ICallerRecord, type IRunRecord } from './Types.js'
@@ -10,7 +11,7 @@
 /** A confirmed configuration is in force within this time. */
 const IN_FORCE_MS = 5_000
 /** What keeps a node from the store, or from the nodes that read it. */
-const CONFIGURATION_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'link', 'store', 'stopping']
+const CONFIGURATION_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'late', 'link', 'store', 'stopping']
 /** A final answer comes this long after the end of the time that the request has. */
 const FINAL_SLACK_MS = 1_000
 const DEADLINE_MS = 1_500
@@ -19,11 +20,10 @@
 const MS_PER_SECOND = 1_000
 /** Share of the time that a request has after which its end may be put down to that time. */
 const USED_TIME_SHARE = 0.7
-/** Work ends, and none begins, this long after its caller has left, or its endpoint said that it drains. */
-const CANCEL_MS = 500
-/** Of the callers that left, so many or fewer may have been noticed late. */
-const LATE_CANCEL_SHARE = 0.25
-const LEAST_LATE_CANCELS = 4
+/** Nothing begins this long after its endpoint said that it drains. */
+const DRAIN_MS = 500
+/** A connection that a planned stop closes crosses requests of this age, which the node may not have read. */
+const CROSSED_MS = 500
 /** Of the requests sent after all faults, in percent. */
 const SERVED_AFTERWARDS = 99
 
@@ -37,7 +37,7 @@
   public check (calmFrom: number): readonly IBreach[] {
     for (const answer of this._deployment.answers) this._checkAnswer(answer)
     this._checkConfiguration()
-    this._checkCancelled()
+    this._breaches.push(...new LeavingPromises(this._deployment).check())
     this._checkDrains()
     this._checkProcesses()
     this._checkRecovery(calmFrom)
@@ -62,13 +62,19 @@
 
   /** Passed on to an endpoint, and ended without its answer though nothing but planned work went on around it. */
   private _isLost (answer: ICallerRecord, runs: readonly IRunRecord[]): boolean {
-    if (answer.signature !== '' || answer.hasLeft || runs.length === 0 || isRefused(answer)) return false
+    if (answer.signature !== '' || answer.hasLeft || isRefused(answer)) return false
+    if (runs.length === 0 && !this._isCutUnsent(answer)) return false
     if (answer.endedAt - answer.sentAt > timeOf(answer) * USED_TIME_SHARE) return false
-    if (this._isCutAtTheEnd(answer)) return false
+    if (runs.length > 0 && this._isCutAtTheEnd(answer)) return false
     const around = [answer.node, ...runs.map(({ node }) => node)]
     return this._deployment.disruptions.isCalm(around, HARD_KINDS, answer.sentAt, answer.endedAt)
   }
 
+  /** Cut by a planned stop of its node though that must have read it, and passed on to nobody. */
+  private _isCutUnsent ({ node, status, sentAt, endedAt }: ICallerRecord): boolean {
+    return status === 0 && endedAt - sentAt > CROSSED_MS && this._deployment.disruptions.during(['stopping'], node, sentAt, endedAt).length > 0
+  }
+
   /** A request that is still at work when the time for the stop is nearly over has to be cut. */
   private _isCutAtTheEnd ({ node, endedAt }: ICallerRecord): boolean {
     const stoppingSince = this._deployment.disruptions.begunAt('stopping', node, endedAt)
@@ -96,21 +102,10 @@
       this._deployment.disruptions.isCalm([probe.node], CONFIGURATION_KINDS, confirmedAt, probe.endedAt)
   }
 
-  private _checkCancelled (): void {
-    const left = this._deployment.answers.filter((answer) => answer.hasLeft && answer.kind === 'read' && answer.endedAt - answer.sentAt < CANCEL_MS)
-    const runs = left.flatMap((answer) => this._runsOf(answer).map((run) => ({ answer, run })))
-    const calm = runs.filter(({ answer, run }) => {
-      return this._deployment.disruptions.isCalm([answer.node, run.node], [...HARD_KINDS, 'stopping'], answer.sentAt, answer.endedAt + CANCEL_MS)
-    })
-    const late = calm.filter(({ answer, run }) => (run.abandonedAt ?? Infinity) > answer.endedAt + CANCEL_MS)
-    if (late.length < LEAST_LATE_CANCELS || late.length <= calm.length * LATE_CANCEL_SHARE) return
-    this._breaches.push({ promise: 'work ends after its caller has left', detail: `${late.length} of ${calm.length} did not` })
-  }
-
   private _checkDrains (): void {
     const runs = [...this._deployment.runs.values()].flat()
     for (const drain of this._deployment.drains) {
-      const begun = runs.filter((run) => run.node === drain.node && run.startedAt > drain.from + CANCEL_MS && run.startedAt < drain.until)
+      const begun = runs.filter((run) => run.node === drain.node && run.startedAt > drain.from + DRAIN_MS && run.startedAt < drain.until)
       for (const run of begun) this._breaches.push({ promise: 'nothing begins at an endpoint that drains', detail: JSON.stringify({ drain, run }) })
     }
   }
--- a/bench/soak/SoakCallers.ts
+++ b/bench/soak/SoakCallers.ts
@@ -15,9 +15,15 @@
 const DEADLINE_MS = 1_500
 /** Time after the deadline at which a caller gives up. */
 const GIVE_UP_MS = 2_500
-/** Share of requests for reading whose caller leaves before the answer, and when. */
-const LEAVING_SHARE = 0.05
-const LEAVES_AFTER_MS = 10
+/** Share of requests whose caller leaves before the answer, and when. */
+const LEAVING_SHARE = 0.12
+const LEAVES_EARLIEST_MS = 5
+const LEAVES_LATEST_MS = 300
+/** Share of requests with a body whose second half is sent later than the first one, and how much. */
+const SLOW_BODY_SHARE = 0.4
+const LONGEST_BODY_GAP_MS = 150
+/** Longest time between two requests of one who presses. */
+const LONGEST_PRESS_GAP_MS = 40
 /** Share of requests for reading that take long. */
 const LONG_SHARE = 0.05
 const KINDS: readonly RequestKind[] = ['read', 'read', 'read', 'pay', 'pay', 'short', 'probe']
@@ -29,7 +35,11 @@
   readonly id: string
   readonly kind: RequestKind
   readonly path: string
-  readonly leaves: boolean
+  /** Undefined if the caller waits. */
+  readonly leavesAfter: number | undefined
+  readonly body: string
+  /** Time between the two halves of the body. */
+  readonly bodyGap: number
 }
 
 /** Runs until it is stopped. */
@@ -54,20 +64,45 @@
   private async _call (node: SoakNode): Promise<void> {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
     while (!this._isStopped) {
-      const record = await this._send(node, agent, this._plan())
-      if (record === undefined) await sleep(UNREACHABLE_PAUSE_MS)
-      else this._deployment.answers.push(record)
+      if (!await this._ask(node, agent, this._plan(LEAVING_SHARE))) await sleep(UNREACHABLE_PAUSE_MS)
       await sleep(this._random.integer(LONGEST_PAUSE_MS))
     }
     agent.destroy()
   }
 
-  private _plan (): IPlannedRequest {
+  /** Sends requests at the node, each on a connection of its own and without waiting for the one before, until it is over. */
+  public async press (node: SoakNode, areLeaving: boolean, isOver: () => boolean): Promise<void> {
+    const agent = new Agent({ keepAlive: false })
+    const sent: Array<Promise<unknown>> = []
+    while (!isOver()) {
+      sent.push(this._ask(node, agent, this._plan(areLeaving ? 1 : 0)))
+      await sleep(this._random.integer(LONGEST_PRESS_GAP_MS))
+    }
+    await Promise.all(sent)
+  }
+
+  private _plan (leavingShare: number): IPlannedRequest {
     const id = `q${this._nextId++}`
     const kind = KINDS[this._random.integer(KINDS.length)] ?? 'read'
-    const isLong = kind === 'short' || (kind === 'read' && this._random.fraction() < LONG_SHARE)
-    const leaves = kind === 'read' && this._random.fraction() < LEAVING_SHARE
-    return { id, kind, path: `${this._prefix(kind)}${isLong || leaves ? 'long' : 'usual'}/${id}`, leaves }
+    const mayLeave = kind === 'read' || kind === 'pay'
+    const leaves = mayLeave && this._random.fraction() < leavingShare
+    const isLong = kind === 'short' || (kind === 'read' && (leaves || this._random.fraction() < LONG_SHARE))
+    const hasSlowBody = mayLeave && this._random.fraction() < SLOW_BODY_SHARE
+    return {
+      id,
+      kind,
+      path: `${this._prefix(kind)}${isLong ? 'long' : 'usual'}/${id}`,
+      leavesAfter: leaves ? LEAVES_EARLIEST_MS + this._random.integer(LEAVES_LATEST_MS - LEAVES_EARLIEST_MS) : undefined,
+      body: kind === 'pay' || hasSlowBody ? `body of ${id}` : '',
+      bodyGap: hasSlowBody ? this._random.integer(LONGEST_BODY_GAP_MS) : 0
+    }
+  }
+
+  /** False if there was nobody to send it to. */
+  private async _ask (node: SoakNode, agent: Agent, planned: IPlannedRequest): Promise<boolean> {
+    const record = await this._send(node, agent, planned)
+    if (record !== undefined) this._deployment.answers.push(record)
+    return record !== undefined
   }
 
   private _prefix (kind: RequestKind): string {
@@ -76,21 +111,27 @@
   }
 
   /** Undefined if there was nobody to send it to. */
-  private _send (node: SoakNode, agent: Agent, { id, kind, path, leaves }: IPlannedRequest): Promise<ICallerRecord | undefined> {
+  private _send (node: SoakNode, agent: Agent, planned: IPlannedRequest): Promise<ICallerRecord | undefined> {
+    const { id, kind, path, leavesAfter, body: sentBody, bodyGap } = planned
     const sentAt = this._deployment.now()
     const { incarnation } = node
     return new Promise((resolve) => {
       let hasLeft = false
+      let isWholeSent = false
       const finish = (status: number, body = '', signature = '', retryAfter?: number): void => {
         clearTimeout(timer)
+        clearTimeout(bodyTimer)
         const endedAt = this._deployment.now()
-        resolve({ id, node: node.place.name, kind, path, sentAt, endedAt, status, body, signature, retryAfter, hasLeft, incarnation })
+        const seen = { sentAt, endedAt, status, body, signature, retryAfter, hasLeft, isWholeSent, incarnation }
+        resolve({ id, node: node.place.name, kind, path, ...seen })
       }
-      const headers = { host: 'mesh.example', 'x-savoryknot-attempt-id': id, 'x-savoryknot-deadline-ms': String(DEADLINE_MS) }
-      const request = sendRequest({ host: HOST, port: node.callerPort, agent, method: kind === 'pay' ? 'POST' : 'GET', path, headers })
+      const length = sentBody === '' ? {} : { 'content-length': String(sentBody.length) }
+      const headers = { host: 'mesh.example', 'x-savoryknot-attempt-id': id, 'x-savoryknot-deadline-ms': String(DEADLINE_MS), ...length }
+      const request = sendRequest({ host: HOST, port: node.callerPort, agent, method: sentBody === '' ? 'GET' : 'POST', path, headers })
       request.on('error', (error: NodeJS.ErrnoException) => {
         if (error.code === 'ECONNREFUSED') {
           clearTimeout(timer)
+          clearTimeout(bodyTimer)
           resolve(undefined)
         } else {
           finish(0)
@@ -111,8 +152,15 @@
         hasLeft = true
         request.destroy()
         finish(0)
-      }, leaves ? LEAVES_AFTER_MS : DEADLINE_MS + GIVE_UP_MS)
-      request.end(kind === 'pay' ? id : undefined)
+      }, leavesAfter ?? DEADLINE_MS + GIVE_UP_MS)
+      const half = bodyGap === 0 ? 0 : Math.floor(sentBody.length / 2)
+      const sendRest = (): void => {
+        isWholeSent = true
+        request.end(sentBody.slice(half))
+      }
+      const bodyTimer = bodyGap === 0 ? undefined : setTimeout(sendRest, bodyGap)
+      if (bodyGap === 0) sendRest()
+      else request.write(sentBody.slice(0, half))
     })
   }
 }
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -1,6 +1,7 @@
 /** Disturbs processes, links, endpoints, the store and the configuration; in series, and several at once. */
 import type { IRandomService } from '../../src/common/Services.js'
 import type { StoreMode } from '../../testing/mesh/StoreStandIn.js'
+import { switchEndpoint } from './EndpointScripts.js'
 import type { LoopbackProxy } from './LoopbackProxy.js'
 import { sleep, type SoakDeployment } from './SoakDeployment.js'
 import { LINK_NAMES, type SoakNode } from './SoakNode.js'
@@ -134,9 +135,9 @@
 
   private async _disturbEndpoint (node: SoakNode): Promise<void> {
     await this._during('endpoint', node.place.name, async () => {
-      node.endpoint.mode = this._any(ENDPOINT_FAULTS)
+      const mend = switchEndpoint(node.endpoint, this._any(ENDPOINT_FAULTS))
       await this._wait()
-      node.endpoint.mode = 'well'
+      mend()
     })
   }
 
--- a/bench/soak/Types.ts
+++ b/bench/soak/Types.ts
@@ -2,10 +2,10 @@
 import type { EndpointMode } from '../../testing/mesh/EndpointStandIn.js'
 
 /** What disturbs a node or what is around it, as far as it excuses anything. A reload and a new configuration excuse nothing. */
-export type DisruptionKind = 'killed' | 'paused' | 'link' | 'endpoint' | 'store' | 'stopping'
+export type DisruptionKind = 'killed' | 'paused' | 'late' | 'link' | 'endpoint' | 'store' | 'stopping'
 
 /** Disruptions during which a request may be lost, as a VM, a link or an endpoint fails. */
-export const HARD_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'link', 'endpoint']
+export const HARD_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'late', 'link', 'endpoint']
 
 /** Name of a node, or of everything at once. */
 export type Subject = string
@@ -38,6 +38,8 @@
   readonly retryAfter: number | undefined
   /** True if the caller left before the answer. */
   readonly hasLeft: boolean
+  /** True if the caller had sent the whole request. */
+  readonly isWholeSent: boolean
   /** Process of the node that was there when the request was sent; each start counts one. */
   readonly incarnation: number
 }
@@ -66,7 +68,11 @@
   readonly detail: string
 }
 
+/** Answers of an endpoint that are written byte by byte. */
+export type ScriptName = 'repeats-refusal' | 'stops-in-head'
+
 /** Modes of an endpoint that may be switched on as a fault. */
-export const ENDPOINT_FAULTS: readonly EndpointMode[] = [
-  'shed', 'fail', 'reset-after-run', 'silent', 'unsigned', 'other-id', 'cut-without-length', 'endless-body', 'endless-interim', 'endless-noise'
+export const ENDPOINT_FAULTS: ReadonlyArray<EndpointMode | ScriptName> = [
+  'shed', 'fail', 'reset-after-run', 'silent', 'unsigned', 'other-id', 'cut-without-length', 'endless-body', 'endless-interim', 'endless-noise',
+  'repeats-refusal', 'stops-in-head'
 ]
