End a sleep only after what has come is read

What callers could see: after an endpoint crashed amid an answer that ends with its connection, the gate waits 10 ms and asks whether the connection was reset; a process that stood still meanwhile asked before it had read the reset, and took the part for the whole (suspected by review; the order of the two was shown, not the answer). Cause: timers come before sockets in a turn of the event loop; ClockService.after reads once more, sleep did not. Class: own lateness taken for the other side's. Test: ClockService.test.ts; the sleep failed before, the order was time before bytes.

--- a/src/common/ClockService.ts
+++ b/src/common/ClockService.ts
@@ -34,6 +34,6 @@
   }
 
   public sleep (delay: Milliseconds): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, delay))
+    return new Promise((resolve) => { this.after(delay, resolve) })
   }
 }
