Begin each node's round of weights at another request

What callers could see: right after a change of weights a part got none of 180 requests in place of 36 (90 nodes, two requests each, weights 80 and 20): as far from its share as the bound allows. Cause: every node began its round with the same part at the same moment. Class: all act alike at the same moment. Mend: a round begins at a random request; each node's own parts stay within one request of their weights.

--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -13,7 +13,7 @@
 import { BODILESS_STATUSES, MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
 import type { IConfigurationService, IMessageFormat, IStopBounds } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
-import { WeightedSplit } from '../configuration/WeightedSplit.js'
+import type { WeightedSplit } from '../configuration/WeightedSplit.js'
 import { CallConclusion } from './CallConclusion.js'
 import { CallerConnections } from './CallerConnections.js'
 import { CallTask, type CallResult, type ICallServices } from './CallTask.js'
@@ -22,6 +22,8 @@
 export interface ICallerPortOptions extends ICallServices {
   readonly address: NetworkAddress
   readonly configuration: IConfigurationService
+  /** Parts of the traffic of routes that lead to several services. */
+  readonly split: WeightedSplit
   readonly format: IMessageFormat
   /** False until the node knows configuration and nodes. */
   readonly isReady: () => boolean
@@ -52,7 +54,6 @@
     maximumBytes: MAXIMUM_HEAD_BYTES, maximumFields: MAXIMUM_FIELDS, maximumTargetBytes: MAXIMUM_HEAD_BYTES
   })
 
-  private readonly _split = new WeightedSplit()
   private readonly _latency: Histogram
   private readonly _connections = new CallerConnections()
   private readonly _conclusion: CallConclusion
@@ -71,7 +72,7 @@
     this._server.on('connect', (_message: IncomingMessage, socket: Socket) => socket.destroy())
     _options.configuration.onReplaced(({ configuration }) => {
       this._applyLimits(configuration.limits)
-      this._split.retain(new Set(configuration.routes.map((route) => route.name)))
+      this._options.split.retain(new Set(configuration.routes.map((route) => route.name)))
     })
     this._latency = new Histogram({
       name: 'savoryknot_call_seconds',
@@ -164,7 +165,7 @@
     const { message, response, inbound, route, requestId, body, arrivedAt, deadlineAt } = accepted
     const task = new CallTask(this._options, {
       route,
-      service: this._split.choose(route),
+      service: this._options.split.choose(route),
       callerRequestId: requestId,
       callerService: this._options.callerService(),
       method: inbound.method,
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -16,6 +16,7 @@
 import { Placement } from '../calls/Placement.js'
 import { RetryAllowance } from '../calls/RetryAllowance.js'
 import { ConfigurationService } from '../configuration/ConfigurationService.js'
+import { WeightedSplit } from '../configuration/WeightedSplit.js'
 import { EndpointGate } from '../endpoint/EndpointGate.js'
 import { GateServer } from '../endpoint/GateServer.js'
 import { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
@@ -190,6 +191,7 @@
       configuration: kernel.get(IConfigurationService),
       format: adapter.format,
       directory: kernel.get(MESH_KEY.directory),
+      split: new WeightedSplit(kernel.get(IRandomService)),
       placement: new Placement(kernel.get(IRandomService)),
       allowance: new RetryAllowance({ ratio: bounds['retry-share'], slack: bounds['retry-slack'], window: bounds['retry-window'] }),
       isReady: isServing,
