Build the gate of one endpoint for tests in one place

Three tests of callers that leave and of late connections held the same forty lines. GateRig has them now; every assertion is as it was.

--- /dev/null
+++ b/testing/mesh/GateRig.ts
@@ -0,0 +1,85 @@
+/** The gate of one endpoint on real sockets, without the ports of its node. */
+import type { ICancellation } from '../../src/common/Cancellation.js'
+import { InvariantService } from '../../src/common/InvariantService.js'
+import { MetricsService } from '../../src/common/MetricsService.js'
+import type { IClockService } from '../../src/common/Services.js'
+import type { EndpointId, Milliseconds, NetworkAddress, RequestId, ServiceName } from '../../src/common/Types.js'
+import { EndpointGate } from '../../src/mesh/endpoint/EndpointGate.js'
+import { LocalEndpoint } from '../../src/mesh/endpoint/LocalEndpoint.js'
+import type { IConfigurationService } from '../../src/mesh/Services.js'
+import type { AttemptOutcome, IMeshCall, RepeatKind } from '../../src/mesh/Types.js'
+import { MessageFormat } from '../../platform/MessageFormat.js'
+import { RecordingLog } from '../RecordingLog.js'
+import { EndpointStandIn } from './EndpointStandIn.js'
+import { meshCall } from './MeshCalls.js'
+
+/** Path of the request at which the endpoint works; others it answers at once. */
+export const FIRST_PATH = '/first'
+
+/** What a test says of the endpoint. */
+export interface IGateRigOptions {
+  readonly clock: IClockService
+  readonly slots: number
+  /** Time for which the endpoint works at the request for `FIRST_PATH`. */
+  readonly firstWork: Milliseconds
+}
+
+/** An endpoint that has reported that it serves, and its gate. */
+export class GateRig {
+  public readonly endpoint = new EndpointStandIn('e')
+  private readonly _gate: EndpointGate
+  private readonly _local: LocalEndpoint
+
+  constructor (private readonly _options: IGateRigOptions) {
+    const { clock, firstWork } = _options
+    this.endpoint.workTimeOf = (path) => path === FIRST_PATH ? firstWork : 0
+    const log = new RecordingLog()
+    const metrics = new MetricsService()
+    this._local = new LocalEndpoint(log)
+    this._gate = new EndpointGate({
+      endpoint: this._local,
+      configuration: { current: undefined } as unknown as IConfigurationService,
+      format: new MessageFormat(),
+      clock,
+      log,
+      metrics,
+      invariants: new InvariantService({ log, metrics })
+    })
+  }
+
+  public async start (): Promise<void> {
+    const { clock, slots } = this._options
+    await this.endpoint.start()
+    this._local.report({
+      id: 'e' as EndpointId,
+      bornAt: 1,
+      sequence: 1,
+      phase: 'serving',
+      service: 's' as ServiceName,
+      address: this.endpoint.address as NetworkAddress,
+      slots,
+      warmUpLeft: 0 as Milliseconds
+    }, clock.now())
+  }
+
+  public stop (): void {
+    this._gate.dispose()
+    this.endpoint.stop()
+  }
+
+  /** Paths of the requests that the endpoint was sent, in their order. */
+  public get ranPaths (): readonly string[] {
+    return this.endpoint.runs.map(({ path }) => path)
+  }
+
+  /** Sends a request whose path is its id. */
+  public execute (id: string, cancellation: ICancellation, repeat: RepeatKind = 'idempotent', parts: Partial<IMeshCall> = {}): Promise<AttemptOutcome> {
+    const call = meshCall(repeat, this._options.clock.now(), { requestId: id as RequestId, callerRequestId: undefined, path: `/${id}`, ...parts })
+    return this._gate.execute(call, cancellation)
+  }
+}
+
+/** Why a request was refused, or the kind of its outcome. */
+export function endOf (outcome: AttemptOutcome): string {
+  return outcome.kind === 'refused' ? outcome.reason : outcome.kind
+}
