Count the time for a stop from when it was asked for

A stop that comes while the process still opens its ports waited for the end of that and began its whole schedule then. The platform counts from its signal and ends the process by force after the time for a stop, so that what the schedule keeps for the end (answers to all that still runs) could fall behind that moment: requests that the node had taken would be cut without an answer.

Cause: the clock was read after the wait for the start. Class of fault: reading is taken for happening, a deadline begins at the moment of handling and not at the moment of the event.

Why it works: the clock is one of the daemon's own, which exists before its parts, and is read before the wait. Steps that are overdue by then are taken one after the other as before. Ruled out: not to wait for the start at all, since parts that are being made cannot be stopped in order.

--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -1,6 +1,7 @@
 /** One node of the mesh: its start, its graceful stop, and what the platform and the endpoint ask of it. */
+import { ClockService } from '../../common/ClockService.js'
 import { Kernel } from '../../common/Kernel.js'
-import { IClockService, type ILogService } from '../../common/Services.js'
+import type { IClockService, ILogService } from '../../common/Services.js'
 import type { EndpointId, Milliseconds, Timestamp } from '../../common/Types.js'
 import type { RowKey, RowRevision } from '../../platform/Types.js'
 import { ENDPOINT_REPORT_IGNORED, NODE_STARTED, NODE_STARTING, NODE_STOPPED, NODE_STOPPING } from '../Events.js'
@@ -16,6 +17,7 @@
   readonly settings: IMeshSettings
   readonly adapter: IMeshAdapter
   readonly log: ILogService
+  readonly clock?: IClockService
 }
 
 /** Longest time for which the acknowledgement of a leaving endpoint waits for the store. */
@@ -26,6 +28,7 @@
 export class MeshDaemon implements INodeControl {
   private readonly _kernel = new Kernel()
   private readonly _log: ILogService
+  private readonly _clock: IClockService
   private _settings: IMeshSettings
   private _isServing = false
   private _starting: Promise<void> | undefined
@@ -33,10 +36,11 @@
   /** When the platform was told of the stop for the first time. */
   private _stopNoticedAt: Timestamp | undefined
 
-  constructor ({ settings, adapter, log }: IMeshDaemonOptions) {
+  constructor ({ settings, adapter, log, clock = new ClockService() }: IMeshDaemonOptions) {
     this._settings = settings
     this._log = log
-    registerMesh(this._kernel, { adapter, log, settings: () => this._settings, control: this, isServing: () => this._isServing })
+    this._clock = clock
+    registerMesh(this._kernel, { adapter, log, clock, settings: () => this._settings, control: this, isServing: () => this._isServing })
   }
 
   public get isReady (): boolean {
@@ -44,7 +48,7 @@
   }
 
   public answerReadiness (): boolean {
-    if (this._stopping !== undefined) this._stopNoticedAt ??= this._now
+    if (this._stopping !== undefined) this._stopNoticedAt ??= this._clock.now()
     return this.isReady
   }
 
@@ -63,13 +67,13 @@
   }
 
   public async report (report: IEndpointReport): Promise<void> {
-    const outcome = this._kernel.get(MESH_KEY.endpoint).report(report, this._now)
+    const outcome = this._kernel.get(MESH_KEY.endpoint).report(report, this._clock.now())
     if (outcome === 'outdated') this._logOutdated(report.id, report.bornAt, report.sequence)
     if (report.phase === 'draining') await this._kernel.get(MESH_KEY.registration).settle(ACKNOWLEDGEMENT_LIMIT_MS)
   }
 
   public async leave (id: EndpointId, bornAt: number): Promise<void> {
-    const outcome = this._kernel.get(MESH_KEY.endpoint).leave(id, bornAt, this._now)
+    const outcome = this._kernel.get(MESH_KEY.endpoint).leave(id, bornAt, this._clock.now())
     if (outcome === 'outdated') this._logOutdated(id, bornAt)
     await this._kernel.get(MESH_KEY.registration).settle(ACKNOWLEDGEMENT_LIMIT_MS)
   }
@@ -86,12 +90,13 @@
   }
 
   private async _stop (): Promise<void> {
+    const clock = this._clock
+    const askedAt = clock.now()
     // Parts that have not been created cannot be stopped.
     await this._starting
-    const clock = this._kernel.get(IClockService)
     const callerPort = this._kernel.get(MESH_KEY.callerPort)
     const kind = this._kernel.get(MESH_KEY.endpoint).record?.phase === 'serving' ? 'returning' : 'without-endpoint'
-    const schedule = new StopSchedule(clock.now(), this._settings.bounds.stop, kind)
+    const schedule = new StopSchedule(askedAt, this._settings.bounds.stop, kind)
     this._log.log(NODE_STOPPING, { step: 'daemon.stop', kind, inFlight: this._inFlight })
     callerPort.close(schedule)
     for (;;) {
@@ -114,10 +119,6 @@
     this._kernel.get(MESH_KEY.callerPort).conclude()
   }
 
-  private get _now (): ReturnType<IClockService['now']> {
-    return this._kernel.get(IClockService).now()
-  }
-
   private get _inFlight (): number {
     return this._kernel.get(MESH_KEY.callerPort).inFlight + this._kernel.get(MESH_KEY.gateServer).inFlight
   }
@@ -135,7 +136,7 @@
     const nodes = this._kernel.get(MESH_KEY.nodes)
     const row = nodes.row(node as string as RowKey)
     const record = nodes.nodes.get(node)?.endpoint
-    if (record !== undefined) this._kernel.get(MESH_KEY.endpoint).adopt(record, this._now)
+    if (record !== undefined) this._kernel.get(MESH_KEY.endpoint).adopt(record, this._clock.now())
     const present = row?.value === undefined ? undefined : { revision: String(row.position) as RowRevision, value: row.value }
     this._kernel.get(MESH_KEY.registration).begin(present)
   }
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -1,6 +1,5 @@
 /** Registers the parts of a node of the mesh in the kernel. */
 import { randomBytes, randomInt } from 'node:crypto'
-import { ClockService } from '../../common/ClockService.js'
 import { InvariantService } from '../../common/InvariantService.js'
 import { loopTurns } from '../../common/LoopTurns.js'
 import { MetricsService } from '../../common/MetricsService.js'
@@ -33,6 +32,7 @@
 export interface IMeshServicesOptions {
   readonly adapter: IMeshAdapter
   readonly log: ILogService
+  readonly clock: IClockService
   /** Ports and bounds are taken once, the rest each time it is needed. */
   readonly settings: () => IMeshSettings
   readonly control: INodeControl
@@ -59,8 +59,8 @@
   registerPorts(kernel, options)
 }
 
-function registerFoundation (kernel: IKernel, { log }: IMeshServicesOptions): void {
-  kernel.register({ key: IClockService, dependsOn: [], create: () => new ClockService() })
+function registerFoundation (kernel: IKernel, { log, clock }: IMeshServicesOptions): void {
+  kernel.register({ key: IClockService, dependsOn: [], create: () => clock })
   kernel.register({ key: IRandomService, dependsOn: [], create: () => new RandomService(randomInt(SEED_LIMIT)) })
   kernel.register({ key: ILogService, dependsOn: [], create: () => log })
   kernel.register({ key: IMetricsService, dependsOn: [], create: () => new MetricsService() })
