Read what came before a port is closed at the end of a stop

What callers saw: nothing on record; found by reading. At the end of a planned stop the ports were closed in the turn in which that was decided. Connections that nobody had accepted yet, and requests on open ones that had not been read, were reset, although they may have been sent long before where the process is slow: the loop accepts one connection a turn. A caller got a closed connection in place of the refusal as not run; a node that had sent a call could not learn that it had not run, and told its caller that it may have.

Cause: the number of requests that have been read was taken for the number that has come. Class of fault: a part of what came is acted on before all of it is read.

Ruled out: a wait by time, which costs a fast process as much as a slow one; closing the listening socket first, which resets what waits there.

--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -2,7 +2,7 @@
 import { Histogram } from 'prom-client'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { listenAt } from '../../common/Listening.js'
+import { closeOnceRead, listenAt } from '../../common/Listening.js'
 import { pendingInputRead } from '../../common/PendingInput.js'
 import type { ILogService, IMetricsService, IService } from '../../common/Services.js'
 import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
@@ -107,9 +107,8 @@
     this._conclusion.begin()
   }
 
-  public stop (): void {
-    this._server.close()
-    this._server.closeAllConnections()
+  public async stop (): Promise<void> {
+    await closeOnceRead(this._server, () => this.inFlight)
   }
 
   private _applyLimits (limits: ICallerLimits): void {
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Emitter } from '../../common/Emitter.js'
-import { listenAt } from '../../common/Listening.js'
+import { closeOnceRead, listenAt } from '../../common/Listening.js'
 import { pendingInputRead } from '../../common/PendingInput.js'
 import type { IClockService, ILogService, IService } from '../../common/Services.js'
 import type { IEvent, NetworkAddress, RequestId } from '../../common/Types.js'
@@ -62,9 +62,8 @@
     await listenAt(this._server, this._options.address)
   }
 
-  public stop (): void {
-    this._server.close()
-    this._server.closeAllConnections()
+  public async stop (): Promise<void> {
+    await closeOnceRead(this._server, () => this.inFlight)
   }
 
   private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
