Guard answers that fall silent, and further frames, against being taken for whole

Reports of other operators told of answers that an endpoint stopped amid the head. The tests cut answers at every byte by a close and by a reset; they now also let the endpoint fall silent at every byte until the exchange is given up, on a connection that has carried an answer, and know answers of HTTP/1.0, with a length of zero, and with trailers. No fault was found: all of them pass on the code as it was.

--- a/src/mesh/exchange/HttpExchange.test.ts
+++ b/src/mesh/exchange/HttpExchange.test.ts
@@ -19,6 +19,10 @@
   ['length, closing', 'GET', 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 12\r\n\r\ntwelve bytes'],
   ['chunks', 'GET', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n'],
   ['chunks, closing', 'GET', 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\n\r\n'],
+  ['a length of zero', 'GET', 'HTTP/1.1 200 OK\r\nx-mark: one\r\ncontent-length: 0\r\n\r\n'],
+  ['a length, of an older version', 'GET', 'HTTP/1.0 200 OK\r\nx-mark: one\r\ncontent-length: 12\r\n\r\ntwelve bytes'],
+  ['a length, of an older version, keeping', 'GET', 'HTTP/1.0 200 OK\r\nconnection: keep-alive\r\ncontent-length: 12\r\n\r\ntwelve bytes'],
+  ['chunks with trailers', 'GET', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\nx-mark: one\r\n\r\n'],
   ['204', 'GET', 'HTTP/1.1 204 No Content\r\nx-mark: one\r\n\r\n'],
   ['304', 'GET', 'HTTP/1.1 304 Not Modified\r\nx-mark: one\r\n\r\n'],
   ['304 with the length of the body that it stands for', 'GET', 'HTTP/1.1 304 Not Modified\r\ncontent-length: 12\r\nx-mark: one\r\n\r\n'],
@@ -29,6 +33,7 @@
 const HEADS_WITHOUT_LENGTH: ReadonlyArray<readonly [string, string]> = [
   ['no field', 'HTTP/1.1 200 OK\r\nx-mark: one\r\nconnection: close\r\n\r\n'],
   ['no field, not closing', 'HTTP/1.1 200 OK\r\nx-mark: one\r\n\r\n'],
+  ['no field, of an older version', 'HTTP/1.0 200 OK\r\nx-mark: one\r\n\r\n'],
   ['a coding other than chunked', 'HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\n']
 ]
 /** More than the system takes without the other side reading. */
@@ -66,6 +71,20 @@
     sockets.clear()
   })
 
+  /** The end of an exchange that is given up when `text` has come and nothing follows. */
+  async function endOfSilent (method: string, text: string): Promise<ExchangeEnd> {
+    const connection = await connections.acquire()
+    expect((await exchange(connection, 'GET', FIRST)).kind).to.equal('answer')
+    const given = new HttpExchange({ method, path: '/', fields: ['host', 'mesh.example'], body: undefined })
+    behaviours.push((socket) => {
+      // What was written has been read when the exchange is given up.
+      socket.write(text, () => setTimeout(() => given.abort('deadline'), 1))
+    })
+    const end = await given.run(connection)
+    connection.close()
+    return end
+  }
+
   async function exchange (connection: UpstreamConnection, method: string, behaviour: Behaviour): Promise<ExchangeEnd> {
     behaviours.push(behaviour)
     return await new HttpExchange({ method, path: '/', fields: ['host', 'mesh.example'], body: undefined }).run(connection)
@@ -104,6 +123,18 @@
     })
   }
 
+  for (const [name, method, answer] of [...FRAMED, ...HEADS_WITHOUT_LENGTH.map(([name, head]) => [name, 'GET', `${head}body`] as const)]) {
+    it(`takes no part of an answer for a whole one, wherever it falls silent: ${name}`, async () => {
+      const taken: string[] = []
+      const isOpenEnded = HEADS_WITHOUT_LENGTH.some(([other]) => other === name)
+      for (let length = 0; length < answer.length + (isOpenEnded ? 1 : 0); length++) {
+        const end = await endOfSilent(method, answer.slice(0, length))
+        if (end.kind !== 'broken' || end.reason !== 'deadline') taken.push(`after ${length} bytes: ${end.kind}`)
+      }
+      expect(taken).to.deep.equal([])
+    })
+  }
+
   for (const [name, head] of HEADS_WITHOUT_LENGTH) {
     it(`takes an answer that ends with its connection for whole only after its head: framed by ${name}`, async () => {
       const answer = `${head}body`
