--- a/src/common/ClockService.test.ts
+++ b/src/common/ClockService.test.ts
@@ -43,6 +43,18 @@
     return order
   }
 
+  it('goes on when the time of day is set', () => {
+    const timeOfDay = Date.now
+    const jumps = [-3_600_000, 3_600_000].map((jump) => {
+      const before = clock.now()
+      Date.now = () => timeOfDay() + jump
+      const passed = clock.now() - before
+      Date.now = timeOfDay
+      return Math.abs(passed) < 60_000
+    })
+    expect(jumps).to.deep.equal([true, true])
+  })
+
   it('acts after a time only once what came meanwhile is read', async () => {
     expect(await orderWith((note) => clock.after(WAIT_MS, note))).to.deep.equal(['bytes', 'time'])
   })
--- a/src/mesh/daemon/MeshDaemon.test.ts
+++ b/src/mesh/daemon/MeshDaemon.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import { Adapter } from '../../../platform/Adapter.js'
 import type { IService } from '../../common/Services.js'
-import type { Timestamp } from '../../common/Types.js'
+import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import type { IControlPortOptions } from '../Services.js'
 import { findFreePorts } from '../../../testing/demonstration/FreePorts.js'
 import { ManualClock } from '../../../testing/ManualClock.js'
@@ -36,6 +36,7 @@
 describe('MeshDaemon', () => {
   let clock: ManualClock
   let store: StoreStandIn
+  let settings: IMeshSettings
   let adapter: SlowAdapter
   let log: RecordingLog
   let daemon: MeshDaemon
@@ -46,7 +47,8 @@
     adapter = new SlowAdapter()
     log = new RecordingLog()
     await store.start()
-    daemon = new MeshDaemon({ settings: await freeSettings(store.address), adapter, log, clock })
+    settings = await freeSettings(store.address)
+    daemon = new MeshDaemon({ settings, adapter, log, clock })
   })
 
   afterEach(() => store.stop())
@@ -70,6 +72,29 @@
     adapter.open()
     expect(await timeOf(stopped, askedAt)).to.be.at.most(LIMIT_MS)
   })
+
+  it('ends within the time for a stop that comes before it has read the store, which stays silent', async () => {
+    store.mode = 'silent'
+    adapter.open()
+    daemon.start().catch(() => undefined)
+    await clock.advance(STEP_MS)
+    const askedAt = clock.now()
+    expect(await timeOf(daemon.stop(), askedAt)).to.be.at.most(LIMIT_MS)
+  })
+
+  it('takes the time for a stop from the first signal, whatever signals and settings come later', async () => {
+    store.mode = 'silent'
+    adapter.open()
+    daemon.start().catch(() => undefined)
+    await clock.advance(STEP_MS)
+    const askedAt = clock.now()
+    const stopped = daemon.stop()
+    await clock.advance(LIMIT_MS * 0.6)
+    daemon.reload({ ...settings, bounds: { ...settings.bounds, stop: LONGEST_MS as Milliseconds } })
+    expect(daemon.stop()).to.equal(stopped)
+    expect(await timeOf(stopped, askedAt)).to.be.at.most(LIMIT_MS)
+    expect(log.events.filter(({ name }) => name === 'node-stopping').length).to.equal(1)
+  })
 })
 
 async function freeSettings (store: string): Promise<IMeshSettings> {
