Do not revive an endpoint whose end was acknowledged before it was known

What callers saw: a request could reach an endpoint that had deregistered, for as long as it ran on, after its node had acknowledged the end (DRAIN).

Cause: the end of an endpoint that a process does not know yet, or that is a later incarnation than the one it took over from its row, was remembered for the row of an earlier process only, and not at all in the second case. A report that came afterwards, late or because the endpoint goes on reporting, was taken for the first word of an endpoint that serves. Class: what is read last is taken for what happened last.

Evidence: two tests in LocalEndpoint.test.ts, found by reading; before the change both gave `serving` where `gone` was due. The way there is a process that starts while its endpoint leaves: its ports are open before it has its row.

Why it works: the end is kept with its birth and asked for wherever an incarnation is taken for the first time, by report or by row. An end without a birth counts only as before, as long as nothing is known, since it may be the late word of an earlier incarnation.

--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -84,6 +84,21 @@
     expect([endpoint.record?.bornAt, endpoint.record?.phase]).to.deep.equal([20, 'serving'])
   })
 
+  it('is gone for good once it has deregistered before anything else was known of it, also if it goes on reporting', () => {
+    endpoint.leave('a' as EndpointId, 10, NOW)
+    const outcome = endpoint.report(report('a', 10, 7), NOW)
+    expect([outcome, endpoint.record?.phase]).to.deep.equal(['accepted', 'gone'])
+    endpoint.report(report('a', 20, 1), NOW)
+    expect(endpoint.record?.phase).to.equal('serving')
+  })
+
+  it('does not revive an endpoint that deregistered while an earlier one was known', () => {
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.leave('b' as EndpointId, 20, NOW)
+    endpoint.report(report('b', 20, 7), NOW)
+    expect([endpoint.record?.id, endpoint.record?.phase]).to.deep.equal(['b', 'gone'])
+  })
+
   it('goes on with the endpoint of an earlier process until it reports itself', () => {
     endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
     expect(endpoint.heardAt).to.equal(undefined)
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -23,7 +23,7 @@
 export class LocalEndpoint implements ILocalEndpoint {
   private readonly _onChanged = new Emitter<IEndpointRecord>()
   private _incarnation: IIncarnation | undefined
-  /** Incarnation that deregistered before this process knew of it, so that an earlier process's record does not revive it. */
+  /** Incarnation that deregistered before this process knew of it, so that neither an earlier process's record nor a report revives it. */
   private _leftBefore: Pick<IEndpointRecord, 'id' | 'bornAt'> | undefined
   /** Last report of an endpoint that was taken for an earlier incarnation. */
   private _outdated: IEndpointReport | undefined
@@ -48,7 +48,7 @@
   /** Takes the endpoint as an earlier process of this node left it, unless it has reported meanwhile. */
   public adopt (record: IEndpointRecord, now: Timestamp): void {
     if (this._incarnation !== undefined) return
-    if (this._leftBefore?.id === record.id && compareIncarnations(record, this._leftBefore) <= 0) record = { ...record, phase: 'gone' }
+    if (this._hasLeft(record)) record = { ...record, phase: 'gone' }
     this._replace({ record, sequence: NO_SEQUENCE, heardAt: now }, 'adopted')
   }
 
@@ -60,18 +60,26 @@
       if (order === 0 && report.sequence <= present.sequence) return 'outdated'
       if (order === 0) return this._continue(present, report, now)
     }
-    this._replace({ record: toRecord(report, report.phase), sequence: report.sequence, heardAt: now }, 'reported')
+    const phase = this._hasLeft(report) ? 'gone' : report.phase
+    this._replace({ record: toRecord(report, phase), sequence: report.sequence, heardAt: now }, 'reported')
     return 'accepted'
   }
 
   public leave (id: EndpointId, bornAt: number, now: Timestamp): ReportOutcome {
     const present = this._incarnation
-    if (present === undefined) this._leftBefore = { id, bornAt }
-    if (present === undefined || compareIncarnations({ id, bornAt }, present.record) !== 0) return 'outdated'
+    const order = present === undefined ? 1 : compareIncarnations({ id, bornAt }, present.record)
+    // Without a birth it may be the late word of an incarnation long before the present one.
+    if (present === undefined || (order > 0 && bornAt > 0)) this._leftBefore = { id, bornAt }
+    if (present === undefined || order !== 0) return 'outdated'
     if (present.record.phase !== 'gone') this._replace({ ...present, record: { ...present.record, phase: 'gone' }, heardAt: now }, 'deregistered')
     return 'accepted'
   }
 
+  private _hasLeft (incarnation: Pick<IEndpointRecord, 'id' | 'bornAt'>): boolean {
+    const left = this._leftBefore
+    return left?.id === incarnation.id && compareIncarnations(incarnation, left) <= 0
+  }
+
   /**
    * Whether an incarnation of an earlier birth has taken the place of the present one all the same: births are read from a
    * clock that may have been set back between two starts. A late report comes alone, or while the present one reports.
