Take over what an earlier process of a node still writes into its row

Cause: a write whose answer was lost may be performed seconds later, after its process has died. The next process read the row before that, found it as it wanted it and looked at it no more. Where its own knowledge was the older one, learnt from another node, the next conflict made it write that over the drain. Class: a state that was read once is taken to hold on.

Evidence: three tests in RegistrationService.test.ts and one in LocalEndpoint.test.ts, all four red before: the new process went on with `serving` beside a row that said `draining`; it wrote `serving` over `draining`; and `isLeaving` of the earlier process stayed in the row.

Why it works: the registration follows its own row in the table of nodes, by whatever way the table is learnt. A later state of the row than the one it knows is what the next write replaces. Of the endpoint in it only the leaving is taken over, as a phase never goes back within one incarnation; everything else is written as this process knows it. Positions keep an older state from coming back.

Ruled out: that two live processes write one row by turns. A node runs one process; its name is its VM's.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -87,6 +87,8 @@
 /** The endpoint beside this node. */
 export interface ILocalEndpoint {
   readonly record: IEndpointRecord | undefined
+  /** Takes what an earlier process of this node knew. */
+  adopt (record: IEndpointRecord, now: Timestamp): void
   report (report: IEndpointReport, now: Timestamp): ReportOutcome
   /** The endpoint ends; it gets no request any more. */
   leave (id: EndpointId, bornAt: number, now: Timestamp): ReportOutcome
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -132,12 +132,13 @@
   kernel.register({ key: MESH_KEY.endpoint, dependsOn: FOUNDATION, create: () => new LocalEndpoint(kernel.get(ILogService)) })
   kernel.register({
     key: MESH_KEY.registration,
-    dependsOn: [MESH_KEY.endpoint, MESH_KEY.store],
+    dependsOn: [MESH_KEY.endpoint, MESH_KEY.nodes, MESH_KEY.store],
     create: () => new RegistrationService({
       ...commonOf(kernel, settings()),
       gateAddress: mesh['gate-address'],
       peerAddress: mesh['peer-address'],
       endpoint: kernel.get(MESH_KEY.endpoint),
+      nodes: kernel.get(MESH_KEY.nodes),
       table: kernel.get(MESH_KEY.store),
       firstReportWait: bounds.heartbeat + FIRST_REPORT_SLACK_MS as Milliseconds
     })
--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -95,10 +95,19 @@
   it('does not revive an endpoint that deregistered while an earlier one was known', () => {
     endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
     endpoint.leave('b' as EndpointId, 20, NOW)
+    endpoint.adopt({ ...report('b', 20, 0), phase: 'serving' }, NOW)
     endpoint.report(report('b', 20, 7), NOW)
     expect([endpoint.record?.id, endpoint.record?.phase]).to.deep.equal(['b', 'gone'])
   })
 
+  it('takes a drain from the row of an earlier process also after a report, and never the return from one', () => {
+    endpoint.report(report('a', 10, 1), NOW)
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'draining' }, NOW)
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.adopt({ ...report('a', 5, 0), phase: 'gone' }, NOW)
+    expect(endpoint.record?.phase).to.equal('draining')
+  })
+
   it('goes on with the endpoint of an earlier process until it reports itself', () => {
     endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
     expect(endpoint.heardAt).to.equal(undefined)
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -45,11 +45,17 @@
     return this._onChanged.event
   }
 
-  /** Takes the endpoint as an earlier process of this node left it, unless it has reported meanwhile. */
+  /**
+   * Takes the endpoint as an earlier process of this node left it, unless it has reported meanwhile. Of one that has, or that is
+   * known already, only the leaving is taken: a phase never goes back within an incarnation, whichever process learnt it.
+   */
   public adopt (record: IEndpointRecord, now: Timestamp): void {
-    if (this._incarnation !== undefined) return
-    if (this._hasLeft(record)) record = { ...record, phase: 'gone' }
-    this._replace({ record, sequence: NO_SEQUENCE, heardAt: now }, 'adopted')
+    const present = this._incarnation
+    const order = present === undefined ? 1 : compareIncarnations(record, present.record)
+    if (order > 0 && this.heardAt === undefined) this._replace({ record: this._adopted(record), sequence: NO_SEQUENCE, heardAt: now }, 'adopted')
+    if (present === undefined || order !== 0) return
+    const phase = furtherPhase(present.record.phase, record.phase)
+    if (phase !== present.record.phase) this._replace({ ...present, record: { ...present.record, phase } }, 'adopted')
   }
 
   public report (report: IEndpointReport, now: Timestamp): ReportOutcome {
@@ -75,6 +81,10 @@
     return 'accepted'
   }
 
+  private _adopted (record: IEndpointRecord): IEndpointRecord {
+    return this._hasLeft(record) ? { ...record, phase: 'gone' } : record
+  }
+
   private _hasLeft (incarnation: Pick<IEndpointRecord, 'id' | 'bornAt'>): boolean {
     const left = this._leftBefore
     return left?.id === incarnation.id && compareIncarnations(incarnation, left) <= 0
--- a/src/mesh/endpoint/RegistrationService.test.ts
+++ b/src/mesh/endpoint/RegistrationService.test.ts
@@ -5,10 +5,14 @@
 import { RandomService } from '../../common/RandomService.js'
 import type { EndpointId, FailureDomain, Milliseconds, NetworkAddress, Region, ServiceName } from '../../common/Types.js'
 import { PlatformHttpClient } from '../../platform/PlatformHttpClient.js'
+import type { RowRevision } from '../../platform/Types.js'
 import { PlatformStore } from '../../../platform/PlatformStore.js'
+import { batch, NOW, row } from '../../../testing/mesh/NodeRows.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import { StoreStandIn, type StoreMode } from '../../../testing/mesh/StoreStandIn.js'
-import type { NodeName } from '../Types.js'
+import type { IEndpointRecord, INodeRow, NodeName } from '../Types.js'
+import { decodeNodeRow } from '../view/NodeRowCodec.js'
+import { NodeTable } from '../view/NodeTable.js'
 import { LocalEndpoint } from './LocalEndpoint.js'
 import { RegistrationService } from './RegistrationService.js'
 
@@ -17,6 +21,7 @@
 describe('RegistrationService', () => {
   let store: StoreStandIn
   let endpoint: LocalEndpoint
+  let nodes: NodeTable
   let registration: RegistrationService
   const clock = new ClockService()
   const log = new RecordingLog()
@@ -24,20 +29,26 @@
   beforeEach(async () => {
     store = new StoreStandIn()
     await store.start()
+    startProcess()
+  })
+
+  function startProcess (): void {
     endpoint = new LocalEndpoint(log)
+    nodes = new NodeTable({ log })
     const client = new PlatformHttpClient({ clock, log, metrics: new MetricsService() }, { url: `http://${store.address}`, requestTimeout: 100 as Milliseconds })
     registration = new RegistrationService({
       self: { name: 'n' as NodeName, failureDomain: 'z' as FailureDomain, region: 'r' as Region },
       gateAddress: '10.0.0.1:1' as NetworkAddress,
       peerAddress: '10.0.0.1:2' as NetworkAddress,
       endpoint,
+      nodes,
       table: new PlatformStore(client),
       clock,
       random: new RandomService(1),
       log,
       firstReportWait: 0 as Milliseconds
     })
-  })
+  }
 
   afterEach(() => {
     registration.stop()
@@ -55,6 +66,24 @@
     return text === undefined ? undefined : (JSON.parse(text) as { endpoint?: { phase: string } }).endpoint?.phase
   }
 
+  function stored (): INodeRow {
+    return decodeNodeRow(store.get('nodes', 'n') ?? '')
+  }
+
+  /** Ends the process and starts another one, which takes the row over as it is now. */
+  function restart (): void {
+    registration.stop()
+    startProcess()
+    const record = stored().endpoint
+    if (record !== undefined) endpoint.adopt(record, clock.now())
+    registration.begin({ revision: String(store.version) as RowRevision, value: store.get('nodes', 'n') ?? '' })
+  }
+
+  /** Tells the process of the row as the store holds it. */
+  function observe (): void {
+    nodes.apply(batch([row('n', store.version, store.get('nodes', 'n'))], store.version), NOW)
+  }
+
   it('writes on change only, never for a heartbeat', async () => {
     report(1, 'serving')
     registration.begin(undefined)
@@ -90,6 +119,52 @@
     expect(storedPhase()).to.equal('draining')
   })
 
+  it('takes over the drain that an earlier process wrote, once its late write is performed', async () => {
+    report(1, 'serving')
+    registration.begin(undefined)
+    await registration.settle(LIMIT)
+    store.mode = 'late'
+    report(2, 'draining')
+    await registration.settle(50 as Milliseconds)
+    restart()
+    store.mode = 'well'
+    store.performLate()
+    observe()
+    expect([endpoint.record?.phase, storedPhase()]).to.deep.equal(['draining', 'draining'])
+  })
+
+  it('does not write the older state that another node told it over a drain that an earlier process wrote', async () => {
+    report(1, 'serving')
+    registration.begin(undefined)
+    await registration.settle(LIMIT)
+    const old = { revision: String(store.version) as RowRevision, value: store.get('nodes', 'n') ?? '' }
+    report(2, 'draining')
+    await registration.settle(LIMIT)
+    registration.stop()
+    startProcess()
+    endpoint.adopt({ ...stored().endpoint as IEndpointRecord, phase: 'serving' }, clock.now())
+    registration.begin(old)
+    await registration.leave()
+    await registration.settle(LIMIT)
+    expect(storedPhase()).to.equal('draining')
+  })
+
+  it('is not kept out of service by an earlier process whose leaving is performed late', async () => {
+    report(1, 'serving')
+    registration.begin(undefined)
+    await registration.settle(LIMIT)
+    store.mode = 'late'
+    await registration.leave()
+    await registration.settle(50 as Milliseconds)
+    restart()
+    store.mode = 'well'
+    store.performLate()
+    const { isLeaving } = stored()
+    observe()
+    await registration.settle(LIMIT)
+    expect([isLeaving, stored().isLeaving, storedPhase()]).to.deep.equal([true, false, 'serving'])
+  })
+
   it('takes the row of a node whose endpoint has ended away when the node leaves, and keeps that of one that restarts', async () => {
     report(1, 'serving')
     registration.begin(undefined)
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -3,11 +3,11 @@
 import type { IClockService, ILogService, IRandomService, IService } from '../../common/Services.js'
 import type { IDisposable, Milliseconds, NetworkAddress } from '../../common/Types.js'
 import type { ITableService } from '../../platform/Services.js'
-import type { IRowReference, RowKey, RowRevision } from '../../platform/Types.js'
-import { REGISTRATION_FAILED, REGISTRATION_STORED } from '../Events.js'
-import type { ILocalEndpoint, INodeIdentity, IRegistrationService } from '../Services.js'
+import type { IChangedRow, IRowReference, RowKey, RowRevision, StorePosition } from '../../platform/Types.js'
+import { NODE_ROW_IGNORED, REGISTRATION_FAILED, REGISTRATION_STORED } from '../Events.js'
+import type { ILocalEndpoint, INodeIdentity, INodeTable, IRegistrationService } from '../Services.js'
 import type { INodeRow } from '../Types.js'
-import { encodeNodeRow } from '../view/NodeRowCodec.js'
+import { decodeNodeRow, encodeNodeRow } from '../view/NodeRowCodec.js'
 import { NODE_TABLE } from '../view/ViewService.js'
 
 /** What the registration needs. */
@@ -16,6 +16,7 @@
   readonly gateAddress: NetworkAddress
   readonly peerAddress: NetworkAddress
   readonly endpoint: ILocalEndpoint
+  readonly nodes: INodeTable
   readonly table: ITableService
   readonly clock: IClockService
   readonly random: IRandomService
@@ -29,11 +30,14 @@
 
 /**
  * One task writes the row whenever it differs from what the store holds. Every write names the revision that it
- * replaces, so that a write that is performed late, after its answer was lost, changes nothing.
+ * replaces, so that a write that is performed late, after its answer was lost, changes nothing. One of an earlier process of
+ * this node may still take effect: the leaving that it tells of is taken over, the rest is written anew.
  */
 export class RegistrationService implements IRegistrationService, IService {
   private readonly _reference: IRowReference
   private _revision: RowRevision | undefined
+  /** Of the last change of the row that is known. */
+  private _position = 0 as StorePosition
   private _stored = ''
   private _isLeaving = false
   private _isWithdrawn = false
@@ -42,17 +46,21 @@
   private _isWriting = false
   private _failures = 0
   private _waiters: Array<() => void> = []
-  private readonly _listener: IDisposable
+  private readonly _listeners: readonly IDisposable[]
 
   constructor (private readonly _options: IRegistrationServiceOptions) {
     this._reference = { table: NODE_TABLE, key: _options.self.name as string as RowKey }
-    this._listener = _options.endpoint.onChanged(() => this._wake())
+    this._listeners = [
+      _options.endpoint.onChanged(() => this._wake()),
+      _options.nodes.onChanged(({ rows }) => { for (const row of rows) this._observe(row) })
+    ]
   }
 
   /** Takes the row as an earlier process of this node left it; undefined if there is none. */
   public begin (row: { readonly revision: RowRevision, readonly value: string } | undefined): void {
     this._revision = row?.revision
     this._stored = row?.value ?? ''
+    this._position = positionOf(row?.revision)
     this._isStarted = true
     const wait = this._options.endpoint.record === undefined ? this._options.firstReportWait : 0 as Milliseconds
     this._options.clock.after(wait, () => this._wake(true))
@@ -60,7 +68,7 @@
 
   public stop (): void {
     this._isStopped = true
-    this._listener.dispose()
+    for (const listener of this._listeners) listener.dispose()
     this._release()
   }
 
@@ -132,6 +140,7 @@
     if (!outcome.isCommitted) return await this._readBack()
     this._stored = text
     this._revision = text === '' ? undefined : outcome.revision
+    this._position = positionOf(outcome.revision)
     this._failures = 0
     const { record } = this._options.endpoint
     log.log(REGISTRATION_STORED, {
@@ -142,8 +151,32 @@
   /** The row is not what this process thought, most often by a write whose answer was lost. */
   private async _readBack (): Promise<void> {
     const row = await this._options.table.read(this._reference)
-    this._revision = row?.revision
-    this._stored = row?.value ?? ''
+    if (row === undefined) this._take({ value: undefined, position: this._position })
+    else this._take({ value: row.value, position: positionOf(row.revision) })
+  }
+
+  /** A change of the row that this process may not have made. */
+  private _observe (row: IChangedRow): void {
+    if (!this._isStarted || row.key !== this._reference.key || row.position <= this._position) return
+    this._take(row)
+    this._wake()
+  }
+
+  private _take ({ value, position }: Pick<IChangedRow, 'value' | 'position'>): void {
+    this._revision = value === undefined ? undefined : String(position) as RowRevision
+    this._position = position
+    this._stored = value ?? ''
+    if (value !== undefined) this._adoptEndpoint(value)
+  }
+
+  private _adoptEndpoint (value: string): void {
+    const { endpoint, clock, log } = this._options
+    try {
+      const record = decodeNodeRow(value).endpoint
+      if (record !== undefined) endpoint.adopt(record, clock.now())
+    } catch (error) {
+      log.log(NODE_ROW_IGNORED, { step: 'registration.decode', peer: this._reference.key, reason: String(error) })
+    }
   }
 
   private _noteFailure (error: unknown): void {
@@ -163,3 +196,8 @@
     for (const waiter of waiters) waiter()
   }
 }
+
+/** Revisions of rows are the positions of their last changes. */
+function positionOf (revision: RowRevision | undefined): StorePosition {
+  return Number(revision ?? 0) as StorePosition
+}
