Stop serving an endpoint that a restarted node has not heard of in time

What callers saw: requests reached an endpoint without end, as long as it ran, after its node had acknowledged that it leaves, if the node's process died after that and started again (DRAIN).

Cause: an acknowledgement is given after 0.5 s though the store has not taken the leaving. The next process of the node finds the old row, in the store or at another node, and adopts the endpoint as one that serves, without end: an endpoint that deregisters says so once. Class: a state that was read once is taken to hold on.

An endpoint that goes on reporting that it drains was right before, from its next report on.

Why it works: only the process beside an endpoint gives it requests. An adopted endpoint that has not reported a heartbeat and 0.5 s after this process can be reached is `silent`: the gate refuses, the row says no endpoint, and its next report makes it serve again. A row that is learnt later than that does not bring it into service either. What is left: during that time after the start an endpoint that has left may still get requests.

Ruled out: to tell other nodes before the acknowledgement, which needs a message, a memory and a wait at the start for what the silence shows; to hold the acknowledgement until the store has it, which leaves an endpoint that leaves while the store is away without one; to serve no adopted endpoint before it reports, which costs a heartbeat of service after a kill of all processes.

--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -63,8 +63,11 @@
   readonly limits: ICallerLimits
 }
 
-/** Life of an endpoint: it takes requests, finishes those that it has, or takes none any more. */
-export type EndpointPhase = 'serving' | 'draining' | 'gone'
+/**
+ * Life of an endpoint: it takes requests, finishes those that it has, or takes none any more. `silent`: it served when an
+ * earlier process of its node heard of it, and has not reported to the present one.
+ */
+export type EndpointPhase = 'silent' | 'serving' | 'draining' | 'gone'
 
 /** What an endpoint says of itself in a heartbeat. */
 export interface IEndpointReport {
@@ -76,7 +79,7 @@
   readonly service: ServiceName
   readonly address: NetworkAddress
   readonly slots: number
-  readonly phase: Exclude<EndpointPhase, 'gone'>
+  readonly phase: 'serving' | 'draining'
   /** How much longer the endpoint is slow after its start. */
   readonly warmUpLeft: Milliseconds
 }
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -1,12 +1,12 @@
 /** One node of the mesh: its start, its graceful stop, and what the platform and the endpoint ask of it. */
 import { Kernel } from '../../common/Kernel.js'
 import { IClockService, type ILogService } from '../../common/Services.js'
-import type { EndpointId, Milliseconds, Timestamp } from '../../common/Types.js'
+import type { EndpointId, IDisposable, Milliseconds, Timestamp } from '../../common/Types.js'
 import type { RowKey, RowRevision } from '../../platform/Types.js'
 import { ENDPOINT_REPORT_IGNORED, NODE_STARTED, NODE_STARTING, NODE_STOPPED, NODE_STOPPING } from '../Events.js'
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl } from '../Services.js'
 import type { IEndpointReport } from '../Types.js'
-import { registerMesh } from './MeshServices.js'
+import { firstReportWait, registerMesh } from './MeshServices.js'
 import type { IMeshSettings } from './MeshSettings.js'
 import { MESH_KEY } from './ServiceKeys.js'
 import { StopSchedule } from './StopSchedule.js'
@@ -28,6 +28,7 @@
   private readonly _log: ILogService
   private _settings: IMeshSettings
   private _isServing = false
+  private _reportWait: IDisposable | undefined
   private _starting: Promise<void> | undefined
   private _stopping: Promise<void> | undefined
   /** When the platform was told of the stop for the first time. */
@@ -53,6 +54,9 @@
     this._log.log(NODE_STARTING, { step: 'daemon.start' })
     this._starting = this._kernel.start()
     await this._starting
+    // From here on reports can reach this process, also while it does not serve yet.
+    const endpoint = this._kernel.get(MESH_KEY.endpoint)
+    this._reportWait = this._kernel.get(IClockService).after(firstReportWait(this._settings), () => endpoint.endWait())
     await this._kernel.get(IViewService).completed
     this._adoptOwnRow()
     this._isServing = true
@@ -104,6 +108,7 @@
       await clock.sleep(STOP_CHECK_INTERVAL_MS)
     }
     const unfinished = this._inFlight
+    this._reportWait?.dispose()
     await this._kernel.stop()
     this._log.log(NODE_STOPPED, { step: 'daemon.stop', unfinished })
   }
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -59,6 +59,11 @@
   registerPorts(kernel, options)
 }
 
+/** Time within which an endpoint that serves has reported to a process that has just started. */
+export function firstReportWait ({ bounds }: IMeshSettings): Milliseconds {
+  return bounds.heartbeat + FIRST_REPORT_SLACK_MS as Milliseconds
+}
+
 function registerFoundation (kernel: IKernel, { log }: IMeshServicesOptions): void {
   kernel.register({ key: IClockService, dependsOn: [], create: () => new ClockService() })
   kernel.register({ key: IRandomService, dependsOn: [], create: () => new RandomService(randomInt(SEED_LIMIT)) })
@@ -128,7 +133,7 @@
 }
 
 function registerEndpoint (kernel: IKernel, { adapter, settings }: IMeshServicesOptions): void {
-  const { mesh, bounds } = settings()
+  const { mesh } = settings()
   kernel.register({ key: MESH_KEY.endpoint, dependsOn: FOUNDATION, create: () => new LocalEndpoint(kernel.get(ILogService)) })
   kernel.register({
     key: MESH_KEY.registration,
@@ -140,7 +145,7 @@
       endpoint: kernel.get(MESH_KEY.endpoint),
       nodes: kernel.get(MESH_KEY.nodes),
       table: kernel.get(MESH_KEY.store),
-      firstReportWait: bounds.heartbeat + FIRST_REPORT_SLACK_MS as Milliseconds
+      firstReportWait: firstReportWait(settings())
     })
   })
   kernel.register({
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -135,7 +135,7 @@
   private _refusal (call: IMeshCall, now: Timestamp): RefusalReason | undefined {
     const record = this._record
     if (this._isClosing) return 'draining'
-    if (record === undefined || record.service !== call.service || this._sender.isReplaced) return 'no-endpoint'
+    if (record === undefined || record.phase === 'silent' || record.service !== call.service || this._sender.isReplaced) return 'no-endpoint'
     if (record.phase !== 'serving') return 'draining'
     if (now >= call.deadlineAt) return 'deadline'
     if (this._started.isRefused(call.requestId)) return 'cancelled'
--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -108,6 +108,28 @@
     expect(endpoint.record?.phase).to.equal('draining')
   })
 
+  it('gives an endpoint that has not reported in time no requests until it does, since it may have left before', () => {
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.endWait()
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    const phases = [endpoint.record?.phase]
+    endpoint.report(report('a', 10, 7), NOW)
+    expect([...phases, endpoint.record?.phase]).to.deep.equal(['silent', 'serving'])
+  })
+
+  it('does not take an endpoint into service from a row that is learnt after the wait for its report', () => {
+    endpoint.endWait()
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    expect(endpoint.record?.phase).to.equal('silent')
+  })
+
+  it('keeps an endpoint that has reported in time', () => {
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.report(report('a', 10, 7), NOW)
+    endpoint.endWait()
+    expect(endpoint.record?.phase).to.equal('serving')
+  })
+
   it('goes on with the endpoint of an earlier process until it reports itself', () => {
     endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
     expect(endpoint.heardAt).to.equal(undefined)
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -25,6 +25,7 @@
   private _incarnation: IIncarnation | undefined
   /** Incarnation that deregistered before this process knew of it, so that neither an earlier process's record nor a report revives it. */
   private _leftBefore: Pick<IEndpointRecord, 'id' | 'bornAt'> | undefined
+  private _isWaitOver = false
   /** Last report of an endpoint that was taken for an earlier incarnation. */
   private _outdated: IEndpointReport | undefined
 
@@ -53,11 +54,19 @@
     const present = this._incarnation
     const order = present === undefined ? 1 : compareIncarnations(record, present.record)
     if (order > 0 && this.heardAt === undefined) this._replace({ record: this._adopted(record), sequence: NO_SEQUENCE, heardAt: now }, 'adopted')
-    if (present === undefined || order !== 0) return
+    if (present === undefined || order !== 0 || record.phase === 'serving') return
     const phase = furtherPhase(present.record.phase, record.phase)
     if (phase !== present.record.phase) this._replace({ ...present, record: { ...present.record, phase } }, 'adopted')
   }
 
+  /** From now on an endpoint that has not reported to this process gets no request: it may have left, and an earlier process told so. */
+  public endWait (): void {
+    this._isWaitOver = true
+    const present = this._incarnation
+    if (present === undefined || this.heardAt !== undefined || present.record.phase !== 'serving') return
+    this._replace({ ...present, record: { ...present.record, phase: 'silent' } }, 'silent')
+  }
+
   public report (report: IEndpointReport, now: Timestamp): ReportOutcome {
     const present = this._incarnation
     if (present !== undefined) {
@@ -82,7 +91,8 @@
   }
 
   private _adopted (record: IEndpointRecord): IEndpointRecord {
-    return this._hasLeft(record) ? { ...record, phase: 'gone' } : record
+    if (this._hasLeft(record)) return { ...record, phase: 'gone' }
+    return this._isWaitOver && record.phase === 'serving' ? { ...record, phase: 'silent' } : record
   }
 
   private _hasLeft (incarnation: Pick<IEndpointRecord, 'id' | 'bornAt'>): boolean {
@@ -129,7 +139,7 @@
   }
 }
 
-const PHASES: readonly EndpointPhase[] = ['serving', 'draining', 'gone']
+const PHASES: readonly EndpointPhase[] = ['silent', 'serving', 'draining', 'gone']
 
 function furtherPhase (left: EndpointPhase, right: EndpointPhase): EndpointPhase {
   return PHASES.indexOf(left) > PHASES.indexOf(right) ? left : right
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -103,7 +103,7 @@
       gateAddress,
       peerAddress,
       isLeaving: this._isLeaving,
-      endpoint: endpoint.record
+      endpoint: endpoint.record?.phase === 'silent' ? undefined : endpoint.record
     }
     return encodeNodeRow(row)
   }
--- a/testing/mesh/MeshRig.ts
+++ b/testing/mesh/MeshRig.ts
@@ -1,7 +1,7 @@
 /** Nodes of the mesh in one process, each with its endpoint, on a stand-in of the users' store. */
 import { request as sendRequest, type IncomingHttpHeaders } from 'node:http'
 import { Adapter } from '../../platform/Adapter.js'
-import { parseMeshSettings } from '../../src/mesh/daemon/MeshSettings.js'
+import { parseMeshSettings, type IMeshSettings } from '../../src/mesh/daemon/MeshSettings.js'
 import { MeshDaemon } from '../../src/mesh/daemon/MeshDaemon.js'
 import { findFreePorts } from '../demonstration/FreePorts.js'
 import { RecordingLog } from '../RecordingLog.js'
@@ -16,6 +16,7 @@
   readonly service: string
   readonly ports: Readonly<Record<'caller' | 'gate' | 'peer' | 'ready' | 'control' | 'metrics', number>>
   readonly log: RecordingLog
+  readonly settings: IMeshSettings
   readonly started: Promise<void>
 }
 
@@ -78,11 +79,22 @@
     const daemon = new MeshDaemon({ settings, adapter: new Adapter(), log })
     const endpoint = new EndpointStandIn(`i-${name}`)
     await endpoint.start()
-    const node = { daemon, endpoint, service, ports: { caller, gate, peer, ready, control, metrics }, log, started: daemon.start() }
+    const ports = { caller, gate, peer, ready, control, metrics }
+    const node = { daemon, endpoint, service, ports, log, settings, started: daemon.start() }
     this.nodes.push(node)
     return node
   }
 
+  /** Ends a node's process without a word, and starts another one; the endpoint goes on running and says nothing. */
+  public async restart (node: IRigNode): Promise<IRigNode> {
+    await node.daemon['_kernel'].stop()
+    const log = new RecordingLog()
+    const daemon = new MeshDaemon({ settings: node.settings, adapter: new Adapter(), log })
+    const next = { ...node, daemon, log, started: daemon.start() }
+    this.nodes.splice(this.nodes.indexOf(node), 1, next)
+    return next
+  }
+
   /** Starts a node, reports its endpoint, and waits until every node knows it. */
   public async startServing (service: string, failureDomain?: string): Promise<IRigNode> {
     const node = await this.startNode(service, failureDomain)
