--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -84,6 +84,52 @@
     expect([endpoint.record?.bornAt, endpoint.record?.phase]).to.deep.equal([20, 'serving'])
   })
 
+  it('is gone for good once it has deregistered before anything else was known of it, also if it goes on reporting', () => {
+    endpoint.leave('a' as EndpointId, 10, NOW)
+    const outcome = endpoint.report(report('a', 10, 7), NOW)
+    expect([outcome, endpoint.record?.phase]).to.deep.equal(['accepted', 'gone'])
+    endpoint.report(report('a', 20, 1), NOW)
+    expect(endpoint.record?.phase).to.equal('serving')
+  })
+
+  it('does not revive an endpoint that deregistered while an earlier one was known', () => {
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.leave('b' as EndpointId, 20, NOW)
+    endpoint.adopt({ ...report('b', 20, 0), phase: 'serving' }, NOW)
+    endpoint.report(report('b', 20, 7), NOW)
+    expect([endpoint.record?.id, endpoint.record?.phase]).to.deep.equal(['b', 'gone'])
+  })
+
+  it('takes a drain from the row of an earlier process also after a report, and never the return from one', () => {
+    endpoint.report(report('a', 10, 1), NOW)
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'draining' }, NOW)
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.adopt({ ...report('a', 5, 0), phase: 'gone' }, NOW)
+    expect(endpoint.record?.phase).to.equal('draining')
+  })
+
+  it('gives an endpoint that has not reported in time no requests until it does, since it may have left before', () => {
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.endWait()
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    const phases = [endpoint.record?.phase]
+    endpoint.report(report('a', 10, 7), NOW)
+    expect([...phases, endpoint.record?.phase]).to.deep.equal(['silent', 'serving'])
+  })
+
+  it('does not take an endpoint into service from a row that is learnt after the wait for its report', () => {
+    endpoint.endWait()
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    expect(endpoint.record?.phase).to.equal('silent')
+  })
+
+  it('keeps an endpoint that has reported in time', () => {
+    endpoint.adopt({ ...report('a', 10, 0), phase: 'serving' }, NOW)
+    endpoint.report(report('a', 10, 7), NOW)
+    endpoint.endWait()
+    expect(endpoint.record?.phase).to.equal('serving')
+  })
+
   it('goes on with the endpoint of an earlier process until it reports itself', () => {
     endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
     expect(endpoint.heardAt).to.equal(undefined)
