Refuse those who wait for connections to a process that has fallen silent

What callers saw: a request that needed a new connection to a node which had fallen silent, while other requests held connections to it, waited until its own deadline and was then refused, though every opening since it came had failed and another endpoint was free. Requests that must not run twice have no second attempt that would help them.

Cause: those who wait are refused when an opening fails, but not while another one is under way. Where several may be under way and their callers came some time apart, one always is: a failed opening is replaced after 100 ms, and one takes up to 400 ms. State that was true when it was sent for (the process answers) is acted on after the news that it no longer is.

Evidence: the test has three callers wait 150 ms apart for a process that accepts and does not answer.

Mend: a failed opening refuses all who wait, as the only one did before, unless a connection was lent since it began: then the other side lives, and the openings that are under way may serve them. Both cases are tested.

Ruled out: a limit on the wait of each caller. It would refuse callers of a process that answers in turn, as one does that has just started.

--- a/src/gate/UpstreamConnections.ts
+++ b/src/gate/UpstreamConnections.ts
@@ -112,7 +112,9 @@
   private _waiters: IWaiter[] = []
   private _warm = 0
   private _limit = 0
-  private readonly _opening = new Set<Socket>()
+  /** Openings under way, each with the number of lendings before it began. */
+  private readonly _opening = new Map<Socket, number>()
+  private _lendings = 0
   private _pause: IDisposable | undefined
 
   constructor (options: IUpstreamConnectionsOptions) {
@@ -168,7 +170,7 @@
   public override dispose (): void {
     super.dispose()
     this._pause?.dispose()
-    for (const socket of this._opening) socket.destroy()
+    for (const socket of this._opening.keys()) socket.destroy()
     this._rejectWaiters('gate stopped')
     for (const connection of [...this._open]) connection.close()
   }
@@ -181,6 +183,7 @@
   }
 
   private _lend (connection: UpstreamConnection): void {
+    this._lendings++
     const waiter = this._waiters.shift()
     if (waiter === undefined) this._idle.push(connection)
     else waiter.resolve(connection)
@@ -199,7 +202,7 @@
   private _openOne (): void {
     const { host, port } = splitAddress(this._options.address)
     const socket = connect({ host, port, noDelay: true, keepAlive: true })
-    this._opening.add(socket)
+    this._opening.set(socket, this._lendings)
     const timeout = this._options.clock.after(this._options.openTimeout, () => socket.destroy(new Error('connection attempt timed out')))
     const fail = (error?: Error): void => { this._onFailed(socket, error) }
     socket.once('error', fail)
@@ -242,12 +245,13 @@
   }
 
   private _onFailed (socket: Socket, cause: Error | undefined): void {
+    const lendings = this._opening.get(socket)
     if (!this._opening.delete(socket)) return
     socket.on('error', ignore)
     if (this.isDisposed) return
     this._pauseOpening(REOPEN_DELAY_MS)
-    // Openings that are still under way may serve those who wait.
-    if (this._opening.size > 0) return
+    // Openings that are still under way may serve those who wait, unless the other side has been silent since this one began.
+    if (this._opening.size > 0 && lendings !== this._lendings) return
     this._options.onUnreachable(this._rejectWaiters(cause?.message ?? 'connection closed', cause))
   }
 
