Judge the time for the head of a request only once what has come is read

What callers saw: a caller whose request lay unread while its node stood still for longer than a head may take was answered 400, though it had sent the head in time. Callers don't repeat a request after 400, and it counts as denied. A caller that was late itself was answered 400 too.

Cause: the server of Node.js looks at its connections by a timer of its own, which fires before the next reading, and counts from the moment at which it took the connection. The port took its error for a fault of the parser. Class: a timer that acts on a state which input that has arrived already has changed.

Evidence: the test writes a request, stands still for 1.2 s with 100 ms allowed for the head, and got 400 in each of two runs before; it gets the endpoint's 200 now. The second test got 400 for a head that never came.

Mend: when the server gives up a head, the port reads what has come first, and does nothing if that was a request. If not, it answers 408, which says that the request has not run, and takes nothing further from the connection, so that the rest of a head that comes behind the answer does not run. Without that refusal the second test fails.

Ruled out: a longer time for the head. It would only move the stall that is long enough.

--- a/src/mesh/calls/CallerConnections.ts
+++ b/src/mesh/calls/CallerConnections.ts
@@ -37,9 +37,19 @@
     return (this._busy.get(socket) ?? 0) > 0
   }
 
+  /** The answer to the newest request of the connection; undefined if there was none. */
+  public newest (socket: Socket): ServerResponse | undefined {
+    return this._newest.get(socket)
+  }
+
+  /** Takes no further request from the connection. */
+  public refuse (socket: Socket): void {
+    this._ending.add(socket)
+  }
+
   /** Fields of an answer after which the connection is of no more use. */
   public end (response: ServerResponse): readonly string[] {
-    this._ending.add(response.req.socket)
+    this.refuse(response.req.socket)
     return CLOSE
   }
 
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -45,6 +45,8 @@
 const CONNECTION_CHECK_INTERVAL_MS = 1_000
 const MILLISECONDS_PER_SECOND = 1_000
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4]
+/** Node.js gives this code where the head of a request has not come in time. */
+const HEAD_LATE_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 const STATUS = Object.freeze({ malformed: 400, noRoute: 404, tooLarge: 413, unknown: 502, refused: 503, late: 504 })
 
 /** Takes requests, finds their route, and writes the final answer. */
@@ -235,15 +237,32 @@
 
   /** The parser gave up. While a request of the connection is under way, nothing may be said that looks like its answer. */
   private _onClientError (error: Error & { code?: string }, socket: Socket): void {
-    const isBusy = this._connections.isBusy(socket)
+    if (error.code === HEAD_LATE_CODE) {
+      this._endIfStillLate(socket).catch(() => socket.destroy())
+      return
+    }
     if (error.code !== 'ECONNRESET') {
       this._options.log.log(CALLER_MALFORMED, { step: 'caller.parse', peer: socket.remoteAddress, reason: error.message })
     }
-    if (!socket.writable || isBusy || socket.bytesWritten > 0) {
+    this._endUnread(socket, error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request')
+  }
+
+  /** The server goes by its clock alone; where this process was late, the head may have come in time. */
+  private async _endIfStillLate (socket: Socket): Promise<void> {
+    const newest = this._connections.newest(socket)
+    await pendingInputRead()
+    if (this._connections.newest(socket) !== newest) return
+    this._options.log.log(CALLER_MALFORMED, { step: 'caller.parse', peer: socket.remoteAddress, reason: 'head did not come in time' })
+    // What comes behind the answer must not run.
+    this._connections.refuse(socket)
+    this._endUnread(socket, '408 Request Timeout')
+  }
+
+  private _endUnread (socket: Socket, status: string): void {
+    if (!socket.writable || this._connections.isBusy(socket) || socket.bytesWritten > 0) {
       socket.destroy()
       return
     }
-    const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
     socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
   }
 
