Let repeated timers act only once what has come is read, as single ones do

What callers saw: nothing by itself. A reader of the store that had been late told all nodes of its region that its view was not current, though the store's answer lay unread; each of them then waits 150 ms and turns to the store.

Cause: `ClockService.after` acts after one more reading of the event loop, `every` acted at once. The check of the view and its heartbeats are such timers. Class: a timer that acts on a state which input that has arrived already has changed.

Evidence: with the loop stood still for 30 ms, an interval of 5 ms acted before bytes that had come meanwhile were read.

Mend: both go the same way. One that is disposed between its time and the reading does not act; tested as well.

--- a/src/common/ClockService.test.ts
+++ b/src/common/ClockService.test.ts
@@ -59,6 +59,19 @@
     expect(await orderWith((note) => clock.after(WAIT_MS, note))).to.deep.equal(['bytes', 'time'])
   })
 
+  it('acts at an interval only once what came meanwhile is read, and not after it was ended', async () => {
+    let calls = 0
+    const order = await orderWith((note) => {
+      const timer = clock.every(WAIT_MS, () => {
+        calls++
+        timer.dispose()
+        note()
+      })
+    })
+    await clock.sleep(WAIT_MS * 3 as Milliseconds)
+    expect([order, calls]).to.deep.equal([['bytes', 'time'], 1])
+  })
+
   it('ends a sleep only once what came meanwhile is read', async () => {
     expect(await orderWith((note) => { clock.sleep(WAIT_MS).then(note, note) })).to.deep.equal(['bytes', 'time'])
   })
--- a/src/common/ClockService.ts
+++ b/src/common/ClockService.ts
@@ -15,25 +15,28 @@
     return Math.floor(this._origin + performance.now()) as Timestamp
   }
 
-  /**
-   * Acts only after the event loop has read once more: where this process itself was late, what the timer waits for may have
-   * come long before.
-   */
   public after (delay: Milliseconds, action: () => void): IDisposable {
-    let immediate: NodeJS.Immediate | undefined
-    const timer = setTimeout(() => { immediate = setImmediate(action) }, delay)
-    return toDisposable(() => {
-      clearTimeout(timer)
-      clearImmediate(immediate)
-    })
+    return onceRead(action, (act) => setTimeout(act, delay))
   }
 
   public every (interval: Milliseconds, action: () => void): IDisposable {
-    const timer = setInterval(action, interval)
-    return toDisposable(() => clearInterval(timer))
+    return onceRead(action, (act) => setInterval(act, interval))
   }
 
   public sleep (delay: Milliseconds): Promise<void> {
     return new Promise((resolve) => { this.after(delay, resolve) })
   }
 }
+
+/**
+ * Acts only after the event loop has read once more: where this process itself was late, what the timer waits for may have
+ * come long before.
+ */
+function onceRead (action: () => void, begin: (act: () => void) => NodeJS.Timeout): IDisposable {
+  let immediate: NodeJS.Immediate | undefined
+  const timer = begin(() => { immediate = setImmediate(action) })
+  return toDisposable(() => {
+    clearTimeout(timer)
+    clearImmediate(immediate)
+  })
+}
