--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -130,6 +130,20 @@
     expect(endpoint.record?.phase).to.equal('serving')
   })
 
+  it('keeps to a leaving that an earlier process was told of and this one was not', () => {
+    endpoint.report(report('a', 1, 5), NOW)
+    endpoint.adopt({ ...report('a', 1, 0), phase: 'gone' }, NOW)
+    endpoint.report(report('a', 1, 6), NOW)
+    expect([endpoint.record?.phase, changes]).to.deep.equal(['gone', ['a s serving', 'a s gone']])
+  })
+
+  it('takes nothing from the row of an earlier process that tells of another incarnation, or of an earlier phase', () => {
+    endpoint.report(report('a', 2, 5, 'draining'), NOW)
+    endpoint.adopt({ ...report('a', 1, 0), phase: 'gone' }, NOW)
+    endpoint.adopt({ ...report('a', 2, 0), phase: 'serving' }, NOW)
+    expect([endpoint.record?.bornAt, endpoint.record?.phase]).to.deep.equal([2, 'draining'])
+  })
+
   it('goes on with the endpoint of an earlier process until it reports itself', () => {
     endpoint.adopt({ ...report('a', 1, 0), phase: 'serving' }, NOW)
     expect(endpoint.heardAt).to.equal(undefined)
