Let a restarted node come into its part of the shared slack of repeats over a window

What endpoints saw: with few nodes whose processes are restarted again and again, more repeats in a window than the limit that all nodes share (BUDGET).

Cause: a process that dies takes its memory of the repeats that it made along, and the next one had the whole part of its node again. Class: a state that is lost counts as zero.

Why it works: the next process finds the row of an earlier one, and has one repeat at once and the rest of its part of the slack little by little, over the window in which the earlier one may have used it up. A first start has everything at once, as before; with some 15 nodes or more a node's part of the slack is one repeat or two, and hardly anything changes.

--- a/src/mesh/calls/RetryAllowance.ts
+++ b/src/mesh/calls/RetryAllowance.ts
@@ -38,11 +38,17 @@
 export class RetryAllowance {
   private readonly _options: IRetryAllowanceOptions
   private readonly _services = new Map<ServiceName, IBucket[]>()
+  private _restartedAt = -Infinity
 
   constructor (options: Partial<IRetryAllowanceOptions> = {}) {
     this._options = { ...DEFAULT_RETRY_ALLOWANCE_OPTIONS, ...options }
   }
 
+  /** An earlier process of the node may have used its part up; this one comes into it over a window. */
+  public noteRestart (now: Timestamp): void {
+    this._restartedAt = now
+  }
+
   /** Counts a request for the service. */
   public noteRequest (service: ServiceName, now: Timestamp): void {
     this._bucket(service, now).requests++
@@ -50,7 +56,7 @@
 
   /** Takes one repeat; false if there is none left. `nodes`: nodes that share the slack. */
   public take (service: ServiceName, nodes: number, now: Timestamp): boolean {
-    const { ratio, slack, usedPart } = this._options
+    const { ratio, usedPart } = this._options
     const present = this._number(now)
     const bucket = this._bucket(service, now)
     let requests = 0
@@ -60,11 +66,19 @@
       requests += candidate.requests
       repeats += candidate.repeats
     }
-    if (repeats + 1 > usedPart * (ratio * requests + slack / Math.max(1, nodes))) return false
+    if (repeats + 1 > usedPart * ratio * requests + this._slack(nodes, now)) return false
     bucket.repeats++
     return true
   }
 
+  /** Repeats beyond the share of the requests. A node never goes without its first one. */
+  private _slack (nodes: number, now: Timestamp): number {
+    const { slack, usedPart, window } = this._options
+    const whole = usedPart * slack / Math.max(1, nodes)
+    const grown = Math.min(1, (now - this._restartedAt) / window) * whole
+    return Math.min(whole, Math.max(1, grown))
+  }
+
   private _bucket (service: ServiceName, now: Timestamp): IBucket {
     let buckets = this._services.get(service)
     if (buckets === undefined) {
--- a/src/mesh/calls/RetryAllowanceRestarts.test.ts
+++ b/src/mesh/calls/RetryAllowanceRestarts.test.ts
@@ -40,7 +40,10 @@
       repeats.push(0)
       for (let node = 0; node < load.nodes; node++) {
         const now = step * STEP_MS
-        if (restarts(node, step, load.nodes)) allowances[node] = create()
+        if (restarts(node, step, load.nodes)) {
+          allowances[node] = create()
+          allowances[node].noteRestart(now as Timestamp)
+        }
         const allowance = allowances[node] as RetryAllowance
         const count = Math.floor(load.rate) + (random.fraction() < load.rate % 1 ? 1 : 0)
         for (let request = 0; request < count; request++) {
@@ -73,14 +76,10 @@
     'failures that come and go': { nodes: 18, slack: 58, rate: 1, failing: (step) => step % 300 < 60 ? 0.95 : 0.05 }
   }
 
-  /** At most one restart of each node in a window. */
-  const singly: Readonly<Record<string, (seed: number) => Restarts>> = {
+  const kinds: Readonly<Record<string, (seed: number) => Restarts>> = {
     'none is restarted': (): Restarts => () => false,
     'each is restarted in turn': (): Restarts => (node, step, nodes) => step % STEPS_IN_WINDOW === Math.floor(node * 0.8 * STEPS_IN_WINDOW / nodes),
-    'all are restarted at once': (): Restarts => (_node, step) => step === 450
-  }
-  /** Several in a window: the slack of a single node must then be small. */
-  const often: Readonly<Record<string, (seed: number) => Restarts>> = {
+    'all are restarted at once': (): Restarts => (_node, step) => step === 450,
     'processes end at random': (seed: number): Restarts => {
       const random = new RandomService(seed)
       return () => random.fraction() < 0.01
@@ -89,8 +88,7 @@
   }
 
   for (const [name, load] of Object.entries(loads)) {
-    const restartsOfLoad = load.nodes < 18 ? singly : { ...singly, ...often }
-    for (const [kind, restarts] of Object.entries(restartsOfLoad)) {
+    for (const [kind, restarts] of Object.entries(kinds)) {
       it(`keeps the limit with ${name} while ${kind}`, () => {
         for (const seed of [1, 2, 3]) expect(excess(load, restarts(seed), seed), `seed ${seed}`).to.be.at.most(0)
       })
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -142,6 +142,7 @@
     const row = nodes.row(node as string as RowKey)
     const record = nodes.nodes.get(node)?.endpoint
     if (record !== undefined) this._kernel.get(MESH_KEY.endpoint).adopt(record, this._clock.now())
+    if (row !== undefined) this._kernel.get(MESH_KEY.allowance).noteRestart(this._clock.now())
     const present = row?.value === undefined ? undefined : { revision: String(row.position) as RowRevision, value: row.value }
     this._kernel.get(MESH_KEY.registration).begin(present)
   }
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -188,9 +188,14 @@
       questions: kernel.get(MESH_KEY.questions)
     })
   })
+  kernel.register({
+    key: MESH_KEY.allowance,
+    dependsOn: [],
+    create: () => new RetryAllowance({ ratio: bounds['retry-share'], slack: bounds['retry-slack'], window: bounds['retry-window'] })
+  })
   kernel.register({
     key: MESH_KEY.callerPort,
-    dependsOn: [MESH_KEY.directory, IConfigurationService],
+    dependsOn: [MESH_KEY.directory, MESH_KEY.allowance, IConfigurationService],
     create: () => new CallerPort({
       ...foundationOf(kernel),
       address: mesh['caller-address'],
@@ -199,7 +204,7 @@
       directory: kernel.get(MESH_KEY.directory),
       split: new WeightedSplit(kernel.get(IRandomService)),
       placement: new Placement(kernel.get(IRandomService)),
-      allowance: new RetryAllowance({ ratio: bounds['retry-share'], slack: bounds['retry-slack'], window: bounds['retry-window'] }),
+      allowance: kernel.get(MESH_KEY.allowance),
       isReady: isServing,
       viewConfirmedAt: () => kernel.get(IViewService).confirmedAt,
       callerService: () => kernel.get(MESH_KEY.endpoint).record?.service ?? settings().mesh.service
--- a/src/mesh/daemon/ServiceKeys.ts
+++ b/src/mesh/daemon/ServiceKeys.ts
@@ -4,6 +4,7 @@
 import type { IChangeFeed, ITableService } from '../../platform/Services.js'
 import type { CallerPort } from '../calls/CallerPort.js'
 import type { EndpointDirectory } from '../calls/EndpointDirectory.js'
+import type { RetryAllowance } from '../calls/RetryAllowance.js'
 import type { EndpointGate } from '../endpoint/EndpointGate.js'
 import type { GateServer } from '../endpoint/GateServer.js'
 import type { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
@@ -22,6 +23,7 @@
   gateServer: createServiceKey<GateServer>('mesh.gate-server'),
   questions: createServiceKey<NodeQuestions>('mesh.questions'),
   directory: createServiceKey<EndpointDirectory>('mesh.directory'),
+  allowance: createServiceKey<RetryAllowance>('mesh.allowance'),
   callerPort: createServiceKey<CallerPort>('mesh.caller-port'),
   controlPort: createServiceKey<IService>('mesh.control-port'),
   metricsServer: createServiceKey<IService>('mesh.metrics-server'),
