Count the time that a call is under way between nodes against its deadline

Class: what is read now is taken for what was sent now.

Cause: CallCodec tells the time that remains when the attempt is built, and the reading node adds its own present time to it. Between the encoding and the first byte there is no wait (the connection is there and has answered), so all of the excess arises on the way and unread.

Mend: each answer tells what the clock of its node shows (one more part of the load). From that the asking node knows what that clock shows at the most at any moment of its own (PeerClock): a question is read after it was asked. A call tells this time, and the reading node takes what has passed since then off objective and deadline. Clocks of the nodes need not agree. Too little is taken off by the shortest way of a question so far. Too much can be taken off only where one of two steady clocks has stood still (a VM that was suspended): the answer to that call disproves it, since it was given before it came; above 2 s nothing is taken off at all. Another process token begins anew. The new parts may be missing, so that nodes of both kinds serve each other's calls during an upgrade; of an answer of a new node an old one then does not read the load. Costs 14 bytes a call and 14 an answer.

CallCodec.test.ts: that a call with one more part is refused gave way, since that part now means something; in its place a call with two more parts, with an empty one and with one that is no number is refused.

Weighed: MessageLag, whose bound contains the way of the last answer, so that it would take off too much; the time that the loop has been busy, which on a busy node says nothing of the age of one message. Still open: what lies unread at the port for callers.

--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -128,6 +128,8 @@
   readonly failurePercent: number
   /** Time that the request spent at the node and its endpoint. */
   readonly handled: Milliseconds
+  /** When the node told this, by its own clock. */
+  readonly toldAt?: Timestamp
 }
 
 /** One attempt of a request, as a node hands it to the node beside an endpoint. */
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -6,10 +6,12 @@
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { IDisposable, Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
+import { singleHeader } from '../../routing/AnswerHeaders.js'
 import { CALL_SETTLED, NODE_SUSPECT, NODE_TRUSTED } from '../Events.js'
 import { decodeOutcome, encodeCall, INNER_HEADER } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
 import type { ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
+import { PeerClock } from '../exchange/PeerClock.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshCall, NodeName, RefusalReason } from '../Types.js'
 
 /** What a remote node needs. */
@@ -49,6 +51,8 @@
 export class RemoteNode extends Disposable {
   private readonly _connections: UpstreamConnections
   private _processToken: string | undefined
+  /** Of the process with that token. */
+  private _peerClock = new PeerClock()
   private _isSuspect = false
 
   constructor (private readonly _options: IRemoteNodeOptions) {
@@ -85,10 +89,11 @@
       const connection = await this._acquire(call, cancellation, turn)
       connectTime = addedWait(connectTime, clock.now() - askedAt)
       if (typeof connection === 'string') return { kind: 'refused', reason: connection, connectTime }
-      const attempt = new Attempt(this._options, call, this._processToken, () => this._suspect('no answer to a question'))
+      const sentAt = clock.now()
+      const attempt = new Attempt(this._options, call, { token: this._processToken, clock: this._peerClock }, () => this._suspect('no answer to a question'))
       const end = await attempt.run(connection, expected, cancellation)
       this._connections.release(connection, end.kind === 'answer')
-      if (end.kind !== 'not-sent') return { ...await this._interpret(attempt, end, call), connectTime }
+      if (end.kind !== 'not-sent') return { ...await this._interpret(attempt, end, call, sentAt), connectTime }
     }
     return { kind: 'refused', reason: 'unreachable', connectTime }
   }
@@ -99,17 +104,22 @@
    */
   private async _greet (connection: UpstreamConnection): Promise<boolean> {
     const { questions, address, onLoad, clock } = this._options
+    const askedAt = clock.now()
     const answer = await questions.greet(connection, address)
     if (answer === undefined) return false
-    this._processToken = answer.processToken
+    this._noteProcess(answer.processToken, answer.load, askedAt)
     if (answer.load !== undefined) onLoad(answer.load, clock.now())
     return true
   }
 
-  private async _interpret (attempt: Attempt, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, call: IMeshCall): Promise<AttemptOutcome> {
+  private async _interpret (
+    attempt: Attempt, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, call: IMeshCall, sentAt: Timestamp
+  ): Promise<AttemptOutcome> {
     if (end.kind === 'answer') {
-      this._noteToken(end)
-      return decodeOutcome(end.status, end.headers, end.body) ?? { kind: 'unknown', reason: 'answer of no node' }
+      const outcome = decodeOutcome(end.status, end.headers, end.body)
+      const token = singleHeader(end.headers, INNER_HEADER.processToken)
+      if (token !== undefined) this._noteProcess(token, outcome?.load, sentAt)
+      return outcome ?? { kind: 'unknown', reason: 'answer of no node' }
     }
     if (attempt.isProvenNotRun) return { kind: 'refused', reason: 'unreachable' }
     if (end.reason === 'deadline' || end.reason === 'cancelled') return { kind: 'unknown', reason: end.reason }
@@ -120,9 +130,12 @@
     return reply === 'never-will-be' ? { kind: 'refused', reason: 'unreachable' } : { kind: 'unknown', reason: `connection to ${call.endpoint} broke` }
   }
 
-  private _noteToken (end: Extract<ExchangeEnd, { kind: 'answer' }>): void {
-    const token = end.headers[INNER_HEADER.processToken]
-    if (typeof token === 'string') this._processToken = token
+  /** Takes what an answer tells of the process that gave it; another process has another clock. */
+  private _noteProcess (token: string | undefined, load: IEndpointLoad | undefined, askedAt: Timestamp): void {
+    if (token !== this._processToken) this._peerClock = new PeerClock()
+    this._processToken = token
+    if (load?.toldAt === undefined) return
+    this._peerClock.note({ askedAt, answeredAt: this._options.clock.now(), toldAt: load.toldAt, handled: load.handled })
   }
 
   /** A connection, or why there is none in time. `turn`: in which the caller was known to wait. */
@@ -166,11 +179,12 @@
     const since = clock.now()
     for (let interval = SHORTEST_PROBE_INTERVAL_MS; !this.isDisposed; interval = Math.min(LONGEST_PROBE_INTERVAL_MS, interval * 1.5)) {
       await clock.sleep(interval as Milliseconds)
+      const askedAt = clock.now()
       const answer = await questions.probe(address)
       if (answer === undefined) continue
       const now = clock.now()
       this._isSuspect = false
-      this._processToken = answer.processToken
+      this._noteProcess(answer.processToken, answer.load, askedAt)
       if (answer.load !== undefined) onLoad(answer.load, now)
       log.log(NODE_TRUSTED, { step: 'calls.node', peer: name, silentMs: now - since })
       return
@@ -183,6 +197,12 @@
   return wait > 0 ? (sum ?? 0) + wait as Milliseconds : sum
 }
 
+/** What is known of the process that an attempt is sent to. */
+interface IPeerProcess {
+  readonly token: string | undefined
+  readonly clock: PeerClock
+}
+
 /** One attempt under way: deadline, cancellation, and the question what became of it. */
 class Attempt {
   /** True once the node has said that the request never will run. */
@@ -195,11 +215,11 @@
   constructor (
     private readonly _options: IRemoteNodeOptions,
     private readonly _call: IMeshCall,
-    private readonly _processToken: string | undefined,
+    private readonly _process: IPeerProcess,
     private readonly _onSilent: () => void
   ) {
     this._exchange = new HttpExchange({
-      method: _call.method, path: _call.path, fields: encodeCall(_call, _options.clock.now()), body: _call.body
+      method: _call.method, path: _call.path, fields: encodeCall(_call, _options.clock.now(), _process.clock), body: _call.body
     })
   }
 
@@ -232,7 +252,8 @@
   /** As long as no answer has told which process is there, the node can say nothing of a request, but that it lives. */
   private async _askNode (timeout: Milliseconds | undefined): Promise<ISettleAnswer | undefined> {
     const { questions, address } = this._options
-    if (this._processToken !== undefined) return await questions.settle(address, this._call.requestId, this._processToken, timeout)
+    const { token } = this._process
+    if (token !== undefined) return await questions.settle(address, this._call.requestId, token, timeout)
     const probe = await questions.probe(address, timeout)
     return probe === undefined ? undefined : { reply: 'running', load: probe.load }
   }
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -98,7 +98,8 @@
       slots: this._record?.slots ?? 0,
       serviceTime: this._presentServiceTime(now),
       failurePercent: this._failures.value(now),
-      handled: now - arrivedAt as Milliseconds
+      handled: now - arrivedAt as Milliseconds,
+      toldAt: now
     }
   }
 
--- a/src/mesh/exchange/CallCodec.test.ts
+++ b/src/mesh/exchange/CallCodec.test.ts
@@ -4,6 +4,7 @@
 import type { EndpointId, Milliseconds, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
 import type { AttemptOutcome, IMeshCall } from '../Types.js'
 import { decodeCall, decodeOutcome, encodeCall, encodeOutcome, INNER_HEADER } from './CallCodec.js'
+import { PeerClock } from './PeerClock.js'
 
 const NOW = 50_000 as Timestamp
 const SEED = 20261204
@@ -49,18 +50,36 @@
 
   it('takes no call of which a part is missing or no number', () => {
     const text = toHeaders(encodeCall(callOf('n', 1, 100, 'idempotent'), NOW))[INNER_HEADER.call] ?? ''
-    const broken = ['', text.replace(/;[^;]*$/, ''), `${text};1`, text.replace(/;1;/, ';x;'), text.replace(/^id/, ''), text.replace('n;', '%;')]
+    const broken = ['', text.replace(/;[^;]*$/, ''), `${text};1;1`, `${text};`, `${text};x`, text.replace(/;1;/, ';x;'), text.replace(/^id/, ''), text.replace('n;', '%;')]
     const calls = broken.map((value) => decodeCall({
       method: 'GET', path: '/', headers: { [INNER_HEADER.call]: value }, body: undefined, callerRequestId: undefined, fields: []
     }, NOW))
     expect(calls.every((call) => call === undefined)).to.equal(true)
   })
 
+  it('counts the time that a call was under way, unless that is longer than any can be', () => {
+    const peerClock = new PeerClock()
+    const ahead = 7_000
+    peerClock.note({ askedAt: NOW, answeredAt: NOW, toldAt: NOW + ahead as Timestamp, handled: 0 as Milliseconds })
+    const call = callOf('n', 1, 1_000, 'idempotent')
+    const headers = toHeaders(encodeCall(call, NOW, peerClock))
+    const shiftOf = (way: number): number => {
+      const readAt = (peerClock.timeAt(NOW) ?? 0) + way as Timestamp
+      const read = decodeCall({ method: 'GET', path: '/', headers, body: undefined, callerRequestId: undefined, fields: [] }, readAt)
+      const [objectiveLeft = 0, deadlineLeft = 0] = [read?.objectiveAt, read?.deadlineAt].map((moment) => (moment ?? 0) - readAt)
+      expect(deadlineLeft - objectiveLeft).to.equal(1_000)
+      return 2_000 - deadlineLeft
+    }
+    expect([-500, 0, 1, 1_500, 2_001].map(shiftOf)).to.deep.equal([0, 0, 1, 1_500, 0])
+  })
+
   it('gives outcomes back as they were, and takes none that names no known reason', () => {
     const load = { occupied: 3, slots: 9, serviceTime: 120 as Milliseconds, failurePercent: 4, handled: 88 as Milliseconds }
+    const timed = { ...load, toldAt: NOW }
     const outcomes: readonly AttemptOutcome[] = [
       { kind: 'answered', answer: { status: 201, fields: ['x-a', 'b'], body: BODY }, load },
       { kind: 'refused', reason: 'overloaded', retryAfter: 250 as Milliseconds, load },
+      { kind: 'refused', reason: 'shed', retryAfter: undefined, load: timed },
       { kind: 'refused', reason: 'draining', retryAfter: undefined, load: undefined },
       { kind: 'unknown', reason: 'broke; 100 %', load: undefined }
     ]
--- a/src/mesh/exchange/CallCodec.ts
+++ b/src/mesh/exchange/CallCodec.ts
@@ -4,6 +4,7 @@
 import { fieldsOf } from '../../gate/HeaderRules.js'
 import { singleHeader } from '../../routing/AnswerHeaders.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshCall, IWholeAnswer, RefusalReason } from '../Types.js'
+import type { PeerClock } from './PeerClock.js'
 
 /** Fields between nodes. A call and an outcome take one field each: between regions every byte is paid for. */
 export const INNER_HEADER = Object.freeze({
@@ -11,7 +12,7 @@
   call: 'savoryknot-call',
   /** Kind, reason and time to return, in milliseconds; the kind is `answered`, `refused` or `unknown`. */
   outcome: 'savoryknot-outcome',
-  /** Occupied, slots, service time, failure percent and time at the node, separated by slashes. */
+  /** Occupied, slots, service time, failure percent, time at the node, and what its clock shows, separated by slashes. */
   load: 'savoryknot-load',
   /** `probe` or `settle`, on requests that are no calls. */
   purpose: 'savoryknot-purpose',
@@ -24,12 +25,15 @@
 } as const)
 
 const SEPARATOR = ';'
-/** Parts of the field of a call. */
+/** Parts of the field of a call, and of a load; one more tells a clock where it is known. */
 const CALL_PARTS = 9
+const LOAD_PARTS = 5
+/** A call that seems to have been under way for longer tells of a clock that has stood still. */
+const LONGEST_WAY_MS = 2_000
 /** Short names of the kinds of requests. */
 const REPEAT_CODE = Object.freeze({ idempotent: 'i', 'non-idempotent': 'n' })
 const PREFIX = 'savoryknot-'
-const NUMBER_PATTERN = /^\d{1,12}$/
+const NUMBER_PATTERN = /^\d{1,14}$/
 const REASONS: ReadonlySet<string> = new Set<RefusalReason>([
   'overloaded', 'draining', 'no-endpoint', 'unreachable', 'deadline', 'cancelled', 'shed'
 ])
@@ -39,11 +43,14 @@
 
 /**
  * Fields of a call for the node beside its endpoint. The call's own field holds id, route, service, endpoint, calling
- * service, kind, rank, and the milliseconds that remain until the objective and until the deadline.
+ * service, kind, rank, the milliseconds that remain until the objective and until the deadline, and the present time by the
+ * other node's clock if that is known.
  */
-export function encodeCall (call: IMeshCall, now: Timestamp): readonly string[] {
+export function encodeCall (call: IMeshCall, now: Timestamp, peerClock?: PeerClock): readonly string[] {
   const names = [call.requestId, call.route, call.service, call.endpoint, call.callerService].map(encodeURIComponent)
+  const peerTime = peerClock?.timeAt(now)
   const times = [durationText(call.objectiveAt, now), durationText(call.deadlineAt, now)]
+  if (peerTime !== undefined) times.push(String(peerTime))
   return [...call.fields, INNER_HEADER.call, [...names, REPEAT_CODE[call.repeat], call.rank, ...times].join(SEPARATOR)]
 }
 
@@ -58,14 +65,16 @@
   readonly fields: readonly string[]
 }
 
-/** Undefined if the fields of a call are missing or malformed. */
+/** Undefined if the fields of a call are missing or malformed. The time that it is known to have been under way counts as passed. */
 export function decodeCall (parts: ICallParts, now: Timestamp): IMeshCall | undefined {
   const { headers, method, path, body, callerRequestId, fields } = parts
   const texts = decodedParts(headers, INNER_HEADER.call)
-  if (texts?.length !== CALL_PARTS) return undefined
+  if (texts === undefined || texts.length < CALL_PARTS || texts.length > CALL_PARTS + 1) return undefined
   const [requestId, route, service, endpoint, callerService, repeat, ...numbers] = texts as [string, string, string, string, string, string]
-  const [rank, objective, deadline] = numbers.map(parseNumber)
+  const [rank, objective, deadline, sentAt] = numbers.map(parseNumber)
   if (requestId === '' || rank === undefined || objective === undefined || deadline === undefined) return undefined
+  if (texts.length > CALL_PARTS && sentAt === undefined) return undefined
+  const countedFrom = now - wayOf(sentAt, now)
   return {
     requestId: requestId as RequestId,
     callerRequestId,
@@ -75,8 +84,8 @@
     callerService,
     repeat: repeat === REPEAT_CODE.idempotent ? 'idempotent' : 'non-idempotent',
     rank,
-    objectiveAt: now + objective as Timestamp,
-    deadlineAt: now + deadline as Timestamp,
+    objectiveAt: countedFrom + objective as Timestamp,
+    deadlineAt: countedFrom + deadline as Timestamp,
     method,
     path,
     fields,
@@ -126,14 +135,25 @@
 }
 
 export function encodeLoad (load: IEndpointLoad): string {
-  return [load.occupied, load.slots, load.serviceTime, load.failurePercent, load.handled].map(Math.round).join('/')
+  const told = load.toldAt === undefined ? [] : [load.toldAt]
+  return [load.occupied, load.slots, load.serviceTime, load.failurePercent, load.handled, ...told].map(Math.round).join('/')
 }
 
+/** Parts of a load in their order. */
+type LoadNumbers = [number, number, Milliseconds, number, Milliseconds, Timestamp?]
+
 export function decodeLoad (text: string | undefined): IEndpointLoad | undefined {
   const numbers = text?.split('/').map(Number)
-  if (numbers === undefined || numbers.length !== 5 || numbers.some((number) => !Number.isFinite(number) || number < 0)) return undefined
-  const [occupied, slots, serviceTime, failurePercent, handled] = numbers as [number, number, Milliseconds, number, Milliseconds]
-  return { occupied, slots, serviceTime, failurePercent, handled }
+  if (numbers === undefined || numbers.some((number) => !Number.isFinite(number) || number < 0)) return undefined
+  if (numbers.length !== LOAD_PARTS && numbers.length !== LOAD_PARTS + 1) return undefined
+  const [occupied, slots, serviceTime, failurePercent, handled, toldAt] = numbers as LoadNumbers
+  return { occupied, slots, serviceTime, failurePercent, handled, ...toldAt === undefined ? {} : { toldAt } }
+}
+
+/** Time that a call has been under way at least. `sentAt`: when it was sent, or later; undefined if that is not known. */
+function wayOf (sentAt: number | undefined, now: Timestamp): number {
+  const way = sentAt === undefined ? 0 : now - sentAt
+  return way > 0 && way <= LONGEST_WAY_MS ? way : 0
 }
 
 function durationText (until: Timestamp, now: Timestamp): string {
