--- /dev/null
+++ b/src/mesh/calls/CallerLeftAmid.test.ts
@@ -0,0 +1,79 @@
+/** Callers that leave amid their request or amid their answer, in each way in which a connection can end. */
+import { expect } from 'chai'
+import { connect, type Socket } from 'node:net'
+import { MeshRig, until, type IRigNode } from '../../../testing/mesh/MeshRig.js'
+import { requestText } from '../../../testing/mesh/UnreadRequests.js'
+
+/** Milliseconds; no deadline ends the work while the test waits. */
+const PATIENCE = 60_000
+const ROUTES = [
+  { prefix: '/status/', service: 'status', timeout: PATIENCE },
+  { prefix: '/pay/', service: 'status', kind: 'non_idempotent', timeout: PATIENCE }
+]
+/** More than a stream takes in without being read. */
+const CHUNK = 'x'.repeat(40_000)
+const CHUNK_FIELDS = ['transfer-encoding', 'chunked']
+
+/** Ways to end a connection; the last one leaves the other direction open. */
+const ENDS: ReadonlyArray<readonly [string, (socket: Socket) => void]> = [
+  ['a close', (socket) => { socket.destroy() }],
+  ['a reset', (socket) => { socket.resetAndDestroy() }],
+  ['the end of its own direction', (socket) => { socket.end() }]
+]
+
+for (const [name, end] of ENDS) {
+  describe(`A caller that leaves by ${name}`, () => {
+    let rig: MeshRig
+    let near: IRigNode
+    let far: IRigNode
+    let socket: Socket
+
+    beforeEach(async () => {
+      rig = new MeshRig()
+      await rig.start(ROUTES)
+      near = await rig.startServing('other')
+      far = await rig.startServing('status', 'z2')
+      await rig.call(near, { path: '/status/first', id: 'first' })
+      socket = connect(near.ports.caller, '127.0.0.1')
+      socket.on('error', () => undefined)
+    })
+
+    afterEach(async () => {
+      socket.destroy()
+      await rig.stop()
+    })
+
+    for (const prefix of ['/status/', '/pay/']) {
+      it(`amid its body has nothing run: ${prefix}`, async () => {
+        const head = requestText({ method: 'POST', id: 'left', path: `${prefix}1`, fields: CHUNK_FIELDS, patience: PATIENCE })
+        await new Promise((resolve) => socket.write(`${head}${CHUNK.length.toString(16)}\r\n${CHUNK}\r\n`, resolve))
+        await rig.call(near, { path: '/status/meanwhile', id: 'meanwhile' })
+        end(socket)
+        await rig.call(near, { path: '/status/later', id: 'later' })
+        expect(far.endpoint.runs.map(({ id }) => id)).to.deep.equal(['first', 'meanwhile', 'later'])
+      })
+    }
+
+    it('has the work at another node ended', async () => {
+      far.endpoint.workTime = PATIENCE
+      socket.write(requestText({ id: 'left', path: '/status/1', patience: PATIENCE }))
+      await until(() => far.endpoint.runs.length === 2)
+      end(socket)
+      await until(() => far.endpoint.abandoned === 1)
+    })
+
+    it('amid the answer has the rest of it ended', async () => {
+      let connections = 0
+      far.endpoint.mode = 'scripted'
+      far.endpoint.script = (answering, fields) => {
+        connections++
+        answering.once('close', () => { connections-- })
+        answering.write(`HTTP/1.1 200 OK\r\n${fields}content-length: 100\r\n\r\npart`)
+      }
+      socket.write(requestText({ id: 'left', path: '/status/1', patience: PATIENCE }))
+      await until(() => connections === 1)
+      end(socket)
+      await until(() => connections === 0)
+    })
+  })
+}
