Trust a node again that answers late, by the answers that it gives

What callers saw: requests were kept away from a node that had left one question of 350 ms without an answer, for as long as its answers took longer than that, though it answered the calls that it had. Where all endpoints of a service are beside such nodes, callers get 503 for want of an endpoint.

Cause: a node became suspect by one question and was trusted again only by a probe on a new connection, which had the same 350 ms, however often it was asked. The second question about the same attempt has 1 s; its answer is newer than the suspicion, but nobody took it for that. Connection, question and answer take three turns of the other process and two round trips. Class: state that is kept against later news, and one bound of time for every path.

Evidence: two new tests. A node that answered the second question stayed suspect, and one that takes 700 ms for its answers was not trusted within the 5 s that the test waits.

Mend: the answer to a question that was asked after the silence ends the suspicion, and a probe may take as long as the pause before it, 1 s at most. Answers to calls that were sent before the suspicion do not count, since they may have been on their way. The first unanswered question still keeps requests away at once.

--- a/src/mesh/calls/RemoteNode.test.ts
+++ b/src/mesh/calls/RemoteNode.test.ts
@@ -6,6 +6,7 @@
 import { ClockService } from '../../common/ClockService.js'
 import type { Milliseconds, NetworkAddress } from '../../common/Types.js'
 import { meshCall } from '../../../testing/mesh/MeshCalls.js'
+import { until } from '../../../testing/mesh/MeshRig.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import { INNER_HEADER } from '../exchange/CallCodec.js'
 import type { IProbeAnswer, ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
@@ -31,6 +32,9 @@
   /** Replies to the questions in turn; the last one goes on. */
   let replies: ReadonlyArray<SettleReply | undefined>
   let questionsAsked: number
+  let log: RecordingLog
+  /** Time that the node needs for the answer to a probe. */
+  let answerTime: number
 
   beforeEach(async () => {
     delay = 0
@@ -50,10 +54,15 @@
       const reply = replies[Math.min(questionsAsked++, replies.length - 1)]
       return reply === undefined ? undefined : { reply, load: undefined }
     }
+    log = new RecordingLog()
+    answerTime = Infinity
+    const probe = async (_address: NetworkAddress, timeout = 0): Promise<IProbeAnswer | undefined> => {
+      return timeout < answerTime ? undefined : { load: undefined, processToken: 'one' }
+    }
     const greet = async (): Promise<IProbeAnswer> => ({ load: undefined, processToken: 'one' })
-    const questions = { settle, greet, probe: async () => undefined } as unknown as NodeQuestions
+    const questions = { settle, greet, probe } as unknown as NodeQuestions
     node = new RemoteNode({
-      name: 'n' as NodeName, address: `127.0.0.1:${port}` as NetworkAddress, questions, clock, log: new RecordingLog(), onLoad: () => undefined
+      name: 'n' as NodeName, address: `127.0.0.1:${port}` as NetworkAddress, questions, clock, log, onLoad: () => undefined
     })
   })
 
@@ -90,7 +99,20 @@
 
   it('does not end an attempt because one question was lost, as on a full link', async () => {
     expect(await outcomeOf([undefined, 'running'], 'idempotent')).to.equal('answered')
+    expect(log.events.map(({ name }) => name)).to.include('node-suspect')
+  })
+
+  it('gives requests to a node again as soon as it has answered the second question', async () => {
+    await outcomeOf([undefined, 'running'], 'idempotent')
+    expect(log.events.map(({ name }) => name).filter((name) => name.startsWith('node-'))).to.deep.equal(['node-suspect', 'node-trusted'])
+    expect(node.isSuspect).to.equal(false)
+  })
+
+  it('gives requests to a node again that needs longer for its answers than the first question waits', async () => {
+    answerTime = SLOW_MS
+    await outcomeOf([undefined], 'idempotent')
     expect(node.isSuspect).to.equal(true)
+    await until(() => !node.isSuspect)
   })
 
   for (const answer of ANSWERS) {
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -40,10 +40,12 @@
 /** Least wait for an answer before the node is asked what became of the request, and multiple of the usual time. */
 const LEAST_PATIENCE_MS = 300
 const PATIENCE_FACTOR = 3
+/** Least time for the answer to a probe of a suspect node. */
+const QUESTION_TIMEOUT_MS = 350
 /** Time for the answer to a question that is asked again; bears a link on which packets wait half a second each way. */
 const SECOND_QUESTION_TIMEOUT_MS = 1_000 as Milliseconds
 const NODE_SILENT = 'node does not answer'
-/** First and longest time between two probes of a suspect node. */
+/** First and longest time between two probes of a suspect node; an answer may take as long, within the bounds of the questions. */
 const SHORTEST_PROBE_INTERVAL_MS = 250
 const LONGEST_PROBE_INTERVAL_MS = 2_500
 
@@ -53,7 +55,8 @@
   private _processToken: string | undefined
   /** Of the process with that token. */
   private _peerClock = new PeerClock()
-  private _isSuspect = false
+  /** Since when the node does not answer; undefined while it does. */
+  private _suspectSince: Timestamp | undefined
 
   constructor (private readonly _options: IRemoteNodeOptions) {
     super()
@@ -76,7 +79,7 @@
 
   /** True while the node does not answer. */
   public get isSuspect (): boolean {
-    return this._isSuspect
+    return this._suspectSince !== undefined
   }
 
   /** Runs one attempt. Never rejects. `expected`: usual time to the answer. */
@@ -90,7 +93,10 @@
       connectTime = addedWait(connectTime, clock.now() - askedAt)
       if (typeof connection === 'string') return { kind: 'refused', reason: connection, connectTime }
       const sentAt = clock.now()
-      const attempt = new Attempt(this._options, call, { token: this._processToken, clock: this._peerClock }, () => this._suspect('no answer to a question'))
+      const attempt = new Attempt(this._options, call, { token: this._processToken, clock: this._peerClock }, {
+        onSilent: () => this._suspect('no answer to a question'),
+        onAnswerAfterSilence: () => this._trust()
+      })
       const end = await attempt.run(connection, expected, cancellation)
       this._connections.release(connection, end.kind === 'answer')
       if (end.kind !== 'not-sent') return { ...await this._interpret(attempt, end, call, sentAt), connectTime }
@@ -165,28 +171,38 @@
   }
 
   private _suspect (reason: string): void {
-    if (this._isSuspect || this.isDisposed) return
-    this._isSuspect = true
-    this._options.log.log(NODE_SUSPECT, { step: 'calls.node', peer: this._options.name, reason })
-    this._probeUntilTrusted().catch((error: unknown) => {
-      this._isSuspect = false
-      this._options.log.log(NODE_TRUSTED, { step: 'calls.node', peer: this._options.name, reason: String(error) })
+    const { log, name, clock } = this._options
+    if (this.isSuspect || this.isDisposed) return
+    const since = clock.now()
+    this._suspectSince = since
+    log.log(NODE_SUSPECT, { step: 'calls.node', peer: name, reason })
+    this._probeUntilTrusted(since).catch((error: unknown) => {
+      this._suspectSince = undefined
+      log.log(NODE_TRUSTED, { step: 'calls.node', peer: name, reason: String(error) })
     })
   }
 
-  private async _probeUntilTrusted (): Promise<void> {
-    const { questions, clock, address, log, name, onLoad } = this._options
-    const since = clock.now()
+  /** The node has answered a question that was asked after it had become suspect. */
+  private _trust (): void {
+    const { log, name, clock } = this._options
+    if (this._suspectSince === undefined) return
+    log.log(NODE_TRUSTED, { step: 'calls.node', peer: name, silentMs: clock.now() - this._suspectSince })
+    this._suspectSince = undefined
+  }
+
+  private async _probeUntilTrusted (since: Timestamp): Promise<void> {
+    const { questions, clock, address, onLoad } = this._options
     for (let interval = SHORTEST_PROBE_INTERVAL_MS; !this.isDisposed; interval = Math.min(LONGEST_PROBE_INTERVAL_MS, interval * 1.5)) {
       await clock.sleep(interval as Milliseconds)
+      if (this._suspectSince !== since) return
+      // A link on which packets wait lets no answer through in the time of the first question, however often it is asked.
+      const patience = Math.min(SECOND_QUESTION_TIMEOUT_MS, Math.max(QUESTION_TIMEOUT_MS, interval)) as Milliseconds
       const askedAt = clock.now()
-      const answer = await questions.probe(address)
+      const answer = await questions.probe(address, patience)
       if (answer === undefined) continue
-      const now = clock.now()
-      this._isSuspect = false
       this._noteProcess(answer.processToken, answer.load, askedAt)
-      if (answer.load !== undefined) onLoad(answer.load, now)
-      log.log(NODE_TRUSTED, { step: 'calls.node', peer: name, silentMs: now - since })
+      if (answer.load !== undefined) onLoad(answer.load, clock.now())
+      if (this._suspectSince === since) this._trust()
       return
     }
   }
@@ -203,6 +219,14 @@
   readonly clock: PeerClock
 }
 
+/** What an attempt notices of its node. */
+interface IAttemptListeners {
+  /** Called when the node does not answer a question. */
+  readonly onSilent: () => void
+  /** Called when it answers the next one. */
+  readonly onAnswerAfterSilence: () => void
+}
+
 /** One attempt under way: deadline, cancellation, and the question what became of it. */
 class Attempt {
   /** True once the node has said that the request never will run. */
@@ -211,12 +235,11 @@
   private _question: IDisposable | undefined
   private _isOver = false
 
-  /** `_onSilent`: called when the node does not answer a question. */
   constructor (
     private readonly _options: IRemoteNodeOptions,
     private readonly _call: IMeshCall,
     private readonly _process: IPeerProcess,
-    private readonly _onSilent: () => void
+    private readonly _listeners: IAttemptListeners
   ) {
     this._exchange = new HttpExchange({
       method: _call.method, path: _call.path, fields: encodeCall(_call, _options.clock.now(), _process.clock), body: _call.body
@@ -283,7 +306,10 @@
   private async _settleTwice (): Promise<SettleReply | undefined> {
     const reply = await this.settle()
     if (reply !== undefined) return reply
-    this._onSilent()
-    return this._isOver ? undefined : await this.settle(SECOND_QUESTION_TIMEOUT_MS)
+    this._listeners.onSilent()
+    if (this._isOver) return undefined
+    const second = await this.settle(SECOND_QUESTION_TIMEOUT_MS)
+    if (second !== undefined) this._listeners.onAnswerAfterSilence()
+    return second
   }
 }
