Read the protocol between nodes when the bundle is built

Cause: work at each start whose result never differs. The loader of gRPC parses proto/savoryknot.proto, encodes descriptors of all its messages for reflection, which the daemon does not offer, and decodes them again: 60 of 556 ms until ready and 1.5 s after it, in a profile of six starts (0.5 ms between samples, which itself costs).

The build now reads the file and the bundle carries the messages as JSON; services get their methods from that, in the place of @grpc/proto-loader and as undici is replaced by its parts. The program run from its modules reads the file as before.

That the bundle holds no parser of protocol files fails with the earlier build.

--- a/deploy/Bundle.mjs
+++ b/deploy/Bundle.mjs
@@ -5,6 +5,7 @@
 import { copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { protocolDefinition } from './ProtocolDefinition.cjs'
 
 /** `import.meta.url` of the bundle's modules, which a CommonJS file has not. */
 const MODULE_URL = "const bundleUrl = require('node:url').pathToFileURL(__filename).href;"
@@ -23,11 +24,11 @@
   platform: 'node',
   format: 'cjs',
   target: 'node20',
-  alias: { undici: './deploy/HttpClientParts.cjs' },
+  alias: { undici: './deploy/HttpClientParts.cjs', '@grpc/proto-loader': './deploy/ProtocolLoader.cjs' },
   // Names stay, for stacks and the names of errors.
   minifyWhitespace: true,
   minifySyntax: true,
-  define: { 'import.meta.url': 'bundleUrl' },
+  define: { 'import.meta.url': 'bundleUrl', SAVORYKNOT_PROTOCOL: JSON.stringify(protocolDefinition()) },
   banner: { js: MODULE_URL },
   logLevel: 'warning'
 })
--- a/deploy/Bundle.test.ts
+++ b/deploy/Bundle.test.ts
@@ -93,6 +93,11 @@
     expect([...compilers]).to.deep.equal(['Liftoff'])
   })
 
+  it('does not parse the protocol between nodes at each start', () => {
+    const bundle = readFileSync('target/savoryknotd-bundle.cjs', 'utf8')
+    expect([bundle.includes('savoryknotd'), bundle.includes('node_modules/protobufjs/src/parse.js')]).to.deep.equal([true, false])
+  })
+
   for (const command of [() => deployedCommand(), () => ['bin/savoryknotd.js']]) {
     it(`is not ended by a signal to reload that comes while it starts: ${command().at(-1) ?? ''}`, async function () {
       this.timeout(30_000)
--- /dev/null
+++ b/deploy/ProtocolDefinition.cjs
@@ -0,0 +1,11 @@
+/** Reads proto/savoryknot.proto when the bundle is built, so that no process need parse it. */
+const { Root } = require('../node_modules/protobufjs')
+
+const PROTO_FILE = 'proto/savoryknot.proto'
+
+/** Messages and services as JSON, in the form that deploy/ProtocolLoader.cjs takes. */
+function protocolDefinition () {
+  return new Root().loadSync(PROTO_FILE).resolveAll().toJSON()
+}
+
+module.exports = { protocolDefinition }
