--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -3,27 +3,15 @@
 import { Disposable } from '../../common/Disposable.js'
 import { loopTurns } from '../../common/LoopTurns.js'
 import { pendingInputReadSince } from '../../common/PendingInput.js'
-import type { IClockService, ILogService } from '../../common/Services.js'
-import type { IDisposable, Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
+import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
 import { singleHeader } from '../../routing/AnswerHeaders.js'
-import { CALL_SETTLED, NODE_SUSPECT, NODE_TRUSTED } from '../Events.js'
-import { decodeOutcome, encodeCall, INNER_HEADER } from '../exchange/CallCodec.js'
-import { HttpExchange, type ExchangeEnd } from '../exchange/HttpExchange.js'
-import type { ISettleAnswer, NodeQuestions, SettleReply } from '../exchange/NodeQuestions.js'
+import { NODE_SUSPECT, NODE_TRUSTED } from '../Events.js'
+import { decodeOutcome, INNER_HEADER } from '../exchange/CallCodec.js'
+import type { ExchangeEnd } from '../exchange/HttpExchange.js'
 import { PeerClock } from '../exchange/PeerClock.js'
-import type { AttemptOutcome, IEndpointLoad, IMeshCall, NodeName, RefusalReason } from '../Types.js'
-
-/** What a remote node needs. */
-export interface IRemoteNodeOptions {
-  readonly name: NodeName
-  readonly address: NetworkAddress
-  readonly questions: NodeQuestions
-  readonly clock: IClockService
-  readonly log: ILogService
-  /** Called with the load that a probe or a question brought. */
-  readonly onLoad: (load: IEndpointLoad, now: Timestamp) => void
-}
+import type { AttemptOutcome, IEndpointLoad, IMeshCall, RefusalReason } from '../Types.js'
+import { NODE_SILENT, RemoteAttempt, SECOND_QUESTION_TIMEOUT_MS, type IRemoteNodeOptions } from './RemoteAttempt.js'
 
 /** Connections to one node. */
 const CONNECTION_LIMIT = 256
@@ -35,16 +23,8 @@
 const OPEN_TIMEOUT_MS = 400 as Milliseconds
 /** Tries to find a connection that is still open; a stale one shows before a byte is sent. */
 const CONNECTION_TRIES = 3
-/** Time after the deadline in which the node's own answer may still come. */
-const DEADLINE_GRACE_MS = 100
-/** Least wait for an answer before the node is asked what became of the request, and multiple of the usual time. */
-const LEAST_PATIENCE_MS = 300
-const PATIENCE_FACTOR = 3
 /** Least time for the answer to a probe of a suspect node. */
 const QUESTION_TIMEOUT_MS = 350
-/** Time for the answer to a question that is asked again; bears a link on which packets wait half a second each way. */
-const SECOND_QUESTION_TIMEOUT_MS = 1_000 as Milliseconds
-const NODE_SILENT = 'node does not answer'
 /** First and longest time between two probes of a suspect node; an answer may take as long, within the bounds of the questions. */
 const SHORTEST_PROBE_INTERVAL_MS = 250
 const LONGEST_PROBE_INTERVAL_MS = 2_500
@@ -93,7 +73,7 @@
       connectTime = addedWait(connectTime, clock.now() - askedAt)
       if (typeof connection === 'string') return { kind: 'refused', reason: connection, connectTime }
       const sentAt = clock.now()
-      const attempt = new Attempt(this._options, call, { token: this._processToken, clock: this._peerClock }, {
+      const attempt = new RemoteAttempt(this._options, call, { token: this._processToken, clock: this._peerClock }, {
         onSilent: () => this._suspect('no answer to a question'),
         onAnswerAfterSilence: () => this._trust()
       })
@@ -119,7 +99,7 @@
   }
 
   private async _interpret (
-    attempt: Attempt, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, call: IMeshCall, sentAt: Timestamp
+    attempt: RemoteAttempt, end: Exclude<ExchangeEnd, { kind: 'not-sent' }>, call: IMeshCall, sentAt: Timestamp
   ): Promise<AttemptOutcome> {
     if (end.kind === 'answer') {
       const outcome = decodeOutcome(end.status, end.headers, end.body)
@@ -212,104 +192,3 @@
 function addedWait (sum: Milliseconds | undefined, wait: number): Milliseconds | undefined {
   return wait > 0 ? (sum ?? 0) + wait as Milliseconds : sum
 }
-
-/** What is known of the process that an attempt is sent to. */
-interface IPeerProcess {
-  readonly token: string | undefined
-  readonly clock: PeerClock
-}
-
-/** What an attempt notices of its node. */
-interface IAttemptListeners {
-  /** Called when the node does not answer a question. */
-  readonly onSilent: () => void
-  /** Called when it answers the next one. */
-  readonly onAnswerAfterSilence: () => void
-}
-
-/** One attempt under way: deadline, cancellation, and the question what became of it. */
-class Attempt {
-  /** True once the node has said that the request never will run. */
-  public isProvenNotRun = false
-  private readonly _exchange: HttpExchange
-  private _question: IDisposable | undefined
-  private _isOver = false
-
-  constructor (
-    private readonly _options: IRemoteNodeOptions,
-    private readonly _call: IMeshCall,
-    private readonly _process: IPeerProcess,
-    private readonly _listeners: IAttemptListeners
-  ) {
-    this._exchange = new HttpExchange({
-      method: _call.method, path: _call.path, fields: encodeCall(_call, _options.clock.now(), _process.clock), body: _call.body
-    })
-  }
-
-  public async run (connection: UpstreamConnection, expected: Milliseconds, cancellation: ICancellation): Promise<ExchangeEnd> {
-    const { clock } = this._options
-    const remaining = this._call.deadlineAt - clock.now()
-    const deadline = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => this._exchange.abort('deadline'))
-    // The other node withdraws a request that waits; one that runs and must not run twice it leaves to finish.
-    const cancel = cancellation.onCancelled(() => this._exchange.abort('cancelled'))
-    this._askAfter(Math.max(LEAST_PATIENCE_MS, expected * PATIENCE_FACTOR) as Milliseconds)
-    const end = await this._exchange.run(connection)
-    this._isOver = true
-    deadline.dispose()
-    cancel.dispose()
-    this._question?.dispose()
-    return end
-  }
-
-  /** What the node says of the request; undefined if it does not answer. */
-  public async settle (timeout?: Milliseconds): Promise<SettleReply | undefined> {
-    const { clock, log, name, onLoad } = this._options
-    const answer = await this._askNode(timeout)
-    // An endpoint that keeps its requests tells nothing by answers.
-    if (answer?.load !== undefined) onLoad(answer.load, clock.now())
-    const reply = answer?.reply
-    log.log(CALL_SETTLED, { step: 'calls.settle', peer: name, request: this._call.callerRequestId, reply: reply ?? 'no answer' })
-    return reply
-  }
-
-  /** As long as no answer has told which process is there, the node can say nothing of a request, but that it lives. */
-  private async _askNode (timeout: Milliseconds | undefined): Promise<ISettleAnswer | undefined> {
-    const { questions, address } = this._options
-    const { token } = this._process
-    if (token !== undefined) return await questions.settle(address, this._call.requestId, token, timeout)
-    const probe = await questions.probe(address, timeout)
-    return probe === undefined ? undefined : { reply: 'running', load: probe.load }
-  }
-
-  private _askAfter (patience: Milliseconds): void {
-    this._question = this._options.clock.after(patience, () => {
-      this._ask(patience).catch((error: unknown) => this._exchange.abort(`question failed: ${String(error)}`))
-    })
-  }
-
-  /** Ends the attempt if there is nothing to wait for any more. */
-  private async _ask (patience: Milliseconds): Promise<void> {
-    const reply = await this._settleTwice()
-    if (this._isOver) return
-    if (reply === 'never-will-be') {
-      this.isProvenNotRun = true
-      this._exchange.abort('never began')
-    } else if (reply === 'running' || reply === 'other-process' || this._call.repeat !== 'idempotent') {
-      // Another process than the one known before: the request was sent to it, or its connection will break by itself.
-      this._askAfter(patience * 2 as Milliseconds)
-    } else {
-      this._exchange.abort(reply === undefined ? NODE_SILENT : 'answer was lost')
-    }
-  }
-
-  /** A question that is lost or late on a full link says nothing of the request, which may be at work; it is asked again with more time. */
-  private async _settleTwice (): Promise<SettleReply | undefined> {
-    const reply = await this.settle()
-    if (reply !== undefined) return reply
-    this._listeners.onSilent()
-    if (this._isOver) return undefined
-    const second = await this.settle(SECOND_QUESTION_TIMEOUT_MS)
-    if (second !== undefined) this._listeners.onAnswerAfterSilence()
-    return second
-  }
-}
