Do not take an answer for lost that comes behind the news that it was sent

What callers saw: 502 for a request that may run twice and that an endpoint had answered (LOST).

Cause: a node asks what became of a request on a connection of its own. The answer to that can overtake the answer to the request, which was sent just before, and is still on its way or lies unread; at 'finished' the attempt was ended at once. Class: news that was read first is taken for what happened last.

Evidence: RemoteNode.test.ts, an answer that comes 150 ms after 'finished': 'unknown: connection to e broke' before, 'answered' now. An answer that is really lost is still 'unknown' (its test is unchanged), 300 ms later than before. Why it works: after the first 'finished' there are 300 ms for the answer before the node is asked again; then it counts as lost. Requests that must not run twice waited on before, too. Ruled out: a planned stop of node-2 (its log has none); a process that was late alone (the link's delay has the same effect).

--- a/src/mesh/calls/RemoteAttempt.ts
+++ b/src/mesh/calls/RemoteAttempt.ts
@@ -52,6 +52,8 @@
   private readonly _exchange: HttpExchange
   private _question: IDisposable | undefined
   private _isOver = false
+  /** True once the node has said that the request has ended there. */
+  private _isAnswerSent = false
 
   constructor (
     private readonly _options: IRemoteNodeOptions,
@@ -115,6 +117,10 @@
     } else if (reply === 'running' || reply === 'other-process' || this._call.repeat !== 'idempotent') {
       // Another process than the one known before: the request was sent to it, or its connection will break by itself.
       this._askAfter(patience * 2 as Milliseconds)
+    } else if (reply === 'finished' && !this._isAnswerSent) {
+      // The answer comes on another connection than this news, and may be behind it.
+      this._isAnswerSent = true
+      this._askAfter(LEAST_PATIENCE_MS as Milliseconds)
     } else {
       this._exchange.abort(reply === undefined ? NODE_SILENT : 'answer was lost')
     }
--- a/src/mesh/calls/RemoteNode.test.ts
+++ b/src/mesh/calls/RemoteNode.test.ts
@@ -14,6 +14,8 @@
 import { RemoteNode } from './RemoteNode.js'
 
 /** Longer than the first question waits. */
+/** Longer than the wait before the first question, shorter than that before the next one. */
+const UNDER_WAY_MS = 450
 const SLOW_MS = 700
 const EXPECTED = 10 as Milliseconds
 /** What a node writes that ends amid its answer. */
@@ -72,11 +74,11 @@
     server.closeAllConnections()
   })
 
-  /** Kind and reason of the outcome of a call whose answer is slow, after one that was not. */
-  async function outcomeOf (settled: ReadonlyArray<SettleReply | undefined>, repeat: RepeatKind): Promise<string> {
+  /** Kind and reason of the outcome of a call whose answer takes `answerDelay`, after one that was not slow. */
+  async function outcomeOf (settled: ReadonlyArray<SettleReply | undefined>, repeat: RepeatKind, answerDelay = SLOW_MS): Promise<string> {
     await node.execute(meshCall(repeat, clock.now()), EXPECTED, NO_CANCELLATION)
     replies = settled
-    delay = SLOW_MS
+    delay = answerDelay
     const outcome = await node.execute(meshCall(repeat, clock.now()), EXPECTED, NO_CANCELLATION)
     return outcome.kind === 'answered' ? outcome.kind : `${outcome.kind}: ${outcome.reason}`
   }
@@ -87,6 +89,10 @@
     expect(await outcomeOf(['finished'], 'non-idempotent')).to.equal('answered')
   })
 
+  it('does not take an answer for lost that is still under way when its node says that it has finished', async () => {
+    expect(await outcomeOf(['finished'], 'idempotent', UNDER_WAY_MS)).to.equal('answered')
+  })
+
   it('takes a request that will never run for refused, and an answer that was lost for unknown', async () => {
     expect(await outcomeOf(['never-will-be'], 'non-idempotent')).to.equal('refused: unreachable')
     expect(await outcomeOf(['finished'], 'idempotent')).to.equal('unknown: connection to e broke')
