--- a/src/mesh/calls/RemoteNode.test.ts
+++ b/src/mesh/calls/RemoteNode.test.ts
@@ -14,9 +14,9 @@
 import { RemoteNode } from './RemoteNode.js'
 
 /** Longer than the first question waits. */
+const SLOW_MS = 700
 /** Longer than the wait before the first question, shorter than that before the next one. */
 const UNDER_WAY_MS = 450
-const SLOW_MS = 700
 const EXPECTED = 10 as Milliseconds
 /** What a node writes that ends amid its answer. */
 const ANSWERS = [
