--- a/src/mesh/endpoint/CallUnderWay.test.ts
+++ b/src/mesh/endpoint/CallUnderWay.test.ts
@@ -2,23 +2,18 @@
 import { expect } from 'chai'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { NO_CANCELLATION } from '../../common/Cancellation.js'
-import { InvariantService } from '../../common/InvariantService.js'
-import { MetricsService } from '../../common/MetricsService.js'
-import type { EndpointId, Milliseconds, NetworkAddress, ServiceName, Timestamp } from '../../common/Types.js'
+import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { MessageFormat } from '../../../platform/MessageFormat.js'
 import { findFreePorts } from '../../../testing/demonstration/FreePorts.js'
 import { ManualClock } from '../../../testing/ManualClock.js'
-import { EndpointStandIn } from '../../../testing/mesh/EndpointStandIn.js'
+import { GateRig } from '../../../testing/mesh/GateRig.js'
 import { meshCall } from '../../../testing/mesh/MeshCalls.js'
 import { until } from '../../../testing/mesh/MeshRig.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import { RemoteNode } from '../calls/RemoteNode.js'
 import { NodeQuestions } from '../exchange/NodeQuestions.js'
-import type { IConfigurationService } from '../Services.js'
 import type { AttemptOutcome, NodeName } from '../Types.js'
-import { EndpointGate } from './EndpointGate.js'
 import { GateServer } from './GateServer.js'
-import { LocalEndpoint } from './LocalEndpoint.js'
 
 const PATIENCE_MS = 1_000
 /** Time for which a call lies between the two nodes, below all waits of the near one. */
@@ -30,8 +25,7 @@
 describe('A call that was long under way between two nodes', () => {
   let nearClock: ManualClock
   let farClock: ManualClock
-  let endpoint: EndpointStandIn
-  let gate: EndpointGate
+  let gateRig: GateRig
   let server: GateServer
   let relay: Server
   let node: RemoteNode
@@ -46,27 +40,11 @@
     farClock = new ManualClock()
     // Clocks of different nodes need not agree.
     await farClock.advance(12_345)
-    endpoint = new EndpointStandIn('e')
-    await endpoint.start()
-    const log = new RecordingLog()
-    const metrics = new MetricsService()
-    const local = new LocalEndpoint(log)
-    const configuration = { current: undefined } as unknown as IConfigurationService
-    const format = new MessageFormat()
-    const invariants = new InvariantService({ log, metrics })
-    gate = new EndpointGate({ endpoint: local, configuration, format, clock: farClock, log, metrics, invariants })
-    local.report({
-      id: 'e' as EndpointId,
-      bornAt: 1,
-      sequence: 1,
-      phase: 'serving',
-      service: 's' as ServiceName,
-      address: endpoint.address as NetworkAddress,
-      slots: 4,
-      warmUpLeft: 0 as Milliseconds
-    }, farClock.now())
+    gateRig = new GateRig({ clock: farClock, slots: 4, firstWork: 0 as Milliseconds })
+    await gateRig.start()
+    const common = { clock: farClock, log: new RecordingLog(), format: new MessageFormat() }
     const [gatePort] = await findFreePorts(1) as [number]
-    server = new GateServer({ gate, format, address: `127.0.0.1:${gatePort}` as NetworkAddress, processToken: 'one', clock: farClock, log })
+    server = new GateServer({ ...common, gate: gateRig.gate, address: `127.0.0.1:${gatePort}` as NetworkAddress, processToken: 'one' })
     await server.start()
     relay = createServer((socket) => {
       const other = connect(gatePort, '127.0.0.1')
@@ -81,7 +59,7 @@
     await new Promise<void>((resolve) => { relay.listen(0, '127.0.0.1', resolve) })
     const address = `127.0.0.1:${(relay.address() as AddressInfo).port}` as NetworkAddress
     const questions = new NodeQuestions({ clock: nearClock, peerAddress: 'self:1' as NetworkAddress, timeout: 350 as Milliseconds })
-    node = new RemoteNode({ name: 'n' as NodeName, address, questions, clock: nearClock, log, onLoad: () => undefined })
+    node = new RemoteNode({ name: 'n' as NodeName, address, questions, clock: nearClock, log: common.log, onLoad: () => undefined })
   })
 
   afterEach(() => {
@@ -89,8 +67,7 @@
     server.stop()
     relay.close()
     for (const socket of sockets) socket.destroy()
-    gate.dispose()
-    endpoint.stop()
+    gateRig.stop()
   })
 
   function execute (patience: number): Promise<AttemptOutcome> {
@@ -111,7 +88,7 @@
   }
 
   function lastDeadline (): number | undefined {
-    return endpoint.runs.at(-1)?.deadline
+    return gateRig.endpoint.runs.at(-1)?.deadline
   }
 
   it('hands the endpoint no more time than its caller has left', async () => {
@@ -124,7 +101,7 @@
   it('does not run once its caller waits no more', async () => {
     await execute(PATIENCE_MS)
     const outcome = await executeHeld(WAY_MS - ROUNDING_MS, WAY_MS)
-    expect([outcome.kind, endpoint.runs.length]).to.deep.equal(['refused', 1])
+    expect([outcome.kind, gateRig.endpoint.runs.length]).to.deep.equal(['refused', 1])
   })
 
   it('leaves the next one all its time', async () => {
--- a/testing/mesh/GateRig.ts
+++ b/testing/mesh/GateRig.ts
@@ -27,7 +27,7 @@
 /** An endpoint that has reported that it serves, and its gate. */
 export class GateRig {
   public readonly endpoint = new EndpointStandIn('e')
-  private readonly _gate: EndpointGate
+  public readonly gate: EndpointGate
   private readonly _local: LocalEndpoint
 
   constructor (private readonly _options: IGateRigOptions) {
@@ -36,7 +36,7 @@
     const log = new RecordingLog()
     const metrics = new MetricsService()
     this._local = new LocalEndpoint(log)
-    this._gate = new EndpointGate({
+    this.gate = new EndpointGate({
       endpoint: this._local,
       configuration: { current: undefined } as unknown as IConfigurationService,
       format: new MessageFormat(),
@@ -63,7 +63,7 @@
   }
 
   public stop (): void {
-    this._gate.dispose()
+    this.gate.dispose()
     this.endpoint.stop()
   }
 
@@ -75,7 +75,7 @@
   /** Sends a request whose path is its id. */
   public execute (id: string, cancellation: ICancellation, repeat: RepeatKind = 'idempotent', parts: Partial<IMeshCall> = {}): Promise<AttemptOutcome> {
     const call = meshCall(repeat, this._options.clock.now(), { requestId: id as RequestId, callerRequestId: undefined, path: `/${id}`, ...parts })
-    return this._gate.execute(call, cancellation)
+    return this.gate.execute(call, cancellation)
   }
 }
 
