--- a/bench/soak/RegressionSeeds.ts
+++ b/bench/soak/RegressionSeeds.ts
@@ -18,5 +18,6 @@
   { seed: 301, nodes: 6, minutes: 0.4, cause: 'a planned stop waited for the stream of a node that was silent; GrpcPeerTransport.test.ts' },
   { seed: 304, nodes: 6, minutes: 0.4, cause: 'the same' },
   { seed: 7, nodes: 9, minutes: 2, cause: 'requests were sent after a hold-up behind the last reading; PendingInput.test.ts; and an answer behind the news that it was sent was taken for lost; RemoteNode.test.ts' },
-  { seed: 2316, nodes: 6, minutes: 0.4, cause: 'a request was sent 100 ms after its node had read it, with the close 1 ms later; a hold-up that is too short for another reading is suspected; KNOWN-RED.txt' }
+  { seed: 2316, nodes: 6, minutes: 0.4, cause: 'a request was sent 100 ms after its node had read it, with the close 1 ms later; a hold-up that is too short for another reading is suspected; KNOWN-RED.txt' },
+  { seed: 2324, nodes: 6, minutes: 0.4, cause: 'a request was sent 386 ms and eight turns after its node had read it, with the close 5 ms later: three readings, each with a hold-up; KNOWN-RED.txt' }
 ])
