Log the loss of all connections to an endpoint, with the requests that it was executing

The event endpoint-connections-lost now names the cause (the process, or only its connections) and a fingerprint of each request: method, host, path and body, hashed only after a loss. CrashDetector of the documents' call path is used for it; it now also reads the closes that arrived during a delay of the event loop.

--- a/src/gate/CrashDetector.ts
+++ b/src/gate/CrashDetector.ts
@@ -1,4 +1,5 @@
 /** Distinguishes a crash of the upstream from the loss of a single connection. */
+import { waitForPendingInput } from '../common/PendingInput.js'
 import type { IClockService } from '../common/Services.js'
 import type { Milliseconds } from '../common/Types.js'
 import type { UpstreamConnection, UpstreamConnections } from './UpstreamConnections.js'
@@ -33,7 +34,8 @@
     this._lostExchanges.push(lostExchange)
     if (this._decision === undefined) {
       this._openAtFirstLoss = [...this._options.connections.open]
-      this._decision = this._options.clock.sleep(CRASH_WINDOW_MS).then(() => this._decide())
+      // After a delay of the event loop, the close of the other connections may have arrived and be unread.
+      this._decision = this._options.clock.sleep(CRASH_WINDOW_MS).then(waitForPendingInput).then(() => this._decide())
     }
     return this._decision
   }
--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -33,6 +33,7 @@
 export const ENDPOINT_REPORT_IGNORED = define(9302, 'endpoint-report-ignored', 'warn', 'A heartbeat or deregistration was malformed, or belongs to an earlier incarnation; the field reason states which. It was ignored.')
 export const ENDPOINT_UNREACHABLE = define(9303, 'endpoint-unreachable', 'warn', 'No connection to the local endpoint could be opened. For a short time, requests are refused as not run.')
 export const ENDPOINT_REACHABLE = define(9304, 'endpoint-reachable', 'info', 'The local endpoint responds again.')
+export const ENDPOINT_CONNECTIONS_LOST = define(9307, 'endpoint-connections-lost', 'warn', 'The local endpoint closed all its connections without a response while it executed requests. The field cause is process if it no longer accepts connections, and connections if it does. The field fingerprints identifies the requests: identical requests have the same fingerprint on all nodes.')
 export const REGISTRATION_STORED = define(9305, 'registration-stored', 'info', 'The store contains the current row of this node.')
 export const REGISTRATION_FAILED = define(9306, 'registration-failed', 'warn', 'The row of this node could not be written; the write is retried until it succeeds. Logged only for the first of consecutive failures.')
 
@@ -54,7 +55,8 @@
   VIEW_READING_STARTED, VIEW_READING_STOPPED, VIEW_READING_FAILED, VIEW_READING_RECOVERED, VIEW_HISTORY_LOST,
   VIEW_LINK_OPENED, VIEW_LINK_LOST, VIEW_BODY_REJECTED, NODE_ROW_IGNORED, NODE_ROW_CHANGED,
   VIEW_BATCH_READ, VIEW_CONFIGURATION_SENT,
-  ENDPOINT_CHANGED, ENDPOINT_REPORT_IGNORED, ENDPOINT_UNREACHABLE, ENDPOINT_REACHABLE, REGISTRATION_STORED, REGISTRATION_FAILED,
+  ENDPOINT_CHANGED, ENDPOINT_REPORT_IGNORED, ENDPOINT_UNREACHABLE, ENDPOINT_REACHABLE, ENDPOINT_CONNECTIONS_LOST,
+  REGISTRATION_STORED, REGISTRATION_FAILED,
   CALL_FINISHED, CALL_RETRIED, CALL_SETTLED, CALL_REFUSED_AT_GATE, RESPONSE_MALFORMED, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED,
   CALL_NOT_RETRIED, CALL_UNROUTED, CALL_ABANDONED
 ])
--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -9,6 +9,9 @@
 /** Name of one node; a restarted process keeps the name. */
 export type NodeName = Brand<string, 'NodeName'>
 
+/** Hash of the method, host and path of a request. */
+export type RequestTarget = Brand<string, 'RequestTarget'>
+
 /** Whether a request may run more than once. */
 export type Idempotency = Exclude<RouteIdempotency, 'at-most-once'>
 
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -13,6 +13,7 @@
 import { isEndpointFailure, isRefusalStatus, isServed } from '../exchange/Statuses.js'
 import type { IConfigurationService, IEndpointResponseHead, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointRecord, IMeshCall } from '../Types.js'
+import { EndpointCrashMonitor } from './EndpointCrashMonitor.js'
 import type { FailureRate } from './FailureRate.js'
 import type { GatedCall } from './GatedCall.js'
 import type { ServiceTimes } from './ServiceTimes.js'
@@ -51,6 +52,7 @@
 export class EndpointSender extends Disposable {
   private readonly _responseCache = new ResponseBufferBudget()
   private _connections: UpstreamConnections | undefined
+  private _crashMonitor: EndpointCrashMonitor | undefined
   private _record: IEndpointRecord | undefined
   /** 0 while the endpoint is reachable. */
   private _unreachableUntil = 0
@@ -88,6 +90,7 @@
     const limit = this._options.configuration.current?.configuration.services.get(record.service)?.connections
     connections.resize(0, Math.min(limit ?? Infinity, record.slots + SPARE_CONNECTIONS))
     this._connections = connections
+    this._crashMonitor = new EndpointCrashMonitor({ ...this._options, connections, endpoint: record.id })
   }
 
   /** Runs a request that has a slot. `tryStart` is called right before the first byte is sent; it marks the request as started. */
@@ -142,9 +145,11 @@
     gated.exchange = exchange
     const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
     const connections = this._connections
+    const crashMonitor = this._crashMonitor
     const end = await this._verifyUnframedEnd(await exchange.run(connection), connection, call.deadlineAt + DEADLINE_GRACE_MS as Timestamp)
     timer.dispose()
     const outcome = end.kind === 'not-sent' ? undefined : this._toOutcome(call, end, startedAt)
+    if (end.kind === 'broken' && !exchange.isAborted) await crashMonitor?.recordBrokenExchange(gated.identity)
     connections?.release(connection, outcome !== undefined && outcome.kind !== 'unknown')
     return outcome
   }
--- a/src/mesh/endpoint/GatedCall.ts
+++ b/src/mesh/endpoint/GatedCall.ts
@@ -1,6 +1,7 @@
 /** One attempt of a call, at the node on the endpoint's VM. */
 import type { ICancellation } from '../../common/Cancellation.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import { RequestIdentity } from '../crashes/RequestIdentity.js'
 import type { HttpExchange } from '../exchange/HttpExchange.js'
 import type { AttemptOutcome, IMeshCall, RefusalReason } from '../Types.js'
 import type { IQueuedRequest } from './RequestQueue.js'
@@ -25,6 +26,8 @@
   public readonly deadlineAt: Timestamp
   /** Resolves with undefined when a queued request may run, otherwise with its refusal. */
   public readonly admission: Promise<AttemptOutcome | undefined>
+  /** Identifies identical requests. */
+  public readonly identity: RequestIdentity
   /** Time at which sending to the endpoint started. */
   public sentAt: Timestamp | undefined
   /** Time at which the request got a slot; undefined before. */
@@ -38,6 +41,7 @@
     this.rank = call.rank
     this.objectiveAt = call.objectiveAt
     this.deadlineAt = call.deadlineAt
+    this.identity = new RequestIdentity(call)
     this.admission = new Promise((resolve) => { this._resolveAdmission = resolve })
   }
 
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -61,6 +61,11 @@
     return this._controller !== undefined
   }
 
+  /** True once this process has aborted the exchange, so that its end shows nothing about the other side. */
+  public get isAborted (): boolean {
+    return this._abortReason !== undefined
+  }
+
   /** Number of buffered bytes of the response. */
   public get bytes (): number {
     return this._bytes
