--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -49,6 +49,8 @@
   public abandoned = 0
   /** Number of open connections with an endless response. */
   public endless = 0
+  /** Number of times the endpoint has ended by itself. */
+  public crashes = 0
   /** Number of requests that were addressed to another incarnation of the endpoint. */
   public misdirected = 0
   private readonly _server: Server
@@ -71,6 +73,17 @@
     this._server.closeAllConnections()
   }
 
+  /** Ends without a response to any request, and starts as a new incarnation at the same address after `delay` milliseconds. */
+  public async crash (delay: number): Promise<void> {
+    const { port } = this._server.address() as AddressInfo
+    this.stop()
+    this.crashes++
+    await new Promise((resolve) => setTimeout(resolve, delay))
+    this.born++
+    this.id = `${this.id.split('.')[0] ?? ''}.${this.born}`
+    await this.start(port)
+  }
+
   /** Body of a heartbeat. */
   public heartbeat (service: string, sequence: number, state = 'ready'): string {
     return JSON.stringify({
