--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -1,6 +1,7 @@
 /** Data types of the mesh: its configuration, its nodes and endpoints, and the calls that nodes send to each other. */
 import type {
-  Brand, EndpointId, FailureDomain, ILocation, Milliseconds, NetworkAddress, RequestId, RouteName, ServiceName, Timestamp
+  Brand, EndpointId, FailureDomain, ILocation, Milliseconds, NetworkAddress, RequestFingerprint, RequestId, RouteName, ServiceName,
+  Timestamp
 } from '../common/Types.js'
 import type { RouteIdempotency } from '../documents/Types.js'
 
@@ -12,6 +13,24 @@
 /** Hash of the method, host and path of a request. */
 export type RequestTarget = Brand<string, 'RequestTarget'>
 
+/** Identifies one request in one crash of an endpoint. */
+export type CrashId = Brand<string, 'CrashId'>
+
+/** A request that an endpoint was executing when all its connections closed. */
+export interface ICrashRecord {
+  readonly id: CrashId
+  readonly fingerprint: RequestFingerprint
+  /** 2 if the process of the endpoint ended while it executed nothing else; otherwise 1, since another cause is as likely. */
+  readonly weight: 1 | 2
+}
+
+/** What a node publishes about crashes in its row. */
+export interface ICrashReport {
+  readonly crashes: readonly ICrashRecord[]
+  /** Records that no longer count, because an endpoint has since executed the request to its end. */
+  readonly cleared: readonly CrashId[]
+}
+
 /** Whether a request may run more than once. */
 export type Idempotency = Exclude<RouteIdempotency, 'at-most-once'>
 
@@ -109,6 +128,8 @@
   /** True during a planned stop of the node. */
   readonly isLeaving: boolean
   readonly endpoint?: IEndpointRecord
+  /** Absent if the node has nothing to report. */
+  readonly crashReport?: ICrashReport
 }
 
 /** A node as known to another node. */
@@ -184,14 +205,16 @@
   | 'cancelled'
   /** The endpoint itself rejected the request. */
   | 'shed'
+  /** Identical requests have ended their endpoints. */
+  | 'quarantined'
 
 /** Outcome of one attempt. */
 export type AttemptOutcome = (
   | { readonly kind: 'answered', readonly answer: ICompleteResponse }
   /** Did not run and never will. `retryAfter`: time until a free slot is expected. */
   | { readonly kind: 'refused', readonly reason: RefusalReason, readonly retryAfter?: Milliseconds }
-  /** The attempt may have run. */
-  | { readonly kind: 'unknown', readonly reason: string }
+  /** The attempt may have run. `crash`: the endpoint ended while it executed the request. */
+  | { readonly kind: 'unknown', readonly reason: string, readonly crash?: ICrashRecord }
 ) & {
   readonly load?: IEndpointLoad
   /** Time spent waiting for a connection to the other node; undefined if a connection was available at once. */
--- a/src/mesh/calls/CallTask.ts
+++ b/src/mesh/calls/CallTask.ts
@@ -4,6 +4,8 @@
 import { createRequestId } from '../../common/Ids.js'
 import { waitForPendingInput } from '../../common/PendingInput.js'
 import type { Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
+import type { CrashRegistry } from '../crashes/CrashRegistry.js'
+import { RequestIdentity } from '../crashes/RequestIdentity.js'
 import { CALL_NOT_RETRIED, CALL_RETRIED } from '../Events.js'
 import type { AttemptOutcome, IMeshCall, IMeshRoute, ICompleteResponse } from '../Types.js'
 import { describeOutcome, SUPERSEDED_OUTCOME, type AttemptRecord } from './AttemptRecord.js'
@@ -13,12 +15,14 @@
 import { typicalServiceTime, type EndpointSelector } from './EndpointSelector.js'
 import { mayHaveReachedEndpoint, decideRetry, type IRetryHistory } from './RetryRules.js'
 import type { RetryBudgetShare } from './RetryBudgetShare.js'
+import { selectTrialEndpoint } from './TrialEndpoint.js'
 
 /** Components of the node that calls use. */
 export interface ICallServices {
   readonly directory: EndpointDirectory
   readonly endpointSelector: EndpointSelector
   readonly retryBudget: RetryBudgetShare
+  readonly crashes: CrashRegistry
   readonly clock: IClockService
   readonly log: ILogService
 }
@@ -69,8 +73,11 @@
   private _failureResponse: ICompleteResponse | undefined
   private _retryAfter: Milliseconds | undefined
   private readonly _records: AttemptRecord[] = []
+  private readonly _identity: RequestIdentity
 
-  constructor (private readonly _services: ICallServices, private readonly _request: IRoutedRequest) {}
+  constructor (private readonly _services: ICallServices, private readonly _request: IRoutedRequest) {
+    this._identity = new RequestIdentity(_request)
+  }
 
   /** Number of attempts made. */
   public get tries (): number {
@@ -89,11 +96,13 @@
 
   /** Runs the request until its final result. Never rejects. */
   public async run (): Promise<CallResult> {
-    const { retryBudget, clock } = this._services
+    const { retryBudget, clock, crashes } = this._services
     retryBudget.recordRequest(this._request.service, clock.now())
     for (;;) {
       const now = clock.now()
       if (this._request.cancellation.isCancelled) return this._conclude({ kind: 'refused', reason: 'cancelled' })
+      const quarantinedFor = crashes.refusalTime(this._identity, now)
+      if (quarantinedFor !== undefined) return this._concludeQuarantined(quarantinedFor)
       const view = this._choose(now)
       if (view === undefined) return this._conclude({ kind: 'refused', reason: this._retryAfter === undefined ? 'no-endpoint' : 'overloaded' })
       const outcome = await this._attemptWithHedge(view, now)
@@ -143,8 +152,9 @@
 
   /** Selects an endpoint for a hedge, if the attempt limit, the deadline and the retry budget share allow one. */
   private _chooseHedge (now: Timestamp): EndpointView | undefined {
-    const { retryBudget, directory, log } = this._services
+    const { retryBudget, directory, log, crashes } = this._services
     const { route, service, deadlineAt, callerRequestId } = this._request
+    if (crashes.standingOf(this._identity).kind !== 'clear') return undefined
     if (this._isCancelledOrStopping || this._arrivals + 1 >= route.attempts) return undefined
     const view = this._choose(now)
     if (view === undefined) return undefined
@@ -161,10 +171,10 @@
   }
 
   private _choose (now: Timestamp): EndpointView | undefined {
-    const { directory, endpointSelector } = this._services
-    const { service, route, arrivedAt } = this._request
+    const { endpointSelector } = this._services
+    const { route, arrivedAt } = this._request
     const candidates: EndpointView[] = []
-    for (const view of directory.candidates(service, now)) {
+    for (const view of this._permittedEndpoints(now)) {
       if (this._tried.has(view)) continue
       const capacityAt = view.capacityExpectedAt(route.rank, now)
       if (capacityAt === undefined) candidates.push(view)
@@ -173,6 +183,15 @@
     return endpointSelector.choose(candidates, { objective: route.objective, left: arrivedAt + route.objective - now as Milliseconds }, now)
   }
 
+  /** Endpoints that may be sent the request. A trial of a quarantined request goes to the same endpoint from all nodes. */
+  private _permittedEndpoints (now: Timestamp): readonly EndpointView[] {
+    const { directory, crashes } = this._services
+    const views = directory.candidates(this._request.service, now)
+    if (crashes.standingOf(this._identity).kind !== 'quarantined') return views
+    const trialEndpoint = selectTrialEndpoint(views, this._identity.fingerprint)
+    return trialEndpoint === undefined ? [] : [trialEndpoint]
+  }
+
   private async _attempt (view: EndpointView, now: Timestamp, cancellation: ICancellation): Promise<AttemptOutcome> {
     const { clock, directory, endpointSelector } = this._services
     const expected = endpointSelector.expectedTime(view, typicalServiceTime([view]), now) as Milliseconds
@@ -192,11 +211,18 @@
     if (mayHaveReachedEndpoint(outcome)) this._arrivals++
     if (outcome.kind === 'unknown') this._mayHaveRun = true
     if (outcome.kind === 'answered') this._failureResponse = outcome.answer
+    this._recordCrashOrSuccess(outcome, view, clock.now())
     if (outcome.kind === 'refused' && outcome.reason === 'overloaded') this._capacityRefusals++
     if (outcome.kind === 'refused' && outcome.retryAfter !== undefined) this._recordRetryAfter(outcome.retryAfter)
     return outcome
   }
 
+  private _recordCrashOrSuccess (outcome: AttemptOutcome, view: EndpointView, now: Timestamp): void {
+    const { crashes } = this._services
+    if (outcome.kind === 'unknown' && outcome.crash !== undefined) crashes.recordReceived(outcome.crash, view.target.node.node, now)
+    if (isSuccessful(outcome)) crashes.recordSuccess(this._identity, now)
+  }
+
   private _callTo (view: EndpointView): IMeshCall {
     const { route, service, callerRequestId, callerService, method, path, fields, body, arrivedAt, deadlineAt } = this._request
     return {
@@ -222,7 +248,7 @@
     const { route, deadlineAt, callerRequestId } = this._request
     const subject = { repeat: route.repeat, attempts: route.attempts, deadlineAt, isCancelled: this._isCancelledOrStopping }
     const decision = decideRetry(subject, outcome, this._retryHistory, now)
-    if (decision === 'final') return false
+    if (decision === 'final' || this._services.crashes.refusalTime(this._identity, now) !== undefined) return false
     if (decision === 'again-if-allowed' && this._isRetryBlocked(now)) return false
     log.log(CALL_RETRIED, {
       step: 'calls.repeat',
@@ -268,6 +294,11 @@
     this._retryAfter = Math.min(this._retryAfter ?? Infinity, delay) as Milliseconds
   }
 
+  private _concludeQuarantined (duration: Milliseconds): CallResult {
+    this._retryAfter = duration
+    return this._conclude({ kind: 'refused', reason: 'quarantined' })
+  }
+
   private _conclude (outcome: AttemptOutcome): CallResult {
     if (outcome.kind === 'answered') return outcome
     if (this._failureResponse !== undefined) return { kind: 'answered', answer: this._failureResponse }
--- a/src/mesh/calls/CallerDisconnectBeforeAttempt.test.ts
+++ b/src/mesh/calls/CallerDisconnectBeforeAttempt.test.ts
@@ -1,10 +1,12 @@
 /** Guards against attempts for a caller that has disconnected, both the first attempt and a retry after a refusal. */
 import { expect } from 'chai'
 import { CancellationSource } from '../../common/Cancellation.js'
+import { MetricsService } from '../../common/MetricsService.js'
 import type { Milliseconds, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
 import { ManualClock } from '../../../testing/ManualClock.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
-import type { AttemptOutcome, IMeshRoute, Idempotency } from '../Types.js'
+import { CrashRegistry } from '../crashes/CrashRegistry.js'
+import type { AttemptOutcome, IMeshRoute, Idempotency, NodeName } from '../Types.js'
 import { CallTask, type ICallServices } from './CallTask.js'
 
 const RESPONSE: AttemptOutcome = { kind: 'answered', answer: { status: 200, fields: [], body: Buffer.alloc(0) } }
@@ -25,6 +27,7 @@
     const services = {
       directory: { candidates: () => [view], nodes: 1, execute },
       endpointSelector: { choose: () => view, expectedTime: () => 50 },
+      crashes: new CrashRegistry({ self: 'n' as NodeName, clock, log: new RecordingLog(), metrics: new MetricsService() }),
       retryBudget: { recordRequest: () => undefined, tryAcquire: () => true },
       clock,
       log: new RecordingLog()
--- a/src/mesh/calls/RetryRules.ts
+++ b/src/mesh/calls/RetryRules.ts
@@ -1,7 +1,7 @@
 /** Decides whether a request is retried at another endpoint. */
 import type { Timestamp } from '../../common/Types.js'
 import { isEndpointFailure } from '../exchange/Statuses.js'
-import type { AttemptOutcome, Idempotency } from '../Types.js'
+import type { AttemptOutcome, Idempotency, RefusalReason } from '../Types.js'
 
 /** Properties of a request that the decision depends on. */
 export interface IRetrySubject {
@@ -35,6 +35,9 @@
 /** Minimum time that must remain until the deadline for another attempt. */
 const MINIMUM_REMAINING_MS = 15
 
+/** Refusals that another endpoint would repeat. */
+const FINAL_REFUSALS: readonly RefusalReason[] = ['deadline', 'cancelled', 'quarantined']
+
 /** True if the attempt reached an endpoint or may have reached it. */
 export function mayHaveReachedEndpoint (outcome: AttemptOutcome): boolean {
   return outcome.kind !== 'refused' || outcome.reason === 'shed'
@@ -45,7 +48,7 @@
   if (subject.isCancelled || now + MINIMUM_REMAINING_MS >= subject.deadlineAt || history.tries >= MAXIMUM_TRIES) return 'final'
   if (history.capacityRefusals >= MAXIMUM_CAPACITY_REFUSALS) return 'final'
   if (outcome.kind === 'refused' && outcome.reason !== 'shed') {
-    return outcome.reason === 'deadline' || outcome.reason === 'cancelled' ? 'final' : 'again'
+    return FINAL_REFUSALS.includes(outcome.reason) ? 'final' : 'again'
   }
   if (history.arrivals >= subject.attempts) return 'final'
   if (outcome.kind === 'refused') return 'again-if-allowed'
--- /dev/null
+++ b/src/mesh/crashes/QuarantineRules.ts
@@ -0,0 +1,40 @@
+/** Decides when a request that coincided with crashes is quarantined, and when it may be tried again. */
+import type { Milliseconds } from '../../common/Types.js'
+import type { ICrashRecord } from '../Types.js'
+
+/** Thresholds and durations of the quarantine. */
+export interface IQuarantineOptions {
+  /** Sum of the weights of the crashes from which a request is quarantined. */
+  readonly threshold: number
+  /** Delay of the first trial after the newest crash. */
+  readonly firstTrialDelay: Milliseconds
+  /** Factor between the delays of successive trials. */
+  readonly trialDelayFactor: number
+  /** Time after the newest crash in which the crashes of a request that is not quarantined count. */
+  readonly suspicion: Milliseconds
+  /** Time after the newest crash in which the crashes of a quarantined request count. */
+  readonly quarantine: Milliseconds
+}
+
+/** Defaults of the quarantine. */
+export const DEFAULT_QUARANTINE_OPTIONS: IQuarantineOptions = Object.freeze({
+  threshold: 3,
+  firstTrialDelay: 10_000 as Milliseconds,
+  trialDelayFactor: 6,
+  suspicion: 600_000 as Milliseconds,
+  quarantine: 14_400_000 as Milliseconds
+})
+
+/** Number of crashes up to which the delay of the first trial applies. */
+const CRASHES_BEFORE_BACKOFF = 3
+
+/** Sum of the weights of crashes of one request. */
+export function pointsOf (crashes: readonly ICrashRecord[]): number {
+  return crashes.reduce((sum, { weight }) => sum + weight, 0)
+}
+
+/** Time between the newest of a number of crashes and the next trial. */
+export function trialDelay (crashes: number, { firstTrialDelay, trialDelayFactor, quarantine }: IQuarantineOptions): Milliseconds {
+  const delay = firstTrialDelay * trialDelayFactor ** Math.max(0, crashes - CRASHES_BEFORE_BACKOFF)
+  return Math.min(delay, quarantine) as Milliseconds
+}
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -140,8 +140,9 @@
     const { node } = this._settings.mesh
     const nodes = this._kernel.get(MESH_KEY.nodes)
     const row = nodes.row(node as string as RowKey)
-    const record = nodes.nodes.get(node)?.endpoint
-    if (record !== undefined) this._kernel.get(MESH_KEY.endpoint).restore(record, this._clock.now())
+    const { endpoint, crashReport } = nodes.node(node) ?? {}
+    if (endpoint !== undefined) this._kernel.get(MESH_KEY.endpoint).restore(endpoint, this._clock.now())
+    if (crashReport !== undefined) this._kernel.get(MESH_KEY.crashes).restore(crashReport, this._clock.now())
     if (row !== undefined) this._kernel.get(MESH_KEY.retryBudget).recordRestart(this._clock.now())
     const storedRow = row?.value === undefined ? undefined : { revision: String(row.position) as RowRevision, value: row.value }
     this._kernel.get(MESH_KEY.registration).startWriting(storedRow)
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -16,6 +16,7 @@
 import { RetryBudgetShare } from '../calls/RetryBudgetShare.js'
 import { ConfigurationService } from '../configuration/ConfigurationService.js'
 import { WeightedSplit } from '../configuration/WeightedSplit.js'
+import { CrashRegistry } from '../crashes/CrashRegistry.js'
 import { EndpointGate } from '../endpoint/EndpointGate.js'
 import { GateServer } from '../endpoint/GateServer.js'
 import { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
@@ -24,6 +25,7 @@
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
 import { NodeTable } from '../view/NodeTable.js'
 import { ViewService } from '../view/ViewService.js'
+import type { NodeName } from '../Types.js'
 import type { IMeshSettings } from './MeshSettings.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
 import { MESH_KEY } from './ServiceKeys.js'
@@ -54,6 +56,7 @@
   registerFoundation(kernel, options)
   registerEventLoopDelayMonitor(kernel)
   registerView(kernel, options)
+  registerCrashes(kernel, options)
   registerEndpoint(kernel, options)
   registerCalls(kernel, options)
   registerPorts(kernel, options)
@@ -132,29 +135,51 @@
   })
 }
 
+function registerCrashes (kernel: IKernel, { settings }: IMeshServicesOptions): void {
+  kernel.register({
+    key: MESH_KEY.crashes,
+    dependsOn: [...FOUNDATION, MESH_KEY.nodes],
+    create: () => {
+      const { clock, ...foundation } = foundationOf(kernel)
+      const nodes = kernel.get(MESH_KEY.nodes)
+      const crashes = new CrashRegistry({ ...foundation, clock, self: settings().mesh.node })
+      nodes.onChanged(({ rows }) => {
+        for (const { key } of rows) {
+          const node = nodes.node(key as string as NodeName)
+          // The row of a node that was removed, or that cannot be read, leaves its crashes as they were.
+          if (node !== undefined) crashes.applyReport(node.node, node.crashReport, clock.now())
+        }
+      })
+      return crashes
+    }
+  })
+}
+
 function registerEndpoint (kernel: IKernel, { adapter, settings }: IMeshServicesOptions): void {
   const { mesh } = settings()
   kernel.register({ key: MESH_KEY.endpoint, dependsOn: FOUNDATION, create: () => new LocalEndpoint(kernel.get(ILogService)) })
   kernel.register({
     key: MESH_KEY.registration,
-    dependsOn: [MESH_KEY.endpoint, MESH_KEY.nodes, MESH_KEY.store],
+    dependsOn: [MESH_KEY.endpoint, MESH_KEY.nodes, MESH_KEY.crashes, MESH_KEY.store],
     create: () => new RegistrationService({
       ...commonOf(kernel, settings()),
       gateAddress: mesh['gate-address'],
       peerAddress: mesh['peer-address'],
       endpoint: kernel.get(MESH_KEY.endpoint),
       nodes: kernel.get(MESH_KEY.nodes),
+      crashes: kernel.get(MESH_KEY.crashes),
       table: kernel.get(MESH_KEY.store),
       firstReportWait: firstReportWait(settings())
     })
   })
   kernel.register({
     key: MESH_KEY.gate,
-    dependsOn: [MESH_KEY.endpoint, IConfigurationService],
+    dependsOn: [MESH_KEY.endpoint, MESH_KEY.crashes, IConfigurationService],
     create: () => new EndpointGate({
       ...foundationOf(kernel),
       endpoint: kernel.get(MESH_KEY.endpoint),
       configuration: kernel.get(IConfigurationService),
+      crashes: kernel.get(MESH_KEY.crashes),
       format: adapter.format
     })
   })
@@ -195,7 +220,7 @@
   })
   kernel.register({
     key: MESH_KEY.callerPort,
-    dependsOn: [MESH_KEY.directory, MESH_KEY.retryBudget, IConfigurationService],
+    dependsOn: [MESH_KEY.directory, MESH_KEY.retryBudget, MESH_KEY.crashes, IConfigurationService],
     create: () => new CallerPort({
       ...foundationOf(kernel),
       address: mesh['caller-address'],
@@ -205,6 +230,7 @@
       split: new WeightedSplit(kernel.get(IRandomService)),
       endpointSelector: new EndpointSelector(kernel.get(IRandomService)),
       retryBudget: kernel.get(MESH_KEY.retryBudget),
+      crashes: kernel.get(MESH_KEY.crashes),
       isReady: isServing,
       viewConfirmedAt: () => kernel.get(IViewService).confirmedAt,
       callerService: () => kernel.get(MESH_KEY.endpoint).record?.service ?? settings().mesh.service
--- a/src/mesh/daemon/ServiceKeys.ts
+++ b/src/mesh/daemon/ServiceKeys.ts
@@ -5,6 +5,7 @@
 import type { CallerPort } from '../calls/CallerPort.js'
 import type { EndpointDirectory } from '../calls/EndpointDirectory.js'
 import type { RetryBudgetShare } from '../calls/RetryBudgetShare.js'
+import type { CrashRegistry } from '../crashes/CrashRegistry.js'
 import type { EndpointGate } from '../endpoint/EndpointGate.js'
 import type { GateServer } from '../endpoint/GateServer.js'
 import type { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
@@ -16,6 +17,7 @@
   store: createServiceKey<ITableService & IChangeFeed>('mesh.store'),
   transport: createServiceKey<IPeerTransport>('mesh.transport'),
   nodes: createServiceKey<NodeTable>('mesh.nodes'),
+  crashes: createServiceKey<CrashRegistry>('mesh.crashes'),
   endpoint: createServiceKey<LocalEndpoint>('mesh.endpoint'),
   registration: createServiceKey<RegistrationService>('mesh.registration'),
   gate: createServiceKey<EndpointGate>('mesh.gate'),
--- a/src/mesh/endpoint/EndpointCrashMonitor.ts
+++ b/src/mesh/endpoint/EndpointCrashMonitor.ts
@@ -1,11 +1,13 @@
 /** Determines whether the local endpoint ended when an exchange with it broke. */
 import { CancellationSource } from '../../common/Cancellation.js'
+import { createRequestId } from '../../common/Ids.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
-import type { EndpointId, Milliseconds } from '../../common/Types.js'
+import type { EndpointId, Milliseconds, RequestFingerprint } from '../../common/Types.js'
 import { CrashDetector } from '../../gate/CrashDetector.js'
 import type { UpstreamConnections } from '../../gate/UpstreamConnections.js'
 import { ENDPOINT_CONNECTIONS_LOST } from '../Events.js'
 import type { RequestIdentity } from '../crashes/RequestIdentity.js'
+import type { CrashId, ICrashRecord } from '../Types.js'
 
 /** Dependencies of `EndpointCrashMonitor`. */
 export interface IEndpointCrashMonitorOptions {
@@ -15,15 +17,8 @@
   readonly log: ILogService
 }
 
-/** What was lost: `connections` if the endpoint accepts new connections, `process` if it does not. */
-export type CrashCause = 'connections' | 'process'
-
-/** The simultaneous loss of all connections to the endpoint. */
-export interface IEndpointCrash {
-  readonly cause: CrashCause
-  /** Number of requests that the endpoint was executing. */
-  readonly requests: number
-}
+/** Crash records of one crash, by request. */
+type CrashRecords = ReadonlyMap<RequestFingerprint, ICrashRecord>
 
 /** Maximum wait for a connection that shows that the endpoint is still running; it is on the same VM. */
 const RECONNECT_TIMEOUT_MS = 100 as Milliseconds
@@ -31,29 +26,37 @@
 /** Observes the connections to one incarnation of the endpoint. */
 export class EndpointCrashMonitor {
   private readonly _detector: CrashDetector<RequestIdentity>
-  private _crash: Promise<IEndpointCrash> | undefined
+  private _records: Promise<CrashRecords> | undefined
+  private _isStopped = false
 
   constructor (private readonly _options: IEndpointCrashMonitorOptions) {
     this._detector = new CrashDetector({
       connections: _options.connections,
       clock: _options.clock,
-      onCrashed: (requests) => { this._crash = this._classify(requests) }
+      onCrashed: (requests) => { this._records = this._classify(requests) }
     })
   }
 
+  /** From now on a loss of connections is no crash: the endpoint is leaving, or this node closes the connections itself. */
+  public stop (): void {
+    this._isStopped = true
+  }
+
   /** Call when the endpoint broke the exchange of a request. Undefined if the endpoint kept other connections open. */
-  public async recordBrokenExchange (request: RequestIdentity): Promise<IEndpointCrash | undefined> {
-    const isCrash = await this._detector.recordLostExchange(request)
-    return isCrash ? await this._crash : undefined
+  public async recordBrokenExchange (request: RequestIdentity): Promise<ICrashRecord | undefined> {
+    if (this._isStopped || !await this._detector.recordLostExchange(request)) return undefined
+    const records = await this._records
+    return records?.get(request.fingerprint)
   }
 
-  private async _classify (requests: readonly RequestIdentity[]): Promise<IEndpointCrash> {
+  private async _classify (requests: readonly RequestIdentity[]): Promise<CrashRecords> {
     const { endpoint, log } = this._options
     const cause = await this._canReconnect() ? 'connections' : 'process'
     log.log(ENDPOINT_CONNECTIONS_LOST, {
       step: 'gate.crash', endpoint, cause, fingerprints: requests.map(({ fingerprint }) => fingerprint).join(' ')
     })
-    return { cause, requests: requests.length }
+    const weight = cause === 'process' && requests.length === 1 ? 2 : 1
+    return new Map(requests.map(({ fingerprint }) => [fingerprint, { id: createRequestId() as string as CrashId, fingerprint, weight }]))
   }
 
   private async _canReconnect (): Promise<boolean> {
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -6,8 +6,10 @@
 import type { Milliseconds, RequestId, Timestamp } from '../../common/Types.js'
 import { eventLoopIterations } from '../../common/EventLoopIterations.js'
 import { StartedRequests } from '../../gate/StartedRequests.js'
+import type { CrashRegistry } from '../crashes/CrashRegistry.js'
 import { CALL_ABANDONED, CALL_REFUSED_AT_GATE } from '../Events.js'
 import { currentServiceTime } from '../exchange/ServiceTimeEstimate.js'
+import { isServed } from '../exchange/Statuses.js'
 import type { IConfigurationService, ILocalEndpoint, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointLoad, IEndpointRecord, IMeshCall, RefusalReason } from '../Types.js'
 import { EndpointSender } from './EndpointSender.js'
@@ -20,6 +22,7 @@
 export interface IEndpointGateOptions {
   readonly endpoint: ILocalEndpoint
   readonly configuration: IConfigurationService
+  readonly crashes: CrashRegistry
   readonly format: IMessageFormat
   readonly clock: IClockService
   readonly log: ILogService
@@ -77,13 +80,20 @@
       expected: this._times.expected(call.route, objective), cancellation, readAt: arrivedAt, readIteration: eventLoopIterations()
     })
     const cancelListener = cancellation.onCancelled(() => this._cancel(gated))
-    const outcome = await this._admit(gated, arrivedAt)
+    const admitted = await this._admit(gated, arrivedAt)
     cancelListener.dispose()
     const now = this._options.clock.now()
+    const outcome = this._withTrialTime(gated, admitted, now)
     if (outcome.kind === 'refused') this._logRefusal(gated, outcome.reason, outcome.retryAfter)
     return { ...outcome, load: this.load(arrivedAt, now) }
   }
 
+  /** Adds the time until the next trial to the refusal of a quarantined request. */
+  private _withTrialTime ({ identity }: GatedCall, outcome: AttemptOutcome, now: Timestamp): AttemptOutcome {
+    if (outcome.kind !== 'refused' || outcome.reason !== 'quarantined') return outcome
+    return { ...outcome, retryAfter: this._options.crashes.refusalTime(identity, now) }
+  }
+
   /** Returns the state of a request. An unknown request is refused if it arrives later. */
   public settle (requestId: RequestId, now: Timestamp): SettledState {
     const gated = this._inFlight.get(requestId)
@@ -116,7 +126,7 @@
   }
 
   private async _admit (gated: GatedCall, now: Timestamp): Promise<AttemptOutcome> {
-    const refusal = gated.isCancelled ? 'cancelled' : this._refusalReason(gated.call, now)
+    const refusal = gated.isCancelled ? 'cancelled' : this._refusalReason(gated, now)
     if (refusal !== undefined) return { kind: 'refused', reason: refusal }
     this._inFlight.set(gated.call.requestId, gated)
     try {
@@ -133,13 +143,14 @@
     }
   }
 
-  private _refusalReason (call: IMeshCall, now: Timestamp): RefusalReason | undefined {
+  private _refusalReason ({ call, identity }: GatedCall, now: Timestamp): RefusalReason | undefined {
     const record = this._record
     if (this._isClosing) return 'draining'
     if (record === undefined || record.phase === 'silent' || record.service !== call.service || this._sender.isReplaced) return 'no-endpoint'
     if (record.phase !== 'serving') return 'draining'
     if (now >= call.deadlineAt) return 'deadline'
     if (this._started.isRefused(call.requestId)) return 'cancelled'
+    if (this._options.crashes.refusalTime(identity, now) !== undefined) return 'quarantined'
     return this._sender.isUnreachable(now) ? 'unreachable' : undefined
   }
 
@@ -157,13 +168,21 @@
   private async _runInSlot (gated: GatedCall): Promise<AttemptOutcome> {
     gated.startedAt = this._options.clock.now()
     try {
-      return await this._sender.run(gated, () => this._tryStart(gated))
+      const outcome = await this._sender.run(gated, () => this._tryStart(gated))
+      this._recordCrashOrSuccess(gated, outcome)
+      return outcome
     } finally {
       this._queue.release(gated)
       this._startNext()
     }
   }
 
+  private _recordCrashOrSuccess ({ identity }: GatedCall, outcome: AttemptOutcome): void {
+    const { crashes, clock } = this._options
+    if (outcome.kind === 'unknown' && outcome.crash !== undefined) crashes.recordOwn(outcome.crash, clock.now())
+    if (outcome.kind === 'answered' && isServed(outcome.answer.status)) crashes.recordSuccess(identity, clock.now())
+  }
+
   private _startNext (): void {
     const now = this._options.clock.now()
     for (;;) {
@@ -175,13 +194,21 @@
   }
 
   /**
-   * Marks the request as started if it may run. Called right before the first byte is sent, since the endpoint may have started to
-   * drain, or the caller may have disconnected, while the request waited for its connection.
+   * Marks the request as started if it may run, or returns the reason why it must not. Called right before the first byte is sent,
+   * since the endpoint may have started to drain, the caller may have disconnected, or an identical request may have ended other
+   * endpoints while the request waited for its slot or connection.
    */
-  private _tryStart ({ call, isCancelled }: GatedCall): boolean {
-    if (isCancelled) return false
+  private _tryStart ({ call, identity, isCancelled }: GatedCall): RefusalReason | undefined {
+    const { clock, crashes } = this._options
+    const now = clock.now()
+    if (isCancelled) return 'cancelled'
     const isServing = this._record?.phase === 'serving' && this._record.service === call.service
-    return isServing && this._started.markStarted(call.requestId, this._options.clock.now())
+    if (!isServing) return 'draining'
+    if (crashes.refusalTime(identity, now) !== undefined) return 'quarantined'
+    // A settle query of the calling node may have ruled out that the request runs.
+    if (!this._started.markStarted(call.requestId, now)) return 'draining'
+    if (crashes.standingOf(identity).kind === 'quarantined') crashes.beginTrial(identity, now)
+    return undefined
   }
 
   private _cancel (gated: GatedCall): void {
@@ -197,6 +224,7 @@
     this._queue.resize(record.slots)
     if (known?.id !== record.id || known.bornAt !== record.bornAt || known.address !== record.address) this._sender.resetFor(record)
     if (record.phase === 'serving') return
+    if (record.phase !== 'silent') this._sender.expectEnd()
     this.refuseQueued()
   }
 
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -12,7 +12,7 @@
 import { HttpExchange, type ExchangeResult } from '../exchange/HttpExchange.js'
 import { isEndpointFailure, isRefusalStatus, isServed } from '../exchange/Statuses.js'
 import type { IConfigurationService, IEndpointResponseHead, IMessageFormat } from '../Services.js'
-import type { AttemptOutcome, IEndpointRecord, IMeshCall } from '../Types.js'
+import type { AttemptOutcome, IEndpointRecord, IMeshCall, RefusalReason } from '../Types.js'
 import { EndpointCrashMonitor } from './EndpointCrashMonitor.js'
 import type { FailureRate } from './FailureRate.js'
 import type { GatedCall } from './GatedCall.js'
@@ -75,6 +75,8 @@
 
   /** Switches to a new incarnation: opens new connections and discards the failure history. */
   public resetFor (record: IEndpointRecord): void {
+    // A new incarnation proves that the previous one has ended; a new address does not.
+    if (this._record?.id === record.id && this._record.bornAt === record.bornAt) this.expectEnd()
     this._record = record
     this._connections?.dispose()
     this._unreachableUntil = 0
@@ -93,13 +95,21 @@
     this._crashMonitor = new EndpointCrashMonitor({ ...this._options, connections, endpoint: record.id })
   }
 
-  /** Runs a request that has a slot. `tryStart` is called right before the first byte is sent; it marks the request as started. */
-  public async run (gated: GatedCall, tryStart: () => boolean): Promise<AttemptOutcome> {
-    let isStartRefused = false
+  /** From now on the endpoint may end at any time without this being a crash. */
+  public expectEnd (): void {
+    this._crashMonitor?.stop()
+  }
+
+  /**
+   * Runs a request that has a slot. `tryStart` is called right before the first byte is sent; it marks the request as started, or
+   * returns the reason why it must not start.
+   */
+  public async run (gated: GatedCall, tryStart: () => RefusalReason | undefined): Promise<AttemptOutcome> {
+    let startRefusal: RefusalReason | undefined
     const tryStartNow = (): boolean => {
-      isStartRefused = !tryStart()
-      if (!isStartRefused) gated.sentAt = this._options.clock.now()
-      return !isStartRefused
+      startRefusal = tryStart()
+      if (startRefusal === undefined) gated.sentAt = this._options.clock.now()
+      return startRefusal === undefined
     }
     for (let attempt = 0; attempt < MAXIMUM_CONNECTION_ATTEMPTS; attempt++) {
       const connections = this._connections
@@ -117,14 +127,14 @@
       const outcome = await this._exchange(gated, connection, tryStartNow)
       if (outcome !== undefined) return outcome
       if (gated.isCancelled) return { kind: 'refused', reason: 'cancelled' }
-      // The endpoint started to drain in the meantime, or a settle query of the calling node has ruled out that the request runs.
-      if (isStartRefused) return { kind: 'refused', reason: 'draining' }
+      if (startRefusal !== undefined) return { kind: 'refused', reason: startRefusal }
     }
     return { kind: 'refused', reason: 'unreachable' }
   }
 
   public override dispose (): void {
     super.dispose()
+    this.expectEnd()
     this._connections?.dispose()
   }
 
@@ -149,9 +159,9 @@
     const end = await this._verifyUnframedEnd(await exchange.run(connection), connection, call.deadlineAt + DEADLINE_GRACE_MS as Timestamp)
     timer.dispose()
     const outcome = end.kind === 'not-sent' ? undefined : this._toOutcome(call, end, startedAt)
-    if (end.kind === 'broken' && !exchange.isAborted) await crashMonitor?.recordBrokenExchange(gated.identity)
+    const crash = end.kind === 'broken' && !exchange.isAborted ? await crashMonitor?.recordBrokenExchange(gated.identity) : undefined
     connections?.release(connection, outcome !== undefined && outcome.kind !== 'unknown')
-    return outcome
+    return crash !== undefined && outcome?.kind === 'unknown' ? { ...outcome, crash } : outcome
   }
 
   /**
--- a/src/mesh/endpoint/RegistrationService.test.ts
+++ b/src/mesh/endpoint/RegistrationService.test.ts
@@ -13,6 +13,7 @@
 import type { IEndpointRecord, INodeRow, NodeName } from '../Types.js'
 import { decodeNodeRow } from '../view/NodeRowCodec.js'
 import { NodeTable } from '../view/NodeTable.js'
+import { CrashRegistry } from '../crashes/CrashRegistry.js'
 import { LocalEndpoint } from './LocalEndpoint.js'
 import { RegistrationService } from './RegistrationService.js'
 
@@ -22,6 +23,7 @@
   let store: StoreStandIn
   let endpoint: LocalEndpoint
   let nodes: NodeTable
+  let crashes: CrashRegistry
   let registration: RegistrationService
   const clock = new ClockService()
   const log = new RecordingLog()
@@ -35,6 +37,7 @@
   function startProcess (): void {
     endpoint = new LocalEndpoint(log)
     nodes = new NodeTable({ log })
+    crashes = new CrashRegistry({ self: 'n' as NodeName, clock, log, metrics: new MetricsService() })
     const client = new PlatformHttpClient({ clock, log, metrics: new MetricsService() }, { url: `http://${store.address}`, requestTimeout: 100 as Milliseconds })
     registration = new RegistrationService({
       self: { name: 'n' as NodeName, failureDomain: 'z' as FailureDomain, region: 'r' as Region },
@@ -42,6 +45,7 @@
       peerAddress: '10.0.0.1:2' as NetworkAddress,
       endpoint,
       nodes,
+      crashes,
       table: new PlatformStore(client),
       clock,
       random: new RandomService(1),
@@ -52,6 +56,7 @@
 
   afterEach(() => {
     registration.stop()
+    crashes.dispose()
     store.stop()
   })
 
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -4,6 +4,7 @@
 import type { IDisposable, Milliseconds, NetworkAddress } from '../../common/Types.js'
 import type { ITableService } from '../../platform/Services.js'
 import type { IChangedRow, IRowReference, RowKey, RowRevision, StorePosition } from '../../platform/Types.js'
+import type { CrashRegistry } from '../crashes/CrashRegistry.js'
 import { NODE_ROW_IGNORED, REGISTRATION_FAILED, REGISTRATION_STORED } from '../Events.js'
 import type { ILocalEndpoint, INodeIdentity, INodeTable, IRegistrationService } from '../Services.js'
 import type { INodeRow } from '../Types.js'
@@ -17,6 +18,8 @@
   readonly peerAddress: NetworkAddress
   readonly endpoint: ILocalEndpoint
   readonly nodes: INodeTable
+  /** Crashes of the endpoint, which are published in the row. */
+  readonly crashes: CrashRegistry
   readonly table: ITableService
   readonly clock: IClockService
   readonly random: IRandomService
@@ -53,6 +56,7 @@
     this._reference = { table: NODE_TABLE, key: _options.self.name as string as RowKey }
     this._listeners = [
       _options.endpoint.onChanged(() => this._requestWrite()),
+      _options.crashes.onReportChanged(() => this._requestWrite()),
       _options.nodes.onChanged(({ rows }) => { for (const row of rows) this._observe(row) })
     ]
   }
@@ -85,18 +89,21 @@
     return this._storedText === this._desiredText()
   }
 
-  /** Marks the row as that of a node that shuts down (`isLeaving`), or removes the row if the endpoint is not serving. */
+  /**
+   * Marks the row as that of a node that shuts down (`isLeaving`), or removes the row if the endpoint is not serving. A row that
+   * reports crashes stays, for nodes that start later.
+   */
   public async markLeaving (): Promise<void> {
     this._isLeaving = true
-    const { record } = this._options.endpoint
-    this._shouldRemoveRow = record === undefined || record.phase !== 'serving'
+    const { endpoint, crashes } = this._options
+    this._shouldRemoveRow = endpoint.record?.phase !== 'serving' && crashes.report === undefined
     this._requestWrite(true)
   }
 
   /** Text that should be stored; empty if the row should not exist. */
   private _desiredText (): string {
     if (this._shouldRemoveRow) return ''
-    const { self, gateAddress, peerAddress, endpoint } = this._options
+    const { self, gateAddress, peerAddress, endpoint, crashes } = this._options
     const row: INodeRow = {
       node: self.name,
       failureDomain: self.failureDomain,
@@ -104,7 +111,8 @@
       gateAddress,
       peerAddress,
       isLeaving: this._isLeaving,
-      endpoint: endpoint.record?.phase === 'silent' ? undefined : endpoint.record
+      endpoint: endpoint.record?.phase === 'silent' ? undefined : endpoint.record,
+      crashReport: crashes.report
     }
     return encodeNodeRow(row)
   }
@@ -167,14 +175,15 @@
     this._revision = value === undefined ? undefined : String(position) as RowRevision
     this._rowPosition = position
     this._storedText = value ?? ''
-    if (value !== undefined) this._adoptEndpoint(value)
+    if (value !== undefined) this._adopt(value)
   }
 
-  private _adoptEndpoint (value: string): void {
-    const { endpoint, clock, log } = this._options
+  private _adopt (value: string): void {
+    const { endpoint, crashes, clock, log } = this._options
     try {
-      const record = decodeNodeRow(value).endpoint
-      if (record !== undefined) endpoint.restore(record, clock.now())
+      const row = decodeNodeRow(value)
+      if (row.endpoint !== undefined) endpoint.restore(row.endpoint, clock.now())
+      if (row.crashReport !== undefined) crashes.restore(row.crashReport, clock.now())
     } catch (error) {
       log.log(NODE_ROW_IGNORED, { step: 'registration.decode', peer: this._reference.key, reason: String(error) })
     }
--- a/src/mesh/exchange/CallCodec.ts
+++ b/src/mesh/exchange/CallCodec.ts
@@ -3,6 +3,7 @@
 import type { EndpointId, Milliseconds, RequestId, RouteName, ServiceName, Timestamp } from '../../common/Types.js'
 import { fieldsOf } from '../../gate/HeaderRules.js'
 import { singleHeader } from '../../routing/ResponseHeaders.js'
+import { decodeCrash, encodeCrash } from '../crashes/CrashCodec.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshCall, ICompleteResponse, RefusalReason } from '../Types.js'
 import type { PeerClock } from './PeerClock.js'
 
@@ -10,7 +11,10 @@
 export const NODE_HEADER = Object.freeze({
   /** The components of a call, see `encodeCall`. */
   call: 'savoryknot-call',
-  /** Kind, reason, and time after which to retry, in milliseconds; the kind is `answered`, `refused` or `unknown`. */
+  /**
+   * Kind, reason, and time after which to retry, in milliseconds; the kind is `answered`, `refused` or `unknown`. Behind them, ID,
+   * fingerprint and weight of the crash of the endpoint, if there was one.
+   */
   outcome: 'savoryknot-outcome',
   /** Occupied, slots, service time, failure percent, time at the node, and the time of the node's clock, separated by slashes. */
   load: 'savoryknot-load',
@@ -35,7 +39,7 @@
 const PREFIX = 'savoryknot-'
 const NUMBER_PATTERN = /^\d{1,14}$/
 const REASONS: ReadonlySet<string> = new Set<RefusalReason>([
-  'overloaded', 'draining', 'no-endpoint', 'unreachable', 'deadline', 'cancelled', 'shed'
+  'overloaded', 'draining', 'no-endpoint', 'unreachable', 'deadline', 'cancelled', 'shed', 'quarantined'
 ])
 /** Hop-by-hop and framing fields, which are not forwarded. */
 const FRAMING_FIELDS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding', 'connection', 'keep-alive', 'trailer', 'upgrade', 'te'])
@@ -111,20 +115,21 @@
   }
   const parts = [outcome.kind, encodeURIComponent(outcome.reason)]
   if (outcome.kind === 'refused' && outcome.retryAfter !== undefined) parts.push(String(Math.round(outcome.retryAfter)))
+  if (outcome.kind === 'unknown' && outcome.crash !== undefined) parts.push('', ...encodeCrash(outcome.crash))
   return { status: STATUS_BY_KIND[outcome.kind], fields: [NODE_HEADER.outcome, parts.join(SEPARATOR), ...load], body: NO_BODY }
 }
 
 /** Undefined if the response was not written by a node. */
 export function decodeOutcome (status: number, headers: IncomingHttpHeaders, body: Buffer): AttemptOutcome | undefined {
   const load = decodeLoad(singleHeader(headers, NODE_HEADER.load))
-  const [kind, reason = '', retryAfter = ''] = decodedParts(headers, NODE_HEADER.outcome) ?? []
+  const [kind, reason = '', retryAfter = '', ...crash] = decodedParts(headers, NODE_HEADER.outcome) ?? []
   switch (kind) {
     case 'answered': return { kind, answer: { status, fields: responseFields(headers), body }, load }
     case 'refused': {
       if (!REASONS.has(reason)) return undefined
       return { kind, reason: reason as RefusalReason, retryAfter: parseNumber(retryAfter) as Milliseconds | undefined, load }
     }
-    case 'unknown': return { kind, reason, load }
+    case 'unknown': return { kind, reason, load, ...crash.length === 0 ? {} : { crash: decodeCrash(crash) } }
     default: return undefined
   }
 }
--- a/src/mesh/view/NodeRowCodec.ts
+++ b/src/mesh/view/NodeRowCodec.ts
@@ -1,6 +1,7 @@
 /** Encodes and decodes rows of the node table. */
 import { z } from 'zod'
 import type { EndpointId, FailureDomain, Milliseconds, NetworkAddress, Region, ServiceName } from '../../common/Types.js'
+import { CRASH_REPORT_SCHEMA } from '../crashes/CrashCodec.js'
 import { MalformedRecordError } from '../MeshErrors.js'
 import type { INodeRow, NodeName } from '../Types.js'
 
@@ -26,7 +27,8 @@
     slots: z.number().int().min(1).max(MAXIMUM_SLOTS),
     phase: z.enum(['serving', 'draining', 'gone']),
     warmUpLeft: z.number().min(0).transform((value) => value as Milliseconds)
-  }).optional()
+  }).optional(),
+  crashReport: CRASH_REPORT_SCHEMA.optional()
 })
 
 export function encodeNodeRow (row: INodeRow): string {
--- a/src/mesh/view/NodeTable.ts
+++ b/src/mesh/view/NodeTable.ts
@@ -47,6 +47,11 @@
     return this._endpoints.get(service) ?? NO_ENDPOINTS
   }
 
+  /** Latest valid state of a node, even if its gate address appears in the later row of another node. */
+  public node (name: NodeName): IKnownNode | undefined {
+    return this._nodes.get(name)
+  }
+
   /** Latest state of a row; undefined if there is none or it was deleted. */
   public row (key: RowKey): IChangedRow | undefined {
     const row = this._rows.get(key)
--- a/testing/mesh/CrashRig.ts
+++ b/testing/mesh/CrashRig.ts
@@ -4,13 +4,14 @@
 
 /** Body of the request that ends each endpoint that executes it. */
 export const CRASHING_BODY = 'ends each endpoint that executes it'
+const REFUSED = 503
 /** Time after which an endpoint that has ended accepts requests again, in milliseconds. */
 const RESTART_DELAY_MS = 400
 
 /** Four nodes in three failure domains, with one service. */
 export class CrashRig {
   public readonly mesh = new MeshRig()
-  /** Endpoints that have ended under a request, in total. */
+  /** Whether an endpoint ends when it executes the request. */
   public isCrashing: (run: IExecutedRequest) => boolean = ({ body }) => body === CRASHING_BODY
   private readonly _restarts = new Set<Promise<void>>()
   private _calls = 0
@@ -34,12 +35,13 @@
     return await this.mesh.call(node, { method: 'PUT', path: '/status/1', id: `call-${this._calls++}`, ...request })
   }
 
-  /** Sends the crashing request to the nodes in turn until it has ended `count` endpoints, and waits until all are back. */
+  /** Sends the crashing request to all nodes at once, until it has ended `count` endpoints or all nodes refuse it. */
   public async crash (count: number): Promise<void> {
     const before = this.crashes
-    for (let number = 0; this.crashes - before < count; number++) {
-      await this.send(this.nodes[number % this.nodes.length] as IRigNode, { body: CRASHING_BODY })
+    while (this.crashes - before < count) {
+      const responses = await Promise.all(this.nodes.map((node) => this.send(node, { body: CRASHING_BODY })))
       await this.waitForRestarts()
+      if (responses.every(({ status }) => status === REFUSED)) return
     }
   }
 
--- a/testing/mesh/GateRig.ts
+++ b/testing/mesh/GateRig.ts
@@ -4,10 +4,11 @@
 import { MetricsService } from '../../src/common/MetricsService.js'
 import type { IClockService } from '../../src/common/Services.js'
 import type { EndpointId, Milliseconds, NetworkAddress, RequestId, ServiceName } from '../../src/common/Types.js'
+import { CrashRegistry } from '../../src/mesh/crashes/CrashRegistry.js'
 import { EndpointGate } from '../../src/mesh/endpoint/EndpointGate.js'
 import { LocalEndpoint } from '../../src/mesh/endpoint/LocalEndpoint.js'
 import type { IConfigurationService } from '../../src/mesh/Services.js'
-import type { AttemptOutcome, IMeshCall, Idempotency } from '../../src/mesh/Types.js'
+import type { AttemptOutcome, IMeshCall, Idempotency, NodeName } from '../../src/mesh/Types.js'
 import { MessageFormat } from '../../platform/MessageFormat.js'
 import { RecordingLog } from '../RecordingLog.js'
 import { EndpointStandIn } from './EndpointStandIn.js'
@@ -28,6 +29,7 @@
 export class GateRig {
   public readonly endpoint = new EndpointStandIn('e')
   public readonly gate: EndpointGate
+  public readonly crashes: CrashRegistry
   private readonly _local: LocalEndpoint
 
   constructor (private readonly _options: IGateRigOptions) {
@@ -36,9 +38,11 @@
     const log = new RecordingLog()
     const metrics = new MetricsService()
     this._local = new LocalEndpoint(log)
+    this.crashes = new CrashRegistry({ self: 'n' as NodeName, clock, log, metrics })
     this.gate = new EndpointGate({
       endpoint: this._local,
       configuration: { current: undefined } as unknown as IConfigurationService,
+      crashes: this.crashes,
       format: new MessageFormat(),
       clock,
       log,
@@ -64,6 +68,7 @@
 
   public stop (): void {
     this.gate.dispose()
+    this.crashes.dispose()
     this.endpoint.stop()
   }
 
