Do not run timers at once whose delay is longer than Node.js supports

A delay above 2^31 - 1 ms ran after 1 ms; a time-out or idle limit of that size would end requests at once. The delay is limited to the longest that a timer supports. The test failed before.

--- a/src/common/ClockService.test.ts
+++ b/src/common/ClockService.test.ts
@@ -55,6 +55,14 @@
     expect(unaffectedJumps).to.deep.equal([true, true])
   })
 
+  it('does not run an action at once whose delay is longer than timers support', async () => {
+    let isRun = false
+    const timer = clock.after(1e308 as Milliseconds, () => { isRun = true })
+    await clock.sleep(WAIT_MS)
+    timer.dispose()
+    expect(isRun).to.equal(false)
+  })
+
   it('runs a delayed action only after pending input is read', async () => {
     expect(await orderOfEvents((onElapsed) => clock.after(WAIT_MS, onElapsed))).to.deep.equal(['bytes', 'time'])
   })
--- a/src/common/ClockService.ts
+++ b/src/common/ClockService.ts
@@ -4,6 +4,9 @@
 import type { IClockService } from './Services.js'
 import type { IDisposable, Milliseconds, Timestamp } from './Types.js'
 
+/** Maximum delay of a timer of Node.js, which runs timers with a longer delay at once. */
+const MAXIMUM_DELAY_MS = 2_147_483_647
+
 /**
  * Starts at the wall-clock time and advances with the monotonic clock, so that setting the wall clock forwards or backwards
  * does not move deadlines.
@@ -16,11 +19,11 @@
   }
 
   public after (delay: Milliseconds, action: () => void): IDisposable {
-    return scheduleAfterRead(action, (onTimer) => setTimeout(onTimer, delay))
+    return scheduleAfterRead(action, (onTimer) => setTimeout(onTimer, Math.min(delay, MAXIMUM_DELAY_MS)))
   }
 
   public every (interval: Milliseconds, action: () => void): IDisposable {
-    return scheduleAfterRead(action, (onTimer) => setInterval(onTimer, interval))
+    return scheduleAfterRead(action, (onTimer) => setInterval(onTimer, Math.min(interval, MAXIMUM_DELAY_MS)))
   }
 
   public sleep (delay: Milliseconds): Promise<void> {
