Close a view link whose source sends a position that is no exact integer

Such a position (1e308) was adopted as the newest one, and no later change of the node table was requested or applied after it. The test failed before.

--- a/src/mesh/view/ViewLink.ts
+++ b/src/mesh/view/ViewLink.ts
@@ -111,6 +111,7 @@
     const now = clock.now()
     // The address of a stopped node may have been assigned to another node, or to this one.
     if (update.node === self.name || (peer !== undefined && update.node !== peer)) return this._close('other-node')
+    if (!hasValidPositions(update)) return this._close('unreadable')
     this._restartTimeout()
     if (!this._applyConfiguration(update, now)) return
     this._options.state.nodes.apply(decodeRows(update), now)
@@ -168,3 +169,8 @@
     this._resolveClosed?.(reason)
   }
 }
+
+/** A position that is no exact integer could never be followed by a later one. */
+function hasValidPositions ({ nodesPosition, configurationPosition, rows }: ReceivedViewUpdate): boolean {
+  return [nodesPosition, configurationPosition, ...rows.map(({ position }) => position)].every(Number.isSafeInteger)
+}
--- a/src/mesh/view/ViewSources.test.ts
+++ b/src/mesh/view/ViewSources.test.ts
@@ -37,7 +37,7 @@
   constructor (public readonly remoteAddress: NetworkAddress) {}
 
   /** Sends an update without changes from the source. */
-  public update (isCurrent: boolean): void {
+  public update (isCurrent: boolean, nodesPosition = 0): void {
     const viewUpdate = {
       node: this.remoteAddress,
       isCurrent,
@@ -47,7 +47,7 @@
       question: 0,
       questionAgo: 0,
       confirmedAgo: 0,
-      nodesPosition: 0,
+      nodesPosition,
       configurationVersion: 0,
       configurationBase: 0,
       configurationPosition: 0,
@@ -123,6 +123,13 @@
     expect([sources.isLinked('other' as NodeName), events]).to.deep.equal([false, ['link closed: not-current']])
   })
 
+  it('closes the link to a source that sends a position that is no exact integer', async () => {
+    const channel = await open('first', true, true)
+    channel.update(true, 1e308)
+    await settlePromises()
+    expect([sources.isLinked('first' as NodeName), events]).to.deep.equal([false, ['current first', 'link closed: unreadable']])
+  })
+
   it('keeps following a source that is without a current view for a short time only', async () => {
     const channel = await open('first', true, true)
     channel.update(false)
