Use the other rows of a response of the store that contains a malformed row

One row without a valid key or position made the whole response invalid, so a reader never got past it: it read the table again and again and followed no further change. Rows are validated one by one; event 2004 counts the ignored ones.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -127,7 +127,7 @@
   readonly format: IMessageFormat
   /** Row in which the operator stores the configuration. */
   readonly configurationRow: IRowReference
-  createStore (client: PlatformHttpClient): ITableService & IChangeFeed
+  createStore (client: PlatformHttpClient, log: ILogService): ITableService & IChangeFeed
   /** Creates the servers for the platform's readiness checks and the endpoint's reports. */
   createControlPort (options: IControlPortOptions): IService
 }
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -99,7 +99,7 @@
     dependsOn: FOUNDATION,
     create: () => adapter.createStore(new PlatformHttpClient(foundationOf(kernel), {
       url: `http://${store.address}`, requestTimeout: STORE_TIMEOUT_MS, connections: STORE_CONNECTIONS
-    }))
+    }), kernel.get(ILogService))
   })
   kernel.register({
     key: IConfigurationService,
--- a/src/platform/Events.ts
+++ b/src/platform/Events.ts
@@ -22,6 +22,13 @@
   meaning: 'A write was sent but its response was lost. It may have taken effect; the writer must read to find out.'
 })
 
+export const PLATFORM_ROW_IGNORED: IEventDefinition = Object.freeze({
+  number: 2004,
+  name: 'platform-row-ignored',
+  level: 'warn',
+  meaning: 'A response of the platform contained rows without a valid key or position. The field rows is their number; all other rows are used.'
+})
+
 export const PLATFORM_EVENTS: readonly IEventDefinition[] = Object.freeze([
-  PLATFORM_UNAVAILABLE, PLATFORM_AVAILABLE, PLATFORM_RESPONSE_LOST
+  PLATFORM_UNAVAILABLE, PLATFORM_AVAILABLE, PLATFORM_RESPONSE_LOST, PLATFORM_ROW_IGNORED
 ])
