Let an odd row or heartbeat cost only the endpoint that it names

What callers saw, each with a test that failed on the code before: - A row of the node table with an unpaired surrogate in an ID: its encoding as a header field threw, and the connection of each caller of its service was closed without a response (LOST). - A heartbeat with port 0, 99999 or an address that is none was accepted as the new address of the endpoint, which then got no requests (503). - A row with the gate address of a live node hid the live node from all others, for good. - A row with another name than its key, a start time or warm-up of 1e308, a line break in an ID passed the schema. - A listener that is not a node, at the address of a row: requests were sent to it and got 502; now they are not sent.

Cause: the schemas checked the form of texts and numbers and not whether they can be used; rows and heartbeats had two copies of them. RecordFields has one set of fields for both. An attempt that fails unexpectedly gives an unknown outcome in place of a closed connection. A new connection to a node needs the token of a node's process in the response to its probe. A node whose address is claimed by a later row writes its own row again (event 9213), at most every 500 ms.

Ruled out by tests that passed before: deep nesting (20,000 levels), 1e999, ports out of range in rows: the connection attempt was refused and another endpoint used; no process ended.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -63,6 +63,8 @@
   /** Store position up to which all changes are known; 0 before the first read. */
   readonly position: StorePosition
   readonly nodes: ReadonlyMap<NodeName, IKnownNode>
+  /** Latest valid state of a node, even if its gate address appears in the later row of another node. */
+  node (name: NodeName): IKnownNode | undefined
   /** Endpoints of a service that accept requests, including those on currently unreachable nodes. */
   endpoints (service: ServiceName): readonly IMeshEndpoint[]
   apply (batch: IChangeBatch, now: Timestamp): void
--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -72,7 +72,9 @@
     const startedAt = clock.now()
     const attempt = view.begin(startedAt)
     const isLocal = view.target.node.node === self.name
-    const outcome = isLocal ? await gate.execute(call, cancellation) : await this._remote(view.target).execute(call, expected, cancellation)
+    const running = isLocal ? gate.execute(call, cancellation) : this._remote(view.target).execute(call, expected, cancellation)
+    // An attempt that fails unexpectedly may have been sent; its caller still gets a response.
+    const outcome = await running.catch((error: unknown): AttemptOutcome => ({ kind: 'unknown', reason: String(error) }))
     view.end(attempt)
     const now = clock.now()
     view.observe(outcome, now - startedAt as Milliseconds, now)
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -98,7 +98,8 @@
     const { queries, address, onLoad, clock } = this._options
     const sentAt = clock.now()
     const response = await queries.probeOnConnection(connection, address)
-    if (response === undefined) return false
+    // A response without a token was not written by a node.
+    if (response?.processToken === undefined) return false
     this._recordProcess(response.processToken, response.load, sentAt)
     if (response.load !== undefined) onLoad(response.load, clock.now())
     return true
--- a/src/mesh/endpoint/RegistrationService.test.ts
+++ b/src/mesh/endpoint/RegistrationService.test.ts
@@ -46,7 +46,7 @@
       endpoint,
       nodes,
       crashes,
-      table: new PlatformStore(client),
+      table: new PlatformStore(client, log),
       clock,
       random: new RandomService(1),
       log,
@@ -72,7 +72,7 @@
   }
 
   function stored (): INodeRow {
-    return decodeNodeRow(store.get('nodes', 'n') ?? '')
+    return decodeNodeRow(store.get('nodes', 'n') ?? '', 'n' as NodeName)
   }
 
   /** Stops the process and starts another one, which adopts the stored row. */
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -5,9 +5,9 @@
 import type { ITableService } from '../../platform/Services.js'
 import type { IChangedRow, IRowReference, RowKey, RowRevision, StorePosition } from '../../platform/Types.js'
 import type { CrashRegistry } from '../crashes/CrashRegistry.js'
-import { NODE_ROW_IGNORED, REGISTRATION_FAILED, REGISTRATION_STORED } from '../Events.js'
+import { NODE_ADDRESS_CLAIMED, NODE_ROW_IGNORED, REGISTRATION_FAILED, REGISTRATION_STORED } from '../Events.js'
 import type { ILocalEndpoint, INodeIdentity, INodeTable, IRegistrationService } from '../Services.js'
-import type { INodeRow } from '../Types.js'
+import type { INodeRow, NodeName } from '../Types.js'
 import { decodeNodeRow, encodeNodeRow } from '../view/NodeRowCodec.js'
 import { NODE_TABLE } from '../view/ViewService.js'
 
@@ -30,6 +30,8 @@
 
 const MINIMUM_BACKOFF_MS = 150
 const MAXIMUM_BACKOFF_MS = 1_500
+/** Delay before the own row is written again; limits the writes if another writer claims the address repeatedly. */
+const RECLAIM_DELAY_MS = 500 as Milliseconds
 
 /**
  * A single task writes the row whenever the desired row differs from the stored one. Each write is conditional on the revision
@@ -50,6 +52,7 @@
   private _isWriting = false
   private _failures = 0
   private _waiters: Array<() => void> = []
+  private _reclaimTimer: IDisposable | undefined
   private readonly _listeners: readonly IDisposable[]
 
   constructor (private readonly _options: IRegistrationServiceOptions) {
@@ -64,7 +67,7 @@
   /** Starts writing, from the row that an earlier process of this node stored; undefined if there is none. */
   public startWriting (row: { readonly revision: RowRevision, readonly value: string } | undefined): void {
     this._revision = row?.revision
-    this._storedText = row?.value ?? ''
+    this._storedText = this._isAddressClaimed ? '' : row?.value ?? ''
     this._rowPosition = positionOf(row?.revision)
     this._isStarted = true
     const wait = this._options.endpoint.record === undefined ? this._options.firstReportWait : 0 as Milliseconds
@@ -73,6 +76,7 @@
 
   public stop (): void {
     this._isStopped = true
+    this._reclaimTimer?.dispose()
     for (const listener of this._listeners) listener.dispose()
     this._resolveWaiters()
   }
@@ -100,6 +104,12 @@
     this._requestWrite(true)
   }
 
+  /** True if a later row with another name has the address of this node. */
+  private get _isAddressClaimed (): boolean {
+    const { nodes, self } = this._options
+    return nodes.node(self.name) !== undefined && !nodes.nodes.has(self.name)
+  }
+
   /** Text that should be stored; empty if the row should not exist. */
   private _desiredText (): string {
     if (this._shouldRemoveRow) return ''
@@ -164,13 +174,28 @@
     else this._applyRow({ value: row.value, position: positionOf(row.revision) })
   }
 
-  /** Handles a change of the row, possibly by another process. */
+  /** Handles a change of a row, possibly by another process. */
   private _observe (row: IChangedRow): void {
-    if (!this._isStarted || row.key !== this._reference.key || row.position <= this._rowPosition) return
+    if (!this._isStarted) return
+    if (row.key !== this._reference.key) return this._reclaimAddress(row)
+    if (row.position <= this._rowPosition) return
     this._applyRow(row)
     this._requestWrite()
   }
 
+  /** Writes the own row again after another row has claimed the address of this node, since the latest row owns an address. */
+  private _reclaimAddress ({ key, position }: IChangedRow): void {
+    const { nodes, gateAddress, clock, log } = this._options
+    if (position < this._rowPosition || nodes.node(key as string as NodeName)?.gateAddress !== gateAddress) return
+    if (this._reclaimTimer !== undefined || this._storedText === '') return
+    log.log(NODE_ADDRESS_CLAIMED, { step: 'registration.observe', peer: key, address: gateAddress })
+    this._reclaimTimer = clock.after(RECLAIM_DELAY_MS, () => {
+      this._reclaimTimer = undefined
+      this._storedText = ''
+      this._requestWrite()
+    })
+  }
+
   private _applyRow ({ value, position }: Pick<IChangedRow, 'value' | 'position'>): void {
     this._revision = value === undefined ? undefined : String(position) as RowRevision
     this._rowPosition = position
@@ -181,7 +206,7 @@
   private _adopt (value: string): void {
     const { endpoint, crashes, clock, log } = this._options
     try {
-      const row = decodeNodeRow(value)
+      const row = decodeNodeRow(value, this._options.self.name)
       if (row.endpoint !== undefined) endpoint.restore(row.endpoint, clock.now())
       if (row.crashReport !== undefined) crashes.restore(row.crashReport, clock.now())
     } catch (error) {
--- a/src/mesh/view/NodeRowCodec.ts
+++ b/src/mesh/view/NodeRowCodec.ts
@@ -1,32 +1,26 @@
 /** Encodes and decodes rows of the node table. */
 import { z } from 'zod'
-import type { EndpointId, FailureDomain, Milliseconds, NetworkAddress, Region, ServiceName } from '../../common/Types.js'
+import type { EndpointId, FailureDomain, Region, ServiceName } from '../../common/Types.js'
 import { CRASH_REPORT_SCHEMA } from '../crashes/CrashCodec.js'
 import { MalformedRecordError } from '../MeshErrors.js'
+import { addressField, slotsField, startTimeField, textField, warmUpField } from '../RecordFields.js'
 import type { INodeRow, NodeName } from '../Types.js'
 
-const MAXIMUM_TEXT_LENGTH = 200
-const MAXIMUM_SLOTS = 100_000
-const ADDRESS_PATTERN = /^[0-9.]+:\d{1,5}$/
-
-const text = z.string().min(1).max(MAXIMUM_TEXT_LENGTH)
-const address = z.string().regex(ADDRESS_PATTERN).transform((value) => value as NetworkAddress)
-
 const ROW_SCHEMA: z.ZodType<INodeRow> = z.object({
-  node: text.transform((value) => value as NodeName),
-  failureDomain: text.transform((value) => value as FailureDomain),
-  region: text.transform((value) => value as Region),
-  gateAddress: address,
-  peerAddress: address,
+  node: textField.transform((value) => value as NodeName),
+  failureDomain: textField.transform((value) => value as FailureDomain),
+  region: textField.transform((value) => value as Region),
+  gateAddress: addressField,
+  peerAddress: addressField,
   isLeaving: z.boolean(),
   endpoint: z.object({
-    id: text.transform((value) => value as EndpointId),
-    bornAt: z.number().min(0),
-    service: text.transform((value) => value as ServiceName),
-    address,
-    slots: z.number().int().min(1).max(MAXIMUM_SLOTS),
+    id: textField.transform((value) => value as EndpointId),
+    bornAt: startTimeField,
+    service: textField.transform((value) => value as ServiceName),
+    address: addressField,
+    slots: slotsField,
     phase: z.enum(['serving', 'draining', 'gone']),
-    warmUpLeft: z.number().min(0).transform((value) => value as Milliseconds)
+    warmUpLeft: warmUpField
   }).optional(),
   crashReport: CRASH_REPORT_SCHEMA.optional()
 })
@@ -35,8 +29,14 @@
   return JSON.stringify(row)
 }
 
-/** Throws `MalformedRecordError` if the text is no valid row. */
-export function decodeNodeRow (value: string): INodeRow {
+/** Decodes the row with the key `node`. Throws `MalformedRecordError` if the text is no valid row, or the row of another node. */
+export function decodeNodeRow (value: string, node: NodeName): INodeRow {
+  const row = parseRow(value)
+  if (row.node !== node) throw new MalformedRecordError('row of the node table contains the name of another node', { step: 'nodes.decode' })
+  return row
+}
+
+function parseRow (value: string): INodeRow {
   try {
     return ROW_SCHEMA.parse(JSON.parse(value))
   } catch (cause) {
--- a/src/mesh/view/NodeTable.ts
+++ b/src/mesh/view/NodeTable.ts
@@ -113,7 +113,7 @@
 
   private _decode (name: NodeName, value: string, now: Timestamp): void {
     try {
-      this._nodes.set(name, { ...decodeNodeRow(value), node: name, learntAt: now })
+      this._nodes.set(name, { ...decodeNodeRow(value, name), learntAt: now })
     } catch (error) {
       this._options.log.log(NODE_ROW_IGNORED, { step: 'nodes.decode', peer: name, reason: String(error) })
     }
