Publish crashes after a short delay, and single losses of connections not at all

Also, a popular request under which several endpoints ended at once was quarantined for 10 s if its later successes came before the reports of the crashes: the test with a request beside the crashing one failed as soon as a success alone no longer rewrote the row.

Now: a loss of connections of an endpoint that accepts new ones is published only together with a second one of the same request. Changes of the report are collected for 300 ms, in which most innocent requests succeed elsewhere and their records are dropped unpublished. A success also clears crashes that are learnt of in the next 5 s, as they may have happened before it. A record is one text of 43 to 56 characters, 32 at most.

--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -16,12 +16,17 @@
 /** Identifies one request in one crash of an endpoint. */
 export type CrashId = Brand<string, 'CrashId'>
 
-/** A request that an endpoint was executing when all its connections closed. */
+/**
+ * What ended when an endpoint closed all its connections. `connections`: it accepts new ones; `process`: it does not;
+ * `process-alone`: it does not, and it was executing one request only.
+ */
+export type CrashKind = 'connections' | 'process' | 'process-alone'
+
+/** A request that an endpoint was executing when it closed all its connections. */
 export interface ICrashRecord {
   readonly id: CrashId
   readonly fingerprint: RequestFingerprint
-  /** 2 if the process of the endpoint ended while it executed nothing else; otherwise 1, since another cause is as likely. */
-  readonly weight: 1 | 2
+  readonly kind: CrashKind
 }
 
 /** What a node publishes about crashes in its row. */
--- a/src/mesh/crashes/CrashRegistry.ts
+++ b/src/mesh/crashes/CrashRegistry.ts
@@ -1,13 +1,14 @@
 /** Knows which requests coincided with crashes of endpoints, on this and on other nodes, and which of them must not be sent. */
+import { isDeepStrictEqual } from 'node:util'
 import { Gauge } from 'prom-client'
 import { Disposable } from '../../common/Disposable.js'
 import { Emitter } from '../../common/Emitter.js'
 import type { IClockService, ILogService, IMetricsService } from '../../common/Services.js'
-import type { IEvent, Milliseconds, RequestFingerprint, Timestamp } from '../../common/Types.js'
+import type { IDisposable, IEvent, Milliseconds, RequestFingerprint, Timestamp } from '../../common/Types.js'
 import { CALL_CLEARED, CALL_QUARANTINED, CALL_SUSPECTED, CALL_TRIED } from '../Events.js'
 import type { CrashId, ICrashRecord, ICrashReport, NodeName } from '../Types.js'
 import { CrashTable, type IKnownCrash } from './CrashTable.js'
-import { DEFAULT_QUARANTINE_OPTIONS, pointsOf, trialDelay, type IQuarantineOptions } from './QuarantineRules.js'
+import { DEFAULT_QUARANTINE_OPTIONS, pointsOf, shouldPublish, trialDelay, type IQuarantineOptions } from './QuarantineRules.js'
 import type { RequestIdentity } from './RequestIdentity.js'
 
 /** Dependencies and options of `CrashRegistry`. */
@@ -26,10 +27,14 @@
   | { readonly kind: 'quarantined', readonly trialAt: Timestamp }
 
 /** Maximum number of records, and of cleared IDs, in the row of one node. */
-export const MAXIMUM_PUBLISHED_CRASHES = 64
+export const MAXIMUM_PUBLISHED_CRASHES = 32
 const MAXIMUM_KNOWN_CRASHES = 4_096
 /** Time after which a node publishes a crash that it learnt from a response and that no node has published. */
 const PUBLICATION_DELAY_MS = 1_500 as Milliseconds
+/** Time in which changes of the report are collected; most innocent requests succeed elsewhere in this time. */
+const REPORT_DELAY_MS = 300 as Milliseconds
+/** Time after a success in which crashes that are learnt of do not count: they may have happened before the success. */
+const SUCCESS_VALIDITY_MS = 5_000
 const EXPIRY_INTERVAL_MS = 10_000 as Milliseconds
 /** Minimum time for which a clearance is published; a node may publish the crash later than the clearance. */
 const MINIMUM_CLEARANCE_MS = 60_000
@@ -51,6 +56,10 @@
   private readonly _cleared = new Set<CrashId>()
   /** Those of the cleared crashes that this node publishes as cleared, with the time of their clearance. */
   private readonly _ownCleared = new Map<CrashId, Timestamp>()
+  /** Time of the last success of a request with known crashes. */
+  private readonly _succeededAt = new Map<RequestFingerprint, Timestamp>()
+  private _report: ICrashReport | undefined
+  private _reportTimer: IDisposable | undefined
   /** Time of the last trial at the local endpoint. */
   private readonly _trials = new Map<RequestFingerprint, Timestamp>()
 
@@ -71,6 +80,11 @@
     this.dispose()
   }
 
+  public override dispose (): void {
+    super.dispose()
+    this._reportTimer?.dispose()
+  }
+
   /** Fires when `report` has changed. */
   public get onReportChanged (): IEvent<void> {
     return this._onReportChanged.event
@@ -78,13 +92,7 @@
 
   /** What this node publishes; undefined if it has nothing to publish. */
   public get report (): ICrashReport | undefined {
-    const crashes = [...this._table.values()].filter(({ id }) => this._own.has(id) && !this._cleared.has(id))
-    const cleared = [...this._ownCleared.keys()].slice(-MAXIMUM_PUBLISHED_CRASHES)
-    if (crashes.length === 0 && cleared.length === 0) return undefined
-    const important = crashes.filter(({ fingerprint }) => this._isQuarantined(fingerprint))
-    const others = crashes.filter(({ fingerprint }) => !this._isQuarantined(fingerprint))
-    const selected = [...others, ...important].slice(-MAXIMUM_PUBLISHED_CRASHES)
-    return { crashes: selected.map(({ id, fingerprint, weight }) => ({ id, fingerprint, weight })), cleared }
+    return this._report
   }
 
   /** Standing of a request. While no crash is known, nothing is hashed. */
@@ -101,13 +109,14 @@
     if (this._own.has(crash.id)) return
     this._own.add(crash.id)
     this._learn(crash, this._options.self, now)
-    this._onReportChanged.fire()
+    this._scheduleReport()
   }
 
   /** Records a crash that another node stated in its response, and publishes it if that node does not. */
   public recordReceived (crash: ICrashRecord, source: NodeName, now: Timestamp): void {
     if (this._table.get(crash.id) !== undefined || this._cleared.has(crash.id)) return
     this._learn(crash, source, now)
+    this._scheduleReport()
     this._options.clock.after(PUBLICATION_DELAY_MS, () => this._publishUnlessPublished(crash.id))
   }
 
@@ -127,17 +136,10 @@
   public recordSuccess (request: RequestIdentity, now: Timestamp): void {
     if (!this._isKnown(request)) return
     const { fingerprint } = request
-    const crashes = this._table.crashesOf(fingerprint)
-    const counting = this._countingCrashes(fingerprint)
-    if (counting.length === 0) return
-    // Other nodes count the crashes that only this node has cleared.
-    const mustPublish = pointsOf(crashes) >= this._quarantine.threshold
-    for (const { id } of crashes) {
-      this._clear(id)
-      if (mustPublish) this._ownCleared.set(id, now)
-    }
+    this._succeededAt.set(fingerprint, now)
+    if (this._countingCrashes(fingerprint).length === 0) return
     this._options.log.log(CALL_CLEARED, { step: 'crashes.success', fingerprint, source: this._options.self })
-    if (mustPublish || crashes.some(({ id }) => this._own.has(id))) this._onReportChanged.fire()
+    this._clearRequest(fingerprint, now)
   }
 
   /** Adopts what an earlier process of this node published. */
@@ -147,6 +149,7 @@
       this._clear(id)
       this._ownCleared.set(id, now)
     }
+    this._updateReport()
   }
 
   /** Applies what another node publishes. A crash that none of its publishers publishes any more is forgotten. */
@@ -157,27 +160,63 @@
       if (published.has(crash.id) || !crash.publishers.delete(node)) continue
       if (crash.publishers.size === 0 && !this._own.has(crash.id)) this._table.delete(crash.id)
     }
-    for (const crash of report?.crashes ?? []) this._learn(crash, node, now)?.publishers.add(node)
-    const wasOwnCounting = (report?.cleared ?? []).some((id) => this._own.has(id) && !this._cleared.has(id))
+    for (const crash of report?.crashes ?? []) this._applyCrash(crash, node, now)
     for (const id of report?.cleared ?? []) this._clear(id)
-    if (wasOwnCounting) this._onReportChanged.fire()
+    this._scheduleReport()
   }
 
   /** Forgets requests whose newest crash is long ago, and clearances of crashes that no node publishes any more. */
   public expire (now: Timestamp): void {
     const { suspicion, quarantine } = this._quarantine
-    let hasReportChanged = this._withdrawUnneededClearances(now)
+    this._withdrawUnneededClearances(now)
     for (const fingerprint of [...this._table.fingerprints]) {
       const crashes = this._table.crashesOf(fingerprint)
       const newestAt = Math.max(...crashes.map(({ learntAt }) => learntAt))
       if (now - newestAt < (this._isQuarantined(fingerprint) ? quarantine : suspicion)) continue
-      for (const { id } of crashes) {
-        hasReportChanged = this._own.delete(id) || hasReportChanged
-        this._table.delete(id)
-      }
-      this._trials.delete(fingerprint)
+      for (const { id } of crashes) this._table.delete(id)
+    }
+    this._forgetUnknown(now)
+    this._updateReport()
+  }
+
+  /** Forgets what belongs to crashes that are no longer stored. */
+  private _forgetUnknown (now: Timestamp): void {
+    for (const id of this._own) if (this._table.get(id) === undefined) this._own.delete(id)
+    for (const fingerprint of this._trials.keys()) if (this._table.crashesOf(fingerprint).length === 0) this._trials.delete(fingerprint)
+    for (const fingerprint of this._succeededAt.keys()) if (!this._hasSucceeded(fingerprint, now)) this._succeededAt.delete(fingerprint)
+  }
+
+  private _applyCrash (crash: ICrashRecord, node: NodeName, now: Timestamp): void {
+    this._learn(crash, node, now)?.publishers.add(node)
+    // Other nodes count it, unless this node tells them of the success.
+    if (this._cleared.has(crash.id) && this._hasSucceeded(crash.fingerprint, now)) this._publishClearances(crash.fingerprint, now)
+  }
+
+  /** Ends the suspicion of a request. */
+  private _clearRequest (fingerprint: RequestFingerprint, now: Timestamp): void {
+    for (const { id } of this._table.crashesOf(fingerprint)) this._clear(id)
+    this._publishClearances(fingerprint, now)
+    this._scheduleReport()
+  }
+
+  /** Tells the other nodes which crashes no longer count, if they would quarantine the request. */
+  private _publishClearances (fingerprint: RequestFingerprint, now: Timestamp): void {
+    const crashes = this._table.crashesOf(fingerprint)
+    const published = crashes.filter(({ id, publishers }) => publishers.size > 0 || this._isPublishing(id))
+    if (pointsOf(published) < this._quarantine.threshold) return
+    for (const { id } of crashes) {
+      if (this._cleared.has(id)) this._ownCleared.set(id, now)
     }
-    if (hasReportChanged) this._onReportChanged.fire()
+  }
+
+  private _isPublishing (id: CrashId): boolean {
+    return this._report?.crashes.some((crash) => crash.id === id) === true
+  }
+
+  /** True if an identical request has succeeded a short time ago. */
+  private _hasSucceeded (fingerprint: RequestFingerprint, now: Timestamp): boolean {
+    const succeededAt = this._succeededAt.get(fingerprint)
+    return succeededAt !== undefined && now - succeededAt < SUCCESS_VALIDITY_MS
   }
 
   private _isKnown ({ target }: RequestIdentity): boolean {
@@ -206,7 +245,8 @@
     if (known !== undefined || this._cleared.has(crash.id)) return known
     const wasQuarantined = this._isQuarantined(crash.fingerprint)
     const added = this._table.add(crash, now)
-    this._logLearnt(crash, source, wasQuarantined, now)
+    if (this._hasSucceeded(crash.fingerprint, now)) this._clear(crash.id)
+    else this._logLearnt(crash, source, wasQuarantined, now)
     return added
   }
 
@@ -222,7 +262,7 @@
     const crash = this._table.get(id)
     if (this.isDisposed || crash === undefined || this._cleared.has(id) || crash.publishers.size > 0 || this._own.has(id)) return
     this._own.add(id)
-    this._onReportChanged.fire()
+    this._scheduleReport()
   }
 
   private _clear (id: CrashId): void {
@@ -232,14 +272,39 @@
     if (oldest !== undefined) this._cleared.delete(oldest)
   }
 
-  /** Returns true if a clearance is no longer published. */
-  private _withdrawUnneededClearances (now: Timestamp): boolean {
-    let hasChanged = false
+  private _withdrawUnneededClearances (now: Timestamp): void {
     for (const [id, clearedAt] of this._ownCleared) {
       if (now - clearedAt < MINIMUM_CLEARANCE_MS || (this._table.get(id)?.publishers.size ?? 0) > 0) continue
       this._ownCleared.delete(id)
-      hasChanged = true
     }
-    return hasChanged
+  }
+
+  private _scheduleReport (): void {
+    if (this.isDisposed) return
+    this._reportTimer ??= this._options.clock.after(REPORT_DELAY_MS, () => this._updateReport())
+  }
+
+  private _updateReport (): void {
+    this._reportTimer?.dispose()
+    this._reportTimer = undefined
+    if (this._report === undefined && this._own.size === 0 && this._ownCleared.size === 0) return
+    const report = this._createReport()
+    if (isDeepStrictEqual(report, this._report)) return
+    this._report = report
+    this._onReportChanged.fire()
+  }
+
+  private _createReport (): ICrashReport | undefined {
+    const published = [...this._table.values()].filter((crash) => this._own.has(crash.id) && this._isPublishable(crash))
+    const cleared = [...this._ownCleared.keys()].slice(-MAXIMUM_PUBLISHED_CRASHES)
+    if (published.length === 0 && cleared.length === 0) return undefined
+    const important = published.filter(({ fingerprint }) => this._isQuarantined(fingerprint))
+    const others = published.filter(({ fingerprint }) => !this._isQuarantined(fingerprint))
+    const selected = [...others, ...important].slice(-MAXIMUM_PUBLISHED_CRASHES)
+    return { crashes: selected.map(({ id, fingerprint, kind }) => ({ id, fingerprint, kind })), cleared }
+  }
+
+  private _isPublishable (crash: IKnownCrash): boolean {
+    return !this._cleared.has(crash.id) && shouldPublish(crash, this._countingCrashes(crash.fingerprint))
   }
 }
--- a/src/mesh/crashes/CrashTable.ts
+++ b/src/mesh/crashes/CrashTable.ts
@@ -49,10 +49,10 @@
   }
 
   /** Adds a crash that is not yet stored. */
-  public add ({ id, fingerprint, weight }: ICrashRecord, now: Timestamp): IKnownCrash {
+  public add ({ id, fingerprint, kind }: ICrashRecord, now: Timestamp): IKnownCrash {
     const oldest = this._crashes.values().next().value
     if (this._crashes.size >= this._capacity && oldest !== undefined) this.delete(oldest.id)
-    const crash: IKnownCrash = { id, fingerprint, weight, learntAt: now, publishers: new Set() }
+    const crash: IKnownCrash = { id, fingerprint, kind, learntAt: now, publishers: new Set() }
     const others = this.crashesOf(fingerprint)
     this._crashes.set(id, crash)
     this._byFingerprint.set(fingerprint, [...others, crash])
--- a/src/mesh/crashes/QuarantineRules.ts
+++ b/src/mesh/crashes/QuarantineRules.ts
@@ -1,6 +1,6 @@
 /** Decides when a request that coincided with crashes is quarantined, and when it may be tried again. */
 import type { Milliseconds } from '../../common/Types.js'
-import type { ICrashRecord } from '../Types.js'
+import type { CrashKind, ICrashRecord } from '../Types.js'
 
 /** Thresholds and durations of the quarantine. */
 export interface IQuarantineOptions {
@@ -28,9 +28,20 @@
 /** Number of crashes up to which the delay of the first trial applies. */
 const CRASHES_BEFORE_BACKOFF = 3
 
+/** Weight of a crash: a request that the process executed alone is more likely the cause than one of several. */
+const WEIGHT: Readonly<Record<CrashKind, number>> = Object.freeze({ connections: 1, process: 1, 'process-alone': 2 })
+
 /** Sum of the weights of crashes of one request. */
 export function pointsOf (crashes: readonly ICrashRecord[]): number {
-  return crashes.reduce((sum, { weight }) => sum + weight, 0)
+  return crashes.reduce((sum, { kind }) => sum + WEIGHT[kind], 0)
+}
+
+/**
+ * Whether a node publishes the crashes of one request. Endpoints that reset single connections do so often, so the first loss of
+ * connections alone stays with the nodes that took part in the call.
+ */
+export function shouldPublish (crash: ICrashRecord, crashes: readonly ICrashRecord[]): boolean {
+  return crash.kind !== 'connections' || crashes.length > 1
 }
 
 /** Time between the newest of a number of crashes and the next trial. */
--- a/src/mesh/endpoint/EndpointCrashMonitor.ts
+++ b/src/mesh/endpoint/EndpointCrashMonitor.ts
@@ -7,7 +7,7 @@
 import type { UpstreamConnections } from '../../gate/UpstreamConnections.js'
 import { ENDPOINT_CONNECTIONS_LOST } from '../Events.js'
 import type { RequestIdentity } from '../crashes/RequestIdentity.js'
-import type { CrashId, ICrashRecord } from '../Types.js'
+import type { CrashId, CrashKind, ICrashRecord } from '../Types.js'
 
 /** Dependencies of `EndpointCrashMonitor`. */
 export interface IEndpointCrashMonitorOptions {
@@ -51,12 +51,16 @@
 
   private async _classify (requests: readonly RequestIdentity[]): Promise<CrashRecords> {
     const { endpoint, log } = this._options
-    const cause = await this._canReconnect() ? 'connections' : 'process'
+    const kind = await this._classifyLoss(requests.length)
     log.log(ENDPOINT_CONNECTIONS_LOST, {
-      step: 'gate.crash', endpoint, cause, fingerprints: requests.map(({ fingerprint }) => fingerprint).join(' ')
+      step: 'gate.crash', endpoint, kind, fingerprints: requests.map(({ fingerprint }) => fingerprint).join(' ')
     })
-    const weight = cause === 'process' && requests.length === 1 ? 2 : 1
-    return new Map(requests.map(({ fingerprint }) => [fingerprint, { id: createRequestId() as string as CrashId, fingerprint, weight }]))
+    return new Map(requests.map(({ fingerprint }) => [fingerprint, { id: createRequestId() as string as CrashId, fingerprint, kind }]))
+  }
+
+  private async _classifyLoss (requests: number): Promise<CrashKind> {
+    if (await this._canReconnect()) return 'connections'
+    return requests === 1 ? 'process-alone' : 'process'
   }
 
   private async _canReconnect (): Promise<boolean> {
--- a/src/mesh/exchange/CallCodec.ts
+++ b/src/mesh/exchange/CallCodec.ts
@@ -13,7 +13,7 @@
   call: 'savoryknot-call',
   /**
    * Kind, reason, and time after which to retry, in milliseconds; the kind is `answered`, `refused` or `unknown`. Behind them, ID,
-   * fingerprint and weight of the crash of the endpoint, if there was one.
+   * fingerprint and kind of the crash of the endpoint, if there was one.
    */
   outcome: 'savoryknot-outcome',
   /** Occupied, slots, service time, failure percent, time at the node, and the time of the node's clock, separated by slashes. */
--- a/src/mesh/view/NodeRowCodec.ts
+++ b/src/mesh/view/NodeRowCodec.ts
@@ -1,7 +1,7 @@
 /** Encodes and decodes rows of the node table. */
 import { z } from 'zod'
 import type { EndpointId, FailureDomain, Region, ServiceName } from '../../common/Types.js'
-import { CRASH_REPORT_SCHEMA } from '../crashes/CrashCodec.js'
+import { CRASH_REPORT_SCHEMA, encodeCrashReport } from '../crashes/CrashCodec.js'
 import { MalformedRecordError } from '../MeshErrors.js'
 import { addressField, slotsField, startTimeField, textField, warmUpField } from '../RecordFields.js'
 import type { INodeRow, NodeName } from '../Types.js'
@@ -26,7 +26,7 @@
 })
 
 export function encodeNodeRow (row: INodeRow): string {
-  return JSON.stringify(row)
+  return JSON.stringify({ ...row, crashReport: row.crashReport === undefined ? undefined : encodeCrashReport(row.crashReport) })
 }
 
 /** Decodes the row with the key `node`. Throws `MalformedRecordError` if the text is no valid row, or the row of another node. */
