Delay the next trial of a quarantined request by failed trials, not by crashes

An innocent request under which nine endpoints had ended at once had its first trial after 10 s x 6^6.

A crash during a trial has a kind of its own, and only these make the next delay longer.

--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -18,9 +18,9 @@
 
 /**
  * What ended when an endpoint closed all its connections. `connections`: it accepts new ones; `process`: it does not;
- * `process-alone`: it does not, and it was executing one request only.
+ * `process-alone`: it does not, and it was executing one request only; `trial`: any of these during a trial of the request.
  */
-export type CrashKind = 'connections' | 'process' | 'process-alone'
+export type CrashKind = 'connections' | 'process' | 'process-alone' | 'trial'
 
 /** A request that an endpoint was executing when it closed all its connections. */
 export interface ICrashRecord {
--- a/src/mesh/crashes/CrashCodec.ts
+++ b/src/mesh/crashes/CrashCodec.ts
@@ -12,7 +12,7 @@
 const CRASH_SCHEMA = z.object({
   id: crashId,
   fingerprint: z.string().refine(isFingerprint),
-  kind: z.enum(['connections', 'process', 'process-alone'])
+  kind: z.enum(['connections', 'process', 'process-alone', 'trial'])
 })
 
 /** Schema of a crash report in a row, as written by `encodeCrashReport`. */
--- a/src/mesh/crashes/CrashRegistry.test.ts
+++ b/src/mesh/crashes/CrashRegistry.test.ts
@@ -183,7 +183,7 @@
       if (fleet[0]?.refusalTime(request, clock.now()) === undefined) {
         trials.push(second)
         fleet[0]?.beginTrial(request, clock.now())
-        crashAt(0, 'process')
+        crashAt(0, 'trial')
         await exchange()
       }
       await clock.advance(SECOND_MS)
@@ -191,6 +191,13 @@
     expect(trials).to.deep.equal([10, 70, 430])
   })
 
+  it('permits the first trial after ten seconds, however many endpoints have ended before', async () => {
+    for (let number = 0; number < 9; number++) crashAt(number % 3, 'process')
+    await exchange()
+    await clock.advance(FIRST_TRIAL_MS)
+    expect(refusalSeconds()).to.deep.equal([undefined, undefined, undefined])
+  })
+
   it('refuses identical requests while a trial has no result', async () => {
     for (const number of [0, 1, 2]) crashAt(number, 'process')
     await exchange()
--- a/src/mesh/crashes/CrashRegistry.ts
+++ b/src/mesh/crashes/CrashRegistry.ts
@@ -231,12 +231,13 @@
     return pointsOf(this._countingCrashes(fingerprint)) >= this._quarantine.threshold
   }
 
-  /** A trial without a known result counts as a further crash. */
+  /** A trial without a known result counts as failed. */
   private _trialAt (fingerprint: RequestFingerprint, crashes: readonly IKnownCrash[]): Timestamp {
     const newestAt = Math.max(...crashes.map(({ learntAt }) => learntAt))
+    const failedTrials = crashes.filter(({ kind }) => kind === 'trial').length
     const triedAt = this._trials.get(fingerprint) ?? -Infinity
-    if (triedAt <= newestAt) return newestAt + trialDelay(crashes.length, this._quarantine) as Timestamp
-    return triedAt + trialDelay(crashes.length + 1, this._quarantine) as Timestamp
+    if (triedAt <= newestAt) return newestAt + trialDelay(failedTrials, this._quarantine) as Timestamp
+    return triedAt + trialDelay(failedTrials + 1, this._quarantine) as Timestamp
   }
 
   /** Stores a crash; undefined if it no longer counts. */
--- a/src/mesh/crashes/QuarantineRules.ts
+++ b/src/mesh/crashes/QuarantineRules.ts
@@ -25,11 +25,8 @@
   quarantine: 14_400_000 as Milliseconds
 })
 
-/** Number of crashes up to which the delay of the first trial applies. */
-const CRASHES_BEFORE_BACKOFF = 3
-
 /** Weight of a crash: a request that the process executed alone is more likely the cause than one of several. */
-const WEIGHT: Readonly<Record<CrashKind, number>> = Object.freeze({ connections: 1, process: 1, 'process-alone': 2 })
+const WEIGHT: Readonly<Record<CrashKind, number>> = Object.freeze({ connections: 1, process: 1, 'process-alone': 2, trial: 2 })
 
 /** Sum of the weights of crashes of one request. */
 export function pointsOf (crashes: readonly ICrashRecord[]): number {
@@ -44,8 +41,7 @@
   return crash.kind !== 'connections' || crashes.length > 1
 }
 
-/** Time between the newest of a number of crashes and the next trial. */
-export function trialDelay (crashes: number, { firstTrialDelay, trialDelayFactor, quarantine }: IQuarantineOptions): Milliseconds {
-  const delay = firstTrialDelay * trialDelayFactor ** Math.max(0, crashes - CRASHES_BEFORE_BACKOFF)
-  return Math.min(delay, quarantine) as Milliseconds
+/** Time between the newest crash and the next trial, after a number of failed trials. */
+export function trialDelay (failedTrials: number, { firstTrialDelay, trialDelayFactor, quarantine }: IQuarantineOptions): Milliseconds {
+  return Math.min(firstTrialDelay * trialDelayFactor ** failedTrials, quarantine) as Milliseconds
 }
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -168,7 +168,7 @@
   private async _runInSlot (gated: GatedCall): Promise<AttemptOutcome> {
     gated.startedAt = this._options.clock.now()
     try {
-      const outcome = await this._sender.run(gated, () => this._tryStart(gated))
+      const outcome = markFailedTrial(gated, await this._sender.run(gated, () => this._tryStart(gated)))
       this._recordCrashOrSuccess(gated, outcome)
       return outcome
     } finally {
@@ -198,7 +198,8 @@
    * since the endpoint may have started to drain, the caller may have disconnected, or an identical request may have ended other
    * endpoints while the request waited for its slot or connection.
    */
-  private _tryStart ({ call, identity, isCancelled }: GatedCall): RefusalReason | undefined {
+  private _tryStart (gated: GatedCall): RefusalReason | undefined {
+    const { call, identity, isCancelled } = gated
     const { clock, crashes } = this._options
     const now = clock.now()
     if (isCancelled) return 'cancelled'
@@ -207,7 +208,8 @@
     if (crashes.refusalTime(identity, now) !== undefined) return 'quarantined'
     // A settle query of the calling node may have ruled out that the request runs.
     if (!this._started.markStarted(call.requestId, now)) return 'draining'
-    if (crashes.standingOf(identity).kind === 'quarantined') crashes.beginTrial(identity, now)
+    gated.isTrial = crashes.standingOf(identity).kind === 'quarantined'
+    if (gated.isTrial) crashes.beginTrial(identity, now)
     return undefined
   }
 
@@ -270,3 +272,9 @@
     })
   }
 }
+
+/** Marks the crash of the endpoint during a trial, since each failed trial delays the next one. */
+function markFailedTrial ({ isTrial }: GatedCall, outcome: AttemptOutcome): AttemptOutcome {
+  if (!isTrial || outcome.kind !== 'unknown' || outcome.crash === undefined) return outcome
+  return { ...outcome, crash: { ...outcome.crash, kind: 'trial' } }
+}
--- a/src/mesh/endpoint/GatedCall.ts
+++ b/src/mesh/endpoint/GatedCall.ts
@@ -32,6 +32,8 @@
   public sentAt: Timestamp | undefined
   /** Time at which the request got a slot; undefined before. */
   public startedAt: Timestamp | undefined
+  /** True if the request was quarantined when it was sent. */
+  public isTrial = false
   /** Exchange with the endpoint, set right before the request is sent. */
   public exchange: HttpExchange | undefined
   private _resolveAdmission: ((refusal: AttemptOutcome | undefined) => void) | undefined
--- a/src/mesh/endpoint/QuarantineAtGate.test.ts
+++ b/src/mesh/endpoint/QuarantineAtGate.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { NO_CANCELLATION } from '../../common/Cancellation.js'
 import { ClockService } from '../../common/ClockService.js'
-import type { Milliseconds } from '../../common/Types.js'
+import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import { describeOutcome, GateRig, SLOW_PATH } from '../../../testing/mesh/GateRig.js'
 import { meshCall } from '../../../testing/mesh/MeshCalls.js'
 import { RequestIdentity } from '../crashes/RequestIdentity.js'
@@ -11,6 +11,8 @@
 
 const SLOW_REQUEST_MS = 150 as Milliseconds
 const CRASHES = 3
+/** Age of the crashes at which a trial is permitted. */
+const TRIAL_AGE_MS = 11_000
 
 describe('A request that is quarantined while it is queued', () => {
   const clock = new ClockService()
@@ -23,10 +25,10 @@
 
   afterEach(() => rig.stop())
 
-  function quarantine (path: string): void {
+  function quarantine (path: string, age = 0): void {
     const { fingerprint } = new RequestIdentity(meshCall('idempotent', clock.now(), { path }))
     for (let number = 0; number < CRASHES; number++) {
-      rig.crashes.recordOwn({ id: `crash-${number}` as CrashId, fingerprint, kind: 'process' }, clock.now())
+      rig.crashes.recordOwn({ id: `crash-${number}` as CrashId, fingerprint, kind: 'process' }, clock.now() - age as Timestamp)
     }
   }
 
@@ -41,4 +43,15 @@
     expect(outcomes[1]).to.have.property('retryAfter').that.is.within(9_000, 10_000)
     expect(rig.executedPaths).to.deep.equal([SLOW_PATH, '/other'])
   })
+
+  it('is executed once as a trial after the delay, and a crash is marked as a failed trial', async () => {
+    quarantine('/crash', TRIAL_AGE_MS)
+    rig.endpoint.onRun = () => rig.endpoint.stop()
+    const trial = await rig.execute('crash', NO_CANCELLATION)
+    const next = await rig.execute('crash', NO_CANCELLATION)
+    expect(trial).to.have.nested.property('crash.kind', 'trial')
+    expect(describeOutcome(next)).to.equal('quarantined')
+    expect(next).to.have.property('retryAfter').that.is.within(55_000, 60_000)
+    expect(rig.executedPaths).to.deep.equal(['/crash'])
+  })
 })
