--- a/src/documentation/Pages.test.ts
+++ b/src/documentation/Pages.test.ts
@@ -10,18 +10,21 @@
 const THOUSAND = 1_000
 const EVENT_FILE = 'Events.ts'
 
-const SOURCE_FILES = readdirSync('src', { recursive: true, encoding: 'utf8' }).filter((file) => file.endsWith('.ts') && !file.endsWith('.test.ts'))
+/** The adapter of the users' platform logs events as well. */
+const SOURCE_FOLDERS = ['src', 'platform']
+const SOURCE_FILES = SOURCE_FOLDERS.flatMap((folder) => readdirSync(folder, { recursive: true, encoding: 'utf8' }).map((file) => join(folder, file)))
 
 /** Source files that define events, or all other source files. */
 function filesOf (definesEvents: boolean): string[] {
-  return SOURCE_FILES.filter((file) => (file.split('/').at(-1) === EVENT_FILE) === definesEvents)
+  const files = SOURCE_FILES.filter((file) => file.endsWith('.ts') && !file.endsWith('.test.ts'))
+  return files.filter((file) => (file.split('/').at(-1) === EVENT_FILE) === definesEvents)
 }
 
 /** Every event that a source file defines, by the name of its constant. */
 async function definedEvents (): Promise<Map<string, IEventDefinition>> {
   const events = new Map<string, IEventDefinition>()
   for (const file of filesOf(true)) {
-    const module = await import(join(process.cwd(), 'src', file)) as Record<string, IEventDefinition | readonly IEventDefinition[]>
+    const module = await import(join(process.cwd(), file)) as Record<string, IEventDefinition | readonly IEventDefinition[]>
     for (const [name, value] of Object.entries(module)) if ('number' in value) events.set(name, value)
   }
   return events
@@ -50,7 +53,7 @@
   })
 
   it('finds a use of every defined event in the code', async () => {
-    const code = filesOf(false).map((file) => readFileSync(join('src', file), 'utf8')).join('\n')
+    const code = filesOf(false).map((file) => readFileSync(file, 'utf8')).join('\n')
     const names = [...(await definedEvents()).keys()]
     expect(names.filter((name) => !new RegExp(`\\b${name}\\b`).test(code))).to.deep.equal([])
   })
