--- a/src/common/IniValues.ts
+++ b/src/common/IniValues.ts
@@ -4,8 +4,8 @@
 import { excerpt } from './IniLines.js'
 import type { Brand, Milliseconds } from './Types.js'
 import {
-  EXPECTED_FLAG, expectedCount, expectedDuration, expectedPercent, expectedSize,
-  parseCount, parseDuration, parseFlag, parsePercent, parseSize,
+  EXPECTED_FLAG, expectedCount, expectedDuration, expectedFractionalDuration, expectedNumber, expectedPercent, expectedSize,
+  parseCount, parseDuration, parseFlag, parseFractionalDuration, parseNumber, parsePercent, parseSize,
   type IValueBounds, type ParsedValue
 } from './Units.js'
 
@@ -50,6 +50,16 @@
   return textValue(texts, expectedCount(bounds), (text) => valueOf(parseCount(text, bounds)))
 }
 
+/** A number without unit, whole or with a fraction. */
+export function numberValue (texts: IValueTexts, bounds: IValueBounds): z.ZodType<number> {
+  return textValue(texts, expectedNumber(bounds), (text) => valueOf(parseNumber(text, bounds)))
+}
+
+/** A duration such as `800 ms` or `2.5 s`, of any fraction of a unit; the bounds are in milliseconds. */
+export function fractionalDurationValue (texts: IValueTexts, bounds: IValueBounds): z.ZodType<Milliseconds> {
+  return textValue(texts, expectedFractionalDuration(bounds), (text) => valueOf(parseFractionalDuration(text, bounds)))
+}
+
 /** A duration such as `800 ms`; the bounds are in milliseconds. */
 export function durationValue (texts: IValueTexts, bounds: IValueBounds): z.ZodType<Milliseconds> {
   return textValue(texts, expectedDuration(bounds), (text) => valueOf(parseDuration(text, bounds)))
--- a/src/common/Units.ts
+++ b/src/common/Units.ts
@@ -19,12 +19,29 @@
 const MEASURE_PATTERN = /^(\d{1,9}) ([A-Za-z]{1,3})$/
 const PERCENT_PATTERN = /^(\d{1,3}(?:\.\d{1,6})?) %$/
 const COUNT_PATTERN = /^\d{1,9}$/
+/** A number as JSON writes it, so with an exponent if it is very small or large. */
+const NUMBER_PATTERN = /^\d{1,20}(?:\.\d{1,20})?(?:e[+-]?\d{1,3})?$/
+const FRACTIONAL_DURATION_PATTERN = /^(\S{1,46}) ([A-Za-z]{1,3})$/
 
 /** A whole number without unit. */
 export function parseCount (text: string, bounds: IValueBounds): ParsedValue<number> {
   return bounded(COUNT_PATTERN.test(text) ? Number(text) : undefined, bounds, expectedCount(bounds))
 }
 
+/** A number without unit, whole or with a fraction. */
+export function parseNumber (text: string, bounds: IValueBounds): ParsedValue<number> {
+  return bounded(readNumber(text), bounds, expectedNumber(bounds))
+}
+
+/** A duration such as `800 ms` or `2.5 s`, of any fraction of a unit; the bounds are in milliseconds. */
+export function parseFractionalDuration (text: string, bounds: IValueBounds): ParsedValue<Milliseconds> {
+  const [, count, unit] = FRACTIONAL_DURATION_PATTERN.exec(text) ?? []
+  const factor = DURATION_UNITS.get(unit)
+  const number = factor === undefined ? undefined : readNumber(count)
+  const duration = number === undefined || factor === undefined ? undefined : number * factor as Milliseconds
+  return bounded(duration, bounds, expectedFractionalDuration(bounds))
+}
+
 /** A duration such as `800 ms`; the bounds are in milliseconds. */
 export function parseDuration (text: string, bounds: IValueBounds): ParsedValue<Milliseconds> {
   return bounded(readMeasure(text, DURATION_UNITS) as Milliseconds | undefined, bounds, expectedDuration(bounds))
@@ -53,6 +70,14 @@
   return `a whole number from ${minimum} to ${maximum}`
 }
 
+export function expectedNumber ({ minimum, maximum }: IValueBounds): string {
+  return `a number from ${minimum} to ${maximum}`
+}
+
+export function expectedFractionalDuration (bounds: IValueBounds): string {
+  return `${expectedDuration(bounds)}; fractions are allowed`
+}
+
 export function expectedDuration ({ minimum, maximum }: IValueBounds): string {
   const units = [...DURATION_UNITS.keys()].join(', ')
   return `a duration such as 800 ms (units ${units}) from ${writeDuration(minimum)} to ${writeDuration(maximum)}`
@@ -82,6 +107,10 @@
   return { isValid: true, value }
 }
 
+function readNumber (text: string): number | undefined {
+  return NUMBER_PATTERN.test(text) ? Number(text) : undefined
+}
+
 function readMeasure (text: string, units: ReadonlyMap<string, number>): number | undefined {
   const match = MEASURE_PATTERN.exec(text)
   const factor = match === null ? undefined : units.get(match[2])
--- a/src/mesh/daemon/MeshSettings.ts
+++ b/src/mesh/daemon/MeshSettings.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs'
 import { z } from 'zod'
 import { IniSectionReader } from '../../common/IniSectionReader.js'
-import { countValue, durationValue, textValue } from '../../common/IniValues.js'
+import { fractionalDurationValue, numberValue, textValue } from '../../common/IniValues.js'
 import type { FailureDomain, Milliseconds, Region } from '../../common/Types.js'
 import { SettingsError } from '../../daemon/settings/SettingsError.js'
 import { LOG_SECTION, addressValue } from '../../daemon/settings/SettingsSchema.js'
@@ -16,9 +16,9 @@
   return textValue({ description }, `a text of up to ${MAXIMUM_TEXT_LENGTH} characters`, (text) => text.length <= MAXIMUM_TEXT_LENGTH ? text as TName : undefined)
 }
 
-/** A duration of up to one hour, which deployments write in whole milliseconds or seconds. */
+/** A duration of up to one hour, which deployments write in milliseconds or seconds. */
 function boundValue (description: string, fallback: string): z.ZodType<Milliseconds> {
-  return durationValue({ description, default: fallback }, { minimum: 0, maximum: HOUR_MS })
+  return fractionalDurationValue({ description, default: fallback }, { minimum: 0, maximum: HOUR_MS })
 }
 
 export const MESH_SECTION = z.strictObject({
@@ -42,8 +42,8 @@
   heartbeat: boundValue('Time between two reports of an endpoint.', '1500 ms'),
   stop: boundValue('Longest time between a request to stop and the end of the process.', '6 s'),
   'retry-window': boundValue('Window in which retries are counted.', '10 s'),
-  'retry-share': textValue({ description: 'Retries in a window as a share of its requests.', default: '0.2' }, 'a number from 0 to 1', parseShare),
-  'retry-slack': countValue({ description: 'Retries in a window in addition to the share, over all nodes.', default: '50' }, { minimum: 0, maximum: 1_000_000 })
+  'retry-share': numberValue({ description: 'Retries in a window as a share of its requests.', default: '0.2' }, { minimum: 0, maximum: 1 }),
+  'retry-slack': numberValue({ description: 'Retries in a window in addition to the share, over all nodes.', default: '50' }, { minimum: 0, maximum: 1_000_000 })
 })
 
 /** Parsed and validated settings of a mesh node. */
@@ -76,8 +76,3 @@
   }
   return Object.freeze({ mesh, store, bounds, log })
 }
-
-function parseShare (text: string): number | undefined {
-  const share = Number(text)
-  return Number.isFinite(share) && share >= 0 && share <= 1 ? share : undefined
-}
