Ignore unknown crash reports in a row, not the endpoint beside them

The schema of a row included its crash report, so that a report with one malformed or unknown entry, as a later build may write, made the whole row invalid and took the endpoint out of service. Entries are now decoded one by one; what is ignored is counted and logged (9214).

--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -29,6 +29,7 @@
 export const VIEW_BATCH_READ = define(9211, 'view-batch-read', 'info', 'The store returned changes of a table. The fields give the response time and the number of rows.')
 export const VIEW_CONFIGURATION_SENT = define(9212, 'view-configuration-sent', 'info', 'A newer configuration was sent to the nodes that follow this node. The fields give the number of nodes, the number of bytes, the duration, and the number of bytes still unsent to the slowest of these nodes.')
 export const NODE_ADDRESS_CLAIMED = define(9213, 'node-address-claimed', 'warn', 'The row named by peer contains the address of this node. This node writes its own row again, since the latest row owns an address.')
+export const CRASH_REPORT_IGNORED = define(9214, 'crash-report-ignored', 'warn', 'The row of another node reports crashes that are malformed, or of a kind that this build does not know. These entries are ignored; the rest of the row is used.')
 
 export const ENDPOINT_CHANGED = define(9301, 'endpoint-changed', 'info', 'The local endpoint has started, is draining or was deregistered, according to its own report.')
 export const ENDPOINT_REPORT_IGNORED = define(9302, 'endpoint-report-ignored', 'warn', 'A heartbeat or deregistration was malformed, or belongs to an earlier incarnation; the field reason states which. It was ignored.')
@@ -60,7 +61,7 @@
   CONFIGURATION_APPLIED, CONFIGURATION_REJECTED,
   VIEW_READING_STARTED, VIEW_READING_STOPPED, VIEW_READING_FAILED, VIEW_READING_RECOVERED, VIEW_HISTORY_LOST,
   VIEW_LINK_OPENED, VIEW_LINK_LOST, VIEW_BODY_REJECTED, NODE_ROW_IGNORED, NODE_ROW_CHANGED,
-  VIEW_BATCH_READ, VIEW_CONFIGURATION_SENT, NODE_ADDRESS_CLAIMED,
+  VIEW_BATCH_READ, VIEW_CONFIGURATION_SENT, NODE_ADDRESS_CLAIMED, CRASH_REPORT_IGNORED,
   ENDPOINT_CHANGED, ENDPOINT_REPORT_IGNORED, ENDPOINT_UNREACHABLE, ENDPOINT_REACHABLE, ENDPOINT_CONNECTIONS_LOST,
   REGISTRATION_STORED, REGISTRATION_FAILED,
   CALL_FINISHED, CALL_RETRIED, CALL_SETTLED, CALL_REFUSED_AT_GATE, RESPONSE_MALFORMED, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED,
--- a/src/mesh/endpoint/RegistrationService.test.ts
+++ b/src/mesh/endpoint/RegistrationService.test.ts
@@ -72,7 +72,7 @@
   }
 
   function stored (): INodeRow {
-    return decodeNodeRow(store.get('nodes', 'n') ?? '', 'n' as NodeName)
+    return decodeNodeRow(store.get('nodes', 'n') ?? '', 'n' as NodeName).row
   }
 
   /** Stops the process and starts another one, which adopts the stored row. */
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -206,7 +206,7 @@
   private _adopt (value: string): void {
     const { endpoint, crashes, clock, log } = this._options
     try {
-      const row = decodeNodeRow(value, this._options.self.name)
+      const { row } = decodeNodeRow(value, this._options.self.name)
       if (row.endpoint !== undefined) endpoint.restore(row.endpoint, clock.now())
       if (row.crashReport !== undefined) crashes.restore(row.crashReport, clock.now())
     } catch (error) {
--- a/src/mesh/view/NodeTable.ts
+++ b/src/mesh/view/NodeTable.ts
@@ -3,7 +3,7 @@
 import type { ILogService } from '../../common/Services.js'
 import type { IEvent, NetworkAddress, ServiceName, Timestamp } from '../../common/Types.js'
 import type { IChangeBatch, IChangedRow, RowKey, StorePosition } from '../../platform/Types.js'
-import { NODE_ROW_CHANGED, NODE_ROW_IGNORED } from '../Events.js'
+import { CRASH_REPORT_IGNORED, NODE_ROW_CHANGED, NODE_ROW_IGNORED } from '../Events.js'
 import type { INodeTable } from '../Services.js'
 import type { IKnownNode, IMeshEndpoint, NodeName } from '../Types.js'
 import { decodeNodeRow } from './NodeRowCodec.js'
@@ -113,7 +113,9 @@
 
   private _decode (name: NodeName, value: string, now: Timestamp): void {
     try {
-      this._nodes.set(name, { ...decodeNodeRow(value, name), learntAt: now })
+      const { row, ignoredCrashes } = decodeNodeRow(value, name)
+      this._nodes.set(name, { ...row, learntAt: now })
+      if (ignoredCrashes > 0) this._options.log.log(CRASH_REPORT_IGNORED, { step: 'nodes.decode', peer: name, entries: ignoredCrashes })
     } catch (error) {
       this._options.log.log(NODE_ROW_IGNORED, { step: 'nodes.decode', peer: name, reason: String(error) })
     }
