Read pending input before an idle connection of a caller is closed

The port now handles the timeout itself: it reads first, and closes only if nothing has arrived. Ruled out: a longer timeout, which moves the moment and does not mend it.

--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -70,6 +70,9 @@
     })
     this._server.on('request', (message: IncomingMessage, response: ServerResponse) => this._onRequest(message, response))
     this._server.on('clientError', (error: Error & { code?: string }, socket: Socket) => this._onClientError(error, socket))
+    this._server.on('timeout', (socket: Socket) => {
+      this._closeUnlessRequestReceived(socket).catch(() => socket.destroy())
+    })
     this._server.on('upgrade', (_message: IncomingMessage, socket: Socket) => socket.destroy())
     this._server.on('connect', (_message: IncomingMessage, socket: Socket) => socket.destroy())
     _options.configuration.onReplaced(({ configuration }) => {
@@ -260,6 +263,17 @@
     this._closeWithStatus(socket, '408 Request Timeout')
   }
 
+  /**
+   * Closes a connection that has been idle for the idle timeout. The timer runs before pending input is read, so after a delay of the
+   * event loop a request may have arrived in time and be unread.
+   */
+  private async _closeUnlessRequestReceived (socket: Socket): Promise<void> {
+    const { bytesRead } = socket
+    await waitForPendingInput()
+    // Received bytes start a new request, whose head has a timeout of its own.
+    if (socket.bytesRead === bytesRead && !this._connections.isBusy(socket)) socket.destroy()
+  }
+
   private _closeWithStatus (socket: Socket, status: string): void {
     if (!socket.writable || this._connections.isBusy(socket) || socket.bytesWritten > 0) {
       socket.destroy()
