Do not send a request after a pause of the process that follows its last look at the caller

The state of the caller was asked for before, and pauses under 100 ms counted as none. Now a send asks, right before its first byte, whether input was read within the last 50 ms; otherwise it reads again first. The limit of rounds is 4 instead of 3, of 50 ms instead of 100 ms each. Ruled out: refusing once the rounds are used up, which on a slowed VM would refuse everything.

--- a/src/common/PendingInput.test.ts
+++ b/src/common/PendingInput.test.ts
@@ -3,10 +3,12 @@
 import { once } from 'node:events'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { Worker } from 'node:worker_threads'
+import { blockEventLoop } from '../../testing/mesh/LateCancellation.js'
 import { waitForPendingInput } from './PendingInput.js'
 
-/** Longer than a usual iteration of the event loop. */
+/** Times for which the process is blocked; all are longer than a usual iteration of the event loop. */
 const BLOCK_MS = 150
+const SHORT_BLOCK_MS = 70
 /** Worker that writes one byte when it is notified. */
 const WRITER = `
 const { connect } = require('node:net')
@@ -38,14 +40,18 @@
   })
 
   /** Blocks the event loop while the worker writes its byte. */
-  function blockDuringWrite (state: Int32Array): void {
+  function blockDuringWrite (state: Int32Array, duration: number): void {
     Atomics.store(state, 0, 2)
     Atomics.notify(state, 0)
     Atomics.wait(state, 0, 2)
-    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCK_MS)
+    blockEventLoop(duration)
   }
 
-  it('waits for input that arrives while the process is blocked after reading', async () => {
+  for (const duration of [SHORT_BLOCK_MS, BLOCK_MS]) {
+    it(`waits for input that arrives while the process is blocked for ${duration} ms after reading`, async () => { await checkInputIsRead(duration) })
+  }
+
+  async function checkInputIsRead (duration: number): Promise<void> {
     const { port } = server.address() as AddressInfo
     const state = new Int32Array(new SharedArrayBuffer(4))
     const accepted = once(server, 'connection')
@@ -55,16 +61,16 @@
     socket.on('data', (bytes) => { received += bytes.length })
     while (Atomics.load(state, 0) !== 1) await new Promise((resolve) => setTimeout(resolve, 1))
     // Blocks in the event loop iteration in which the first round of reading finishes, right before it does.
-    setImmediate(() => setImmediate(() => blockDuringWrite(state)))
+    setImmediate(() => setImmediate(() => blockDuringWrite(state, duration)))
     await waitForPendingInput()
     expect(received).to.equal(1)
     socket.destroy()
-  })
+  }
 
   it('stops waiting in a process that is permanently slow', async () => {
     let isDone = false
     const blockEachIteration = (): void => {
-      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCK_MS)
+      blockEventLoop(BLOCK_MS)
       if (!isDone) setImmediate(blockEachIteration)
     }
     setImmediate(blockEachIteration)
--- a/src/common/PendingInput.ts
+++ b/src/common/PendingInput.ts
@@ -2,10 +2,13 @@
 import { performance } from 'node:perf_hooks'
 import { eventLoopIterations } from './EventLoopIterations.js'
 
-/** A round of reading that takes longer means that the process was blocked or suspended, possibly after it had read. */
-const SUSPENDED_READ_MS = 100
+/** Input older than this may be unread: the process was blocked or suspended since it last started to read. */
+const MAXIMUM_UNREAD_AGE_MS = 50
 /** Maximum number of read rounds. Without a limit, a permanently slow process would never stop waiting. */
-const MAXIMUM_READ_ROUNDS = 3
+const MAXIMUM_READ_ROUNDS = 4
+
+/** Start of the last finished read round, by the clock of `performance.now()`. */
+let lastReadStartedAt = -Infinity
 
 /**
  * Resolves once the event loop has read the input that had arrived at the time of the call. A process that was busy or suspended
@@ -15,13 +18,25 @@
   for (let round = 0; round < MAXIMUM_READ_ROUNDS; round++) {
     const startedAt = performance.now()
     await nextReadRound()
-    if (performance.now() - startedAt < SUSPENDED_READ_MS) return
+    lastReadStartedAt = startedAt
+    if (hasReadPendingInput()) return
   }
 }
 
-/** Waits for pending input only if the event loop has started a further iteration since `iteration`, in which input was last read. */
+/**
+ * Waits for pending input only if the event loop has started a further iteration since `iteration`, in which input was last read, or
+ * if the process was blocked since then.
+ */
 export async function waitForPendingInputSince (iteration: number): Promise<void> {
-  if (eventLoopIterations() !== iteration) await waitForPendingInput()
+  if (eventLoopIterations() !== iteration || !hasReadPendingInput()) await waitForPendingInput()
+}
+
+/**
+ * True if everything that arrived up to a short time ago has been read. False after the process was blocked or suspended, even within
+ * one iteration of the event loop.
+ */
+export function hasReadPendingInput (): boolean {
+  return performance.now() - lastReadStartedAt < MAXIMUM_UNREAD_AGE_MS
 }
 
 function nextReadRound (): Promise<void> {
--- a/src/mesh/calls/RemoteAttempt.ts
+++ b/src/mesh/calls/RemoteAttempt.ts
@@ -1,5 +1,6 @@
 /** One attempt in progress at another node. */
 import type { ICancellation } from '../../common/Cancellation.js'
+import { hasReadPendingInput } from '../../common/PendingInput.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { IDisposable, Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import type { UpstreamConnection } from '../../gate/UpstreamConnections.js'
@@ -59,19 +60,25 @@
     private readonly _options: IRemoteNodeOptions,
     private readonly _call: IMeshCall,
     private readonly _process: IPeerProcess,
-    private readonly _listeners: IAttemptListeners
+    private readonly _listeners: IAttemptListeners,
+    private readonly _cancellation: ICancellation
   ) {
     this._exchange = new HttpExchange({
-      method: _call.method, path: _call.path, fields: encodeCall(_call, _options.clock.now(), _process.clock), body: _call.body
+      method: _call.method,
+      path: _call.path,
+      fields: encodeCall(_call, _options.clock.now(), _process.clock),
+      body: _call.body,
+      // If this process was suspended just now, the disconnect of the caller may be unread.
+      shouldStart: () => hasReadPendingInput() && !_cancellation.isCancelled
     })
   }
 
-  public async run (connection: UpstreamConnection, expected: Milliseconds, cancellation: ICancellation): Promise<ExchangeResult> {
+  public async run (connection: UpstreamConnection, expected: Milliseconds): Promise<ExchangeResult> {
     const { clock } = this._options
     const remaining = this._call.deadlineAt - clock.now()
     const deadline = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => this._exchange.abort('deadline'))
     // The other node removes a queued request from its queue; it lets a running non-idempotent request finish.
-    const cancel = cancellation.onCancelled(() => this._exchange.abort('cancelled'))
+    const cancel = this._cancellation.onCancelled(() => this._exchange.abort('cancelled'))
     this._scheduleSettle(Math.max(MINIMUM_SETTLE_DELAY_MS, expected * SETTLE_DELAY_FACTOR) as Milliseconds)
     const end = await this._exchange.run(connection)
     this._hasEnded = true
--- a/src/mesh/calls/RemoteNode.ts
+++ b/src/mesh/calls/RemoteNode.ts
@@ -82,8 +82,8 @@
       const attempt = new RemoteAttempt(this._options, call, { token: this._processToken, clock: this._peerClock }, {
         onUnresponsive: () => this._markSuspect('no response to a settle query'),
         onResponsive: () => this._clearSuspicion()
-      })
-      const end = await attempt.run(connection, expected, cancellation)
+      }, cancellation)
+      const end = await attempt.run(connection, expected)
       this._connections.release(connection, end.kind === 'answer')
       if (end.kind !== 'not-sent') return { ...await this._interpret(attempt, end, call, sentAt), connectTime }
     }
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -1,7 +1,7 @@
 /** Sends requests to the local endpoint and validates its responses. */
 import { CancellationSource } from '../../common/Cancellation.js'
 import { Disposable } from '../../common/Disposable.js'
-import { waitForPendingInputSince } from '../../common/PendingInput.js'
+import { hasReadPendingInput, waitForPendingInputSince } from '../../common/PendingInput.js'
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import { hasUnsupportedTransferCoding } from '../../gate/HeaderRules.js'
@@ -107,6 +107,8 @@
   public async run (gated: GatedCall, tryStart: () => RefusalReason | undefined): Promise<AttemptOutcome> {
     let startRefusal: RefusalReason | undefined
     const tryStartNow = (): boolean => {
+      // If this process was suspended just now, the disconnect of the caller may be unread; the next attempt reads it first.
+      if (!hasReadPendingInput()) return false
       startRefusal = tryStart()
       if (startRefusal === undefined) gated.sentAt = this._options.clock.now()
       return startRefusal === undefined
