Stop the periodic work of nodes that nobody follows

Cause: each node checked every 50 ms whether its view was current, on behalf of followers that almost no node has, sent heartbeats to nobody every 300 ms, and selected a source every 200 ms although the loss of its source wakes the selection. Each is two iterations of the event loop. These timers now run on nodes that have followers, or follow no preferred source; the watch over the event loop runs every 500 ms instead of 100. Ruled out: fewer heartbeats, whose interval bounds how soon a lost source is noticed.

--- a/src/mesh/daemon/EventLoopDelayMonitor.ts
+++ b/src/mesh/daemon/EventLoopDelayMonitor.ts
@@ -13,7 +13,8 @@
   readonly eventLoopIterations: () => number
 }
 
-const INTERVAL_MS = 100 as Milliseconds
+/** Each measurement wakes the process. A shorter delay is noticed only if the timer is due during it. */
+const INTERVAL_MS = 500 as Milliseconds
 /** From this delay on, requests and messages between nodes are noticeably late. */
 const MINIMUM_REPORTED_DELAY_MS = 100
 
--- a/src/mesh/view/ViewServer.ts
+++ b/src/mesh/view/ViewServer.ts
@@ -16,7 +16,7 @@
 /** Interval of updates while nothing changes. */
 export const VIEW_HEARTBEAT_MS = 300 as Milliseconds
 
-/** Interval of checks whether this node still has a current view; followers are notified as soon as this changes. */
+/** Interval of checks whether this node still has a current view; its followers are notified as soon as this changes. */
 const CURRENCY_CHECK_MS = 50 as Milliseconds
 
 /** Dependencies of `ViewServer`. */
@@ -48,20 +48,23 @@
   probeReceivedAt: Timestamp
 }
 
-/** Sends each follower the changes that it has not received yet: at once after a change, and with a heartbeat. */
+/**
+ * Sends each follower the changes that it has not received yet: at once after a change, and with a heartbeat. Without followers it has no
+ * timers: almost all nodes of a large deployment have none, and the timers would be most of what an idle node does.
+ */
 export class ViewServer extends Disposable {
   private readonly _followers = new Set<IFollower>()
   private readonly _updateCache = new ConfigurationUpdateCache()
   private _wasCurrent = false
+  private _timers: readonly IDisposable[] = []
 
   constructor (private readonly _options: IViewServerOptions) {
     super()
-    const { state, clock } = _options
+    const { state } = _options
     this.register(state.configuration.onReplaced(() => this._sendConfiguration()))
     this.register(state.nodes.onChanged(() => this.notify()))
+    this.register(toDisposable(() => this._stopTimers()))
     this.register(toDisposable(() => { for (const { channel } of this._followers) channel.dispose() }))
-    this.register(clock.every(VIEW_HEARTBEAT_MS, () => this.notify()))
-    this.register(clock.every(CURRENCY_CHECK_MS, () => this._checkCurrency()))
   }
 
   /** Number of followers. */
@@ -72,16 +75,18 @@
   /** Accepts a channel that another node opened. */
   public accept (channel: IPeerChannel): IDisposable {
     let follower: IFollower | undefined
-    channel.onClosed(() => { if (follower !== undefined) this._followers.delete(follower) })
+    channel.onClosed(() => { if (follower !== undefined) this._remove(follower) })
     return channel.onMessage((message) => {
       if (message.kind === 'ping' && message.ping != null && follower !== undefined) {
         follower.probe = message.ping.number
         follower.probeReceivedAt = this._options.clock.now()
       }
       if (message.kind !== 'viewRequest' || message.viewRequest == null) return
-      if (follower !== undefined) this._followers.delete(follower)
-      follower = this._createFollower(channel, message.viewRequest, follower)
+      const previous = follower
+      follower = this._createFollower(channel, message.viewRequest, previous)
       this._followers.add(follower)
+      if (previous !== undefined) this._followers.delete(previous)
+      this._startTimers()
       this._handleOffer(message.viewRequest)
       this._send(follower)
     })
@@ -95,6 +100,26 @@
     return bytes
   }
 
+  private _remove (follower: IFollower): void {
+    this._followers.delete(follower)
+    if (this._followers.size === 0) this._stopTimers()
+  }
+
+  private _startTimers (): void {
+    const { clock, isCurrent } = this._options
+    if (this._timers.length > 0 || this.isDisposed) return
+    this._wasCurrent = isCurrent()
+    this._timers = [
+      clock.every(VIEW_HEARTBEAT_MS, () => this.notify()),
+      clock.every(CURRENCY_CHECK_MS, () => this._checkCurrency())
+    ]
+  }
+
+  private _stopTimers (): void {
+    for (const timer of this._timers) timer.dispose()
+    this._timers = []
+  }
+
   private _checkCurrency (): void {
     if (this._options.isCurrent() !== this._wasCurrent) this.notify()
   }
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -28,8 +28,10 @@
   readonly nodesLongPollTimeout: Milliseconds
   /** Pause after a change of the node table, so that further changes arrive in one response. */
   readonly nodesBatchDelay: Milliseconds
-  /** Interval of the selection of a source. */
+  /** Interval of the selection of a source while the node does not follow a preferred one. */
   readonly selectionInterval: Milliseconds
+  /** The same while it does. The loss of the source starts a selection at once. */
+  readonly followingInterval: Milliseconds
   /** Time without a current view after which any other node may become the source. */
   readonly storeUnavailableAfter: Milliseconds
 }
@@ -41,6 +43,7 @@
   nodesLongPollTimeout: 2_500 as Milliseconds,
   nodesBatchDelay: 300 as Milliseconds,
   selectionInterval: 200 as Milliseconds,
+  followingInterval: 5_000 as Milliseconds,
   storeUnavailableAfter: 300 as Milliseconds
 })
 
@@ -156,10 +159,17 @@
 
   private async _waitForNextSelection (): Promise<void> {
     const { clock } = this._options
-    if (!this._isFollowingPreferred) this._startReading('no higher-ranked node, or none is reachable')
+    const { selectionInterval, followingInterval } = this._times
+    const isFollowing = this._isFollowingPreferred
+    if (!isFollowing) this._startReading('no higher-ranked node, or none is reachable')
     this._sources.reportStoreReading(this._isReadingCurrent)
-    const awoken = new Promise<void>((resolve) => { this._wakeSelection = resolve })
-    await Promise.race([clock.sleep(this._times.selectionInterval), awoken])
+    await new Promise<void>((resolve) => {
+      const timer = clock.after(isFollowing ? followingInterval : selectionInterval, resolve)
+      this._wakeSelection = () => {
+        timer.dispose()
+        resolve()
+      }
+    })
   }
 
   private get _isFollowingPreferred (): boolean {
--- a/testing/ManualClock.ts
+++ b/testing/ManualClock.ts
@@ -11,6 +11,8 @@
 
 /** Runs timers in the order of their due times when the clock is advanced. */
 export class ManualClock implements IClockService {
+  /** Number of timers that have run; in a process, each is a wake-up. */
+  public timersRun = 0
   private readonly _timers = new Set<IPendingTimer>()
 
   constructor (private _now = 1_700_000_000_000) {}
@@ -62,6 +64,7 @@
   private _run (timer: IPendingTimer): void {
     if (timer.interval === undefined) this._timers.delete(timer)
     else timer.dueAt += timer.interval
+    this.timersRun++
     timer.action()
   }
 }
