Read an empty node table at a slower pace, and write the log lines of one callback together

Log lines of one callback go to the system in one call (a burst of rows is a line each; the lines stay as they are).

--- a/src/common/LogService.test.ts
+++ b/src/common/LogService.test.ts
@@ -3,7 +3,7 @@
 import { Writable } from 'node:stream'
 import { transports } from 'winston'
 import { INVARIANT_BREACHED } from './Events.js'
-import { LogService } from './LogService.js'
+import { batchedTransport, LogService } from './LogService.js'
 
 describe('LogService', () => {
   it('writes the number, the name and all fields of an event, including a field named message', () => {
@@ -37,4 +37,24 @@
       return `{"event":1,"level":"${level}","message":"happened","node":"n1","parts":[{"b":1}],TIME}\n`
     }))
   })
+
+  it('passes the lines of one callback to the system together, and those of the next one separately', async () => {
+    const writes: number[] = []
+    const stream = new Writable({
+      write: (_chunk, _encoding, done) => {
+        writes.push(1)
+        done()
+      },
+      writev: (chunks, done) => {
+        writes.push(chunks.length)
+        done()
+      }
+    })
+    const log = new LogService({ level: 'error' }, batchedTransport(stream))
+    for (let line = 0; line < 5; line++) log.log(INVARIANT_BREACHED, { step: 'test' })
+    await new Promise((resolve) => setImmediate(resolve))
+    log.log(INVARIANT_BREACHED, { step: 'test' })
+    await new Promise((resolve) => setImmediate(resolve))
+    expect(writes).to.deep.equal([5, 1])
+  })
 })
--- a/src/common/LogService.ts
+++ b/src/common/LogService.ts
@@ -1,4 +1,5 @@
 /** Writes numbered events through winston. */
+import type { Writable } from 'node:stream'
 import { createLogger, format, transports, type Logger } from 'winston'
 import { formatLogLine, type LogEntry } from './LogLine.js'
 import type { EventLevel, IEventDefinition, IEventFields, ILogService } from './Services.js'
@@ -69,7 +70,26 @@
   handle?.setBlocking?.(false)
   // The reader may close the pipe; there is no output left to report the error to, and the node continues to run.
   process.stdout.on('error', () => undefined)
-  return new transports.Stream({ stream: process.stdout })
+  return batchedTransport(process.stdout)
+}
+
+/** Transport that passes the lines of one event loop callback to the system in a single call. */
+export function batchedTransport (stream: Writable): LogTransport {
+  let isCorked = false
+  const transport = new transports.Stream({ stream })
+  const write = transport.write.bind(transport) as (entry: unknown) => boolean
+  transport.write = (entry: unknown): boolean => {
+    if (!isCorked) {
+      isCorked = true
+      stream.cork()
+      process.nextTick(() => {
+        isCorked = false
+        stream.uncork()
+      })
+    }
+    return write(entry)
+  }
+  return transport
 }
 
 function consoleTransport (): LogTransport {
--- a/src/mesh/view/TableFollower.test.ts
+++ b/src/mesh/view/TableFollower.test.ts
@@ -54,6 +54,7 @@
       log: new RecordingLog(),
       longPollTimeout: 1_000 as Milliseconds,
       batchDelay: 200 as Milliseconds,
+      emptyTableDelay: 200 as Milliseconds,
       shouldSkipSupersededStates: skipsStates
     })
     follower.start()
--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -22,6 +22,11 @@
   readonly longPollTimeout: Milliseconds
   /** Pause after a change, so that further changes arrive in one response. */
   readonly batchDelay: Milliseconds
+  /**
+   * Maximum pause after a read of a table without rows; the pause is random within the upper half. On the first start of a deployment,
+   * all nodes read at once and none knows which of them will read for the others.
+   */
+  readonly emptyTableDelay: Milliseconds
   /**
    * True if rows are large. The changes of a table contain each state of a row, the complete table only the latest one. So the
    * complete table is read instead of the changes after a start or a failure, and if the last batch had several states of one row.
@@ -80,34 +85,39 @@
   }
 
   private async _follow (run: number): Promise<void> {
-    const { clock, batchDelay } = this._options
     while (run === this._currentRun) {
-      const hadChange = await this._readBatch(run)
+      const pause = await this._readBatch(run)
       if (run !== this._currentRun) return
-      if (hadChange === undefined) await clock.sleep(this._backoff())
-      else if (hadChange) await clock.sleep(batchDelay)
+      if (pause > 0) await this._options.clock.sleep(pause)
     }
   }
 
-  /** Reads and delivers one batch. Returns whether there was a change; undefined after a failure. */
-  private async _readBatch (run: number): Promise<boolean | undefined> {
+  /** Reads and delivers one batch. Returns the pause before the next read. */
+  private async _readBatch (run: number): Promise<Milliseconds> {
     const { clock, onBatch } = this._options
     const startedAt = clock.now()
     try {
       const batch = await this._read()
-      if (run !== this._currentRun) return false
+      if (run !== this._currentRun) return NO_WAIT
       const now = clock.now()
-      this._recordBatch(batch, startedAt, now)
+      const pause = this._pauseAfter(batch)
+      this._recordBatch(batch, startedAt, now, pause)
       onBatch(batch, now)
-      // A read of the complete table is followed by a pause as well; otherwise an empty store would be read in a tight loop.
-      return batch.isWhole || batch.rows.length > 0
+      return pause
     } catch (error) {
-      if (run !== this._currentRun) return false
+      if (run !== this._currentRun) return NO_WAIT
       this._recordFailure(error)
-      return undefined
+      return this._backoff()
     }
   }
 
+  /** A read of the complete table is followed by a pause as well; otherwise an empty store would be read in a tight loop. */
+  private _pauseAfter ({ isWhole, rows }: IChangeBatch): Milliseconds {
+    const { batchDelay, emptyTableDelay, random } = this._options
+    if (rows.length > 0) return batchDelay
+    return isWhole ? drawEqualJitter(emptyTableDelay, random) : NO_WAIT
+  }
+
   private async _read (): Promise<IChangeBatch> {
     const { feed, table, position, longPollTimeout } = this._options
     const startPosition = position()
@@ -125,7 +135,7 @@
     return this._options.shouldSkipSupersededStates && (this._isFirstRead || this._hadSupersededStates || this._failures > 0)
   }
 
-  private _recordBatch (batch: IChangeBatch, startedAt: Timestamp, now: Timestamp): void {
+  private _recordBatch (batch: IChangeBatch, startedAt: Timestamp, now: Timestamp, pause: Milliseconds): void {
     const { longPollTimeout, batchDelay, table, log } = this._options
     const hasRows = batch.rows.length > 0
     // A response without rows arrives after the requested wait; the remainder is the response time of the store. Responses with
@@ -137,7 +147,7 @@
     this._confirmedAt = startedAt + (hasWaitedFully ? requestedWait : 0) as Timestamp
     this._isFirstRead = false
     this._hadSupersededStates = new Set(batch.rows.map((row) => row.key)).size < batch.rows.length
-    this._currentUntil = now + longPollTimeout + batchDelay + this._readTimeout.value
+    this._currentUntil = now + longPollTimeout + Math.max(batchDelay, pause) + this._readTimeout.value
     if (this._failures > 0) log.log(VIEW_READING_RECOVERED, { step: 'view.read', table, failures: this._failures })
     this._failures = 0
     if (hasRows) {
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -28,6 +28,8 @@
   readonly nodesLongPollTimeout: Milliseconds
   /** Pause after a change of the node table, so that further changes arrive in one response. */
   readonly nodesBatchDelay: Milliseconds
+  /** Maximum pause after a read of an empty node table. */
+  readonly emptyTableDelay: Milliseconds
   /** Interval of the selection of a source while the node does not follow a preferred one. */
   readonly selectionInterval: Milliseconds
   /** The same while it does. The loss of the source starts a selection at once. */
@@ -42,6 +44,7 @@
   configurationBatchDelay: 200 as Milliseconds,
   nodesLongPollTimeout: 2_500 as Milliseconds,
   nodesBatchDelay: 300 as Milliseconds,
+  emptyTableDelay: 1_000 as Milliseconds,
   selectionInterval: 200 as Milliseconds,
   followingInterval: 5_000 as Milliseconds,
   storeUnavailableAfter: 300 as Milliseconds
@@ -240,6 +243,7 @@
       position: () => this._state.configurationPosition,
       longPollTimeout: configurationLongPollTimeout,
       batchDelay: configurationBatchDelay,
+      emptyTableDelay: configurationBatchDelay,
       shouldSkipSupersededStates: true,
       onBatch: (batch, now) => {
         this._batchCounter.inc({ table: 'configuration' })
@@ -250,13 +254,14 @@
   }
 
   private _createNodesFollower (): TableFollower {
-    const { nodesLongPollTimeout, nodesBatchDelay } = this._times
+    const { nodesLongPollTimeout, nodesBatchDelay, emptyTableDelay } = this._times
     return new TableFollower({
       ...this._options,
       table: NODE_TABLE,
       position: () => this._state.nodes.position,
       longPollTimeout: nodesLongPollTimeout,
       batchDelay: nodesBatchDelay,
+      emptyTableDelay,
       shouldSkipSupersededStates: false,
       onBatch: (batch, now) => {
         this._batchCounter.inc({ table: 'nodes' })
