Limit the memory of all responses of a process together

Report of other operators: an endpoint that sends without end, and a caller's machine that keeps everything. Not limited were responses that come through other nodes (16 MiB each on up to 256 connections a node), complete responses that a caller or another node does not read, and probes of an address at which another process may listen. One budget now counts them all (32 MiB, the largest response is dropped, the oldest of equal ones first; the request's outcome is then unknown, never 'not run'), and a response to a query between nodes may have 4 KiB. New: event 9416, gauge savoryknot_response_buffer_bytes. Left: bodies of requests are limited one by one.

--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -51,6 +51,7 @@
 export const CALL_UNROUTED = define(9410, 'call-unrouted', 'info', 'No route of the configuration in force matches a request, and the request got 404. The field viewAgeMs is the time since the configuration was last confirmed to be the newest.')
 export const CALL_ABANDONED = define(9411, 'call-abandoned', 'info', 'The caller of an attempt, or the node that sent it, disconnected after the attempt had acquired its slot at the endpoint. The fields give the times from reading the attempt to sending it to the endpoint and to detecting the disconnect, and the number of event loop iterations between reading and detection.')
 
+export const RESPONSE_DROPPED = define(9416, 'response-dropped', 'warn', 'A complete response was dropped and its connection closed: its reader, a caller or another node, did not read it, and the responses in memory exceed their limit. The request has run.')
 export const CALL_SUSPECTED = define(9412, 'call-suspected', 'info', 'An endpoint closed all its connections while it executed a request with this fingerprint; identical requests are still served. The field points is the sum of the weights of its crashes, source the node that reported it.')
 export const CALL_QUARANTINED = define(9413, 'call-quarantined', 'warn', 'Requests with this fingerprint have ended several endpoints and none has been executed to its end. Identical requests are refused as not run, except for single trials; the field trialAfterMs is the time until the next one.')
 export const CALL_TRIED = define(9414, 'call-tried', 'info', 'A quarantined request is sent to the local endpoint as a trial. If the endpoint executes it to its end, call-cleared follows.')
@@ -65,5 +66,5 @@
   ENDPOINT_CHANGED, ENDPOINT_REPORT_IGNORED, ENDPOINT_UNREACHABLE, ENDPOINT_REACHABLE, ENDPOINT_CONNECTIONS_LOST,
   REGISTRATION_STORED, REGISTRATION_FAILED,
   CALL_FINISHED, CALL_RETRIED, CALL_SETTLED, CALL_REFUSED_AT_GATE, RESPONSE_MALFORMED, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED,
-  CALL_NOT_RETRIED, CALL_UNROUTED, CALL_ABANDONED, CALL_SUSPECTED, CALL_QUARANTINED, CALL_TRIED, CALL_CLEARED
+  CALL_NOT_RETRIED, CALL_UNROUTED, CALL_ABANDONED, CALL_SUSPECTED, CALL_QUARANTINED, CALL_TRIED, CALL_CLEARED, RESPONSE_DROPPED
 ])
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -9,8 +9,9 @@
 import { HeaderRules } from '../../gate/HeaderRules.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
 import { readBodyStartByDeadline } from '../../gate/BodyStart.js'
-import { CALL_FINISHED, CALL_UNROUTED, CALLER_MALFORMED } from '../Events.js'
+import { CALL_FINISHED, CALL_UNROUTED, CALLER_MALFORMED, RESPONSE_DROPPED } from '../Events.js'
 import { BODILESS_STATUSES, MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
+import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import type { IConfigurationService, IMessageFormat, IStopBounds } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
 import type { WeightedSplit } from '../configuration/WeightedSplit.js'
@@ -33,6 +34,8 @@
   readonly callerService: () => string
   readonly log: ILogService
   readonly metrics: IMetricsService
+  /** Limits the memory of responses that callers have not read. */
+  readonly responseBuffers: ResponseBufferBudget
 }
 
 /** Retry delay that is stated to a caller while the node is starting or stopping. */
@@ -195,6 +198,10 @@
     if (result.kind === 'unknown') return this._refuse(message, response, result.reason === 'deadline' ? STATUS.timeout : STATUS.unknown, requestId)
     if (response.destroyed) return
     const { status, fields, body } = result.answer
+    this._options.responseBuffers.countUntilSent(response, body.byteLength, () => {
+      this._options.log.log(RESPONSE_DROPPED, { step: 'caller.answer', peer: message.socket.remoteAddress, request: requestId, bytes: body.byteLength })
+    })
+    if (response.destroyed) return
     const length = BODILESS_STATUSES.includes(status) ? [] : ['content-length', String(body.byteLength)]
     response.writeHead(status, [...fields, ...length, ...this._closingFields(response)])
     response.end(body)
--- a/src/mesh/calls/EndpointDirectory.ts
+++ b/src/mesh/calls/EndpointDirectory.ts
@@ -7,6 +7,7 @@
 import type { StorePosition } from '../../platform/Types.js'
 import type { EndpointGate } from '../endpoint/EndpointGate.js'
 import type { NodeQueries } from '../exchange/NodeQueries.js'
+import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import type { INodeIdentity, INodeTable } from '../Services.js'
 import type { AttemptOutcome, IEndpointLoad, IMeshCall, IMeshEndpoint, NodeName } from '../Types.js'
 import { EndpointView } from './EndpointView.js'
@@ -18,6 +19,8 @@
   readonly nodes: INodeTable
   readonly gate: EndpointGate
   readonly queries: NodeQueries
+  /** Limits the memory of responses of other nodes. */
+  readonly responseBuffers: ResponseBufferBudget
   readonly clock: IClockService
   readonly log: ILogService
 }
--- a/src/mesh/calls/RemoteAttempt.ts
+++ b/src/mesh/calls/RemoteAttempt.ts
@@ -8,6 +8,7 @@
 import { encodeCall } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeResult } from '../exchange/HttpExchange.js'
 import type { ISettleResponse, NodeQueries, SettleReply } from '../exchange/NodeQueries.js'
+import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import type { PeerClock } from '../exchange/PeerClock.js'
 import type { IEndpointLoad, IMeshCall, NodeName } from '../Types.js'
 
@@ -18,6 +19,8 @@
   readonly queries: NodeQueries
   readonly clock: IClockService
   readonly log: ILogService
+  /** Limits the memory of responses; without it only each single response is limited. */
+  readonly responseBuffers?: ResponseBufferBudget
   /** Called with the load in the response to a probe or a settle query. */
   readonly onLoad: (load: IEndpointLoad, now: Timestamp) => void
 }
@@ -68,6 +71,7 @@
       path: _call.path,
       fields: encodeCall(_call, _options.clock.now(), _process.clock),
       body: _call.body,
+      bufferBudget: _options.responseBuffers,
       // If this process was suspended just now, the disconnect of the caller may be unread.
       shouldStart: () => hasReadPendingInput() && !_cancellation.isCancelled
     })
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -1,4 +1,5 @@
 /** Registers the components of a mesh node in the kernel. */
+import { Gauge } from 'prom-client'
 import { randomBytes, randomInt } from 'node:crypto'
 import { InvariantService } from '../../common/InvariantService.js'
 import { eventLoopIterations } from '../../common/EventLoopIterations.js'
@@ -22,6 +23,7 @@
 import { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
 import { RegistrationService } from '../endpoint/RegistrationService.js'
 import { NodeQueries } from '../exchange/NodeQueries.js'
+import { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
 import { NodeTable } from '../view/NodeTable.js'
 import { ViewService } from '../view/ViewService.js'
@@ -172,15 +174,17 @@
       firstReportWait: firstReportWait(settings())
     })
   })
+  kernel.register({ key: MESH_KEY.responseBuffers, dependsOn: FOUNDATION, create: () => createResponseBuffers(kernel) })
   kernel.register({
     key: MESH_KEY.gate,
-    dependsOn: [MESH_KEY.endpoint, MESH_KEY.crashes, IConfigurationService],
+    dependsOn: [MESH_KEY.endpoint, MESH_KEY.crashes, MESH_KEY.responseBuffers, IConfigurationService],
     create: () => new EndpointGate({
       ...foundationOf(kernel),
       endpoint: kernel.get(MESH_KEY.endpoint),
       configuration: kernel.get(IConfigurationService),
       crashes: kernel.get(MESH_KEY.crashes),
-      format: adapter.format
+      format: adapter.format,
+      responseBuffers: kernel.get(MESH_KEY.responseBuffers)
     })
   })
   kernel.register({
@@ -190,6 +194,7 @@
       ...foundationOf(kernel),
       gate: kernel.get(MESH_KEY.gate),
       format: adapter.format,
+      responseBuffers: kernel.get(MESH_KEY.responseBuffers),
       address: mesh['gate-address'],
       processToken: randomBytes(TOKEN_BYTES).toString('hex')
     })
@@ -210,7 +215,8 @@
       ...commonOf(kernel, settings()),
       nodes: kernel.get(MESH_KEY.nodes),
       gate: kernel.get(MESH_KEY.gate),
-      queries: kernel.get(MESH_KEY.nodeQueries)
+      queries: kernel.get(MESH_KEY.nodeQueries),
+      responseBuffers: kernel.get(MESH_KEY.responseBuffers)
     })
   })
   kernel.register({
@@ -227,6 +233,7 @@
       configuration: kernel.get(IConfigurationService),
       format: adapter.format,
       directory: kernel.get(MESH_KEY.directory),
+      responseBuffers: kernel.get(MESH_KEY.responseBuffers),
       split: new WeightedSplit(kernel.get(IRandomService)),
       endpointSelector: new EndpointSelector(kernel.get(IRandomService)),
       retryBudget: kernel.get(MESH_KEY.retryBudget),
@@ -252,6 +259,17 @@
   })
 }
 
+function createResponseBuffers (kernel: IKernel): ResponseBufferBudget {
+  const buffers = new ResponseBufferBudget()
+  const gauge: Gauge = new Gauge({
+    name: 'savoryknot_response_buffer_bytes',
+    help: 'Responses that are being received, or sent and larger than 16 KiB. Unit: bytes.',
+    registers: [kernel.get(IMetricsService).registry],
+    collect: () => gauge.set(buffers.bytes)
+  })
+  return buffers
+}
+
 /** The foundation services, and the identity of this node. */
 function commonOf (kernel: IKernel, { mesh }: IMeshSettings): IFoundation & { readonly self: INodeIdentity } {
   return { ...foundationOf(kernel), self: { name: mesh.node, failureDomain: mesh['failure-domain'], region: mesh.region } }
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -9,6 +9,7 @@
 import type { CrashRegistry } from '../crashes/CrashRegistry.js'
 import { CALL_ABANDONED, CALL_REFUSED_AT_GATE } from '../Events.js'
 import { currentServiceTime } from '../exchange/ServiceTimeEstimate.js'
+import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import { isServed } from '../exchange/Statuses.js'
 import type { IConfigurationService, ILocalEndpoint, IMessageFormat } from '../Services.js'
 import type { AttemptOutcome, IEndpointLoad, IEndpointRecord, IMeshCall, RefusalReason } from '../Types.js'
@@ -28,6 +29,8 @@
   readonly log: ILogService
   readonly metrics: IMetricsService
   readonly invariants: IInvariantService
+  /** Limits the memory of responses. */
+  readonly responseBuffers: ResponseBufferBudget
 }
 
 /** Result of a settle query: state of a request whose outcome the calling node does not know. */
--- a/src/mesh/endpoint/EndpointSender.ts
+++ b/src/mesh/endpoint/EndpointSender.ts
@@ -7,7 +7,7 @@
 import { hasUnsupportedTransferCoding } from '../../gate/HeaderRules.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
 import { RESPONSE_MALFORMED, ENDPOINT_REACHABLE, ENDPOINT_UNREACHABLE } from '../Events.js'
-import { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
+import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import { responseFields } from '../exchange/CallCodec.js'
 import { HttpExchange, type ExchangeResult } from '../exchange/HttpExchange.js'
 import { isEndpointFailure, isRefusalStatus, isServed } from '../exchange/Statuses.js'
@@ -28,6 +28,8 @@
   readonly times: ServiceTimes
   /** Receives the failures of requests. */
   readonly failures: FailureRate
+  /** Limits the memory of responses. */
+  readonly responseBuffers: ResponseBufferBudget
 }
 
 /** Result of an exchange that received a response. */
@@ -50,7 +52,6 @@
 
 /** Sends one request at a time on each connection. A connection with an incomplete or invalid response is never reused. */
 export class EndpointSender extends Disposable {
-  private readonly _responseCache = new ResponseBufferBudget()
   private _connections: UpstreamConnections | undefined
   private _crashMonitor: EndpointCrashMonitor | undefined
   private _record: IEndpointRecord | undefined
@@ -152,7 +153,7 @@
       fields: [...call.fields, ...format.endpointFields(call, this._record?.id ?? call.endpoint, remaining)],
       body: call.body,
       shouldStart: tryStart,
-      bufferBudget: this._responseCache
+      bufferBudget: this._options.responseBuffers
     })
     gated.exchange = exchange
     const timer = clock.after(remaining + DEADLINE_GRACE_MS as Milliseconds, () => exchange.abort('deadline'))
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -8,10 +8,11 @@
 import type { IEvent, NetworkAddress, RequestId } from '../../common/Types.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
 import { readBodyStartByDeadline } from '../../gate/BodyStart.js'
-import { CALLER_MALFORMED } from '../Events.js'
+import { CALLER_MALFORMED, RESPONSE_DROPPED } from '../Events.js'
 import { decodeCall, encodeLoad, encodeOutcome, NODE_HEADER, type INodeResponse } from '../exchange/CallCodec.js'
 import { SETTLE_REPLY_HEADER, type SettleReply } from '../exchange/NodeQueries.js'
 import { MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
+import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import type { IMessageFormat } from '../Services.js'
 import type { IMeshCall } from '../Types.js'
 import type { EndpointGate } from './EndpointGate.js'
@@ -25,6 +26,8 @@
   readonly processToken: string
   readonly clock: IClockService
   readonly log: ILogService
+  /** Limits the memory of responses that other nodes have not read; without it they are not limited together. */
+  readonly responseBuffers?: ResponseBufferBudget
 }
 
 /** Idle timeout of connections; longer than that of other nodes, so that they close an idle connection first. */
@@ -134,6 +137,9 @@
   }
 
   private _respond (response: ServerResponse, content: INodeResponse): void {
+    const { log, responseBuffers } = this._options
+    const bytes = content.body.byteLength
+    responseBuffers?.countUntilSent(response, bytes, () => log.log(RESPONSE_DROPPED, { step: 'gate.answer', peer: response.req.socket.remoteAddress, bytes }))
     if (response.destroyed) return
     response.sendDate = false
     response.writeHead(content.status, [
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -3,7 +3,7 @@
 import { errors, type Dispatcher } from 'undici'
 import { hasDelimitedBody } from '../../gate/HeaderRules.js'
 import type { UpstreamConnection } from '../../gate/UpstreamConnections.js'
-import type { ResponseBufferBudget, IPartialResponse } from './ResponseBufferBudget.js'
+import type { ResponseBufferBudget, IBufferedResponse } from './ResponseBufferBudget.js'
 
 /** The request of an exchange. */
 export interface IExchangeRequest {
@@ -16,6 +16,8 @@
   readonly shouldStart?: () => boolean
   /** Memory limit shared with other exchanges, since responses may be endless. */
   readonly bufferBudget?: ResponseBufferBudget
+  /** Maximum size of the response body in bytes; default `MAXIMUM_BODY_BYTES`. */
+  readonly maximumResponseBytes?: number
 }
 
 /** Result of an exchange. */
@@ -43,7 +45,7 @@
 export const BODILESS_STATUSES: readonly number[] = [204, 304]
 
 /** Buffers the complete response, so that a partial response is never forwarded. */
-export class HttpExchange implements Dispatcher.DispatchHandler, IPartialResponse {
+export class HttpExchange implements Dispatcher.DispatchHandler, IBufferedResponse {
   private _chunks: Buffer[] = []
   private _controller: Dispatcher.DispatchController | undefined
   private _resolve: ((end: ExchangeResult) => void) | undefined
@@ -115,7 +117,7 @@
     if (this._abortReason !== undefined) return
     this._bytes += chunk.byteLength
     this._chunks.push(chunk)
-    if (this._bytes > MAXIMUM_BODY_BYTES) this.abort('answer too large')
+    if (this._bytes > (this._request.maximumResponseBytes ?? MAXIMUM_BODY_BYTES)) this.abort('answer too large')
     else this._request.bufferBudget?.recordGrowth(this)
   }
 
--- a/src/mesh/exchange/NodeQueries.ts
+++ b/src/mesh/exchange/NodeQueries.ts
@@ -19,6 +19,9 @@
 
 const REPLIES: ReadonlySet<string> = new Set<SettleReply>(['never-will-be', 'running', 'finished', 'other-process'])
 
+/** Responses of nodes have no body; another process may listen at the address of a node that has ended. */
+const MAXIMUM_RESPONSE_BYTES = 4_096
+
 const PROBE_FIELDS: readonly string[] = Object.freeze([NODE_HEADER.purpose, 'probe'])
 
 /** Response to a probe. */
@@ -94,7 +97,11 @@
 
   private _exchangeFor (address: NetworkAddress, fields: readonly string[]): HttpExchange {
     return new HttpExchange({
-      method: 'GET', path: '/', fields: [...fields, 'host', address, NODE_HEADER.peer, this._options.peerAddress], body: undefined
+      method: 'GET',
+      path: '/',
+      fields: [...fields, 'host', address, NODE_HEADER.peer, this._options.peerAddress],
+      body: undefined,
+      maximumResponseBytes: MAXIMUM_RESPONSE_BYTES
     })
   }
 }
--- a/src/mesh/exchange/ResponseBufferBudget.test.ts
+++ b/src/mesh/exchange/ResponseBufferBudget.test.ts
@@ -1,9 +1,9 @@
 /** Guards against running out of memory when endpoints send endless responses on several connections at once. */
 import { expect } from 'chai'
-import { ResponseBufferBudget, type IPartialResponse } from './ResponseBufferBudget.js'
+import { ResponseBufferBudget, type IBufferedResponse } from './ResponseBufferBudget.js'
 
 /** A response whose size the test sets. */
-class GrowingResponse implements IPartialResponse {
+class GrowingResponse implements IBufferedResponse {
   public bytes = 0
   public reason: string | undefined
 
--- a/testing/mesh/GateRig.ts
+++ b/testing/mesh/GateRig.ts
@@ -6,6 +6,7 @@
 import type { EndpointId, Milliseconds, NetworkAddress, RequestId, ServiceName } from '../../src/common/Types.js'
 import { CrashRegistry } from '../../src/mesh/crashes/CrashRegistry.js'
 import { EndpointGate } from '../../src/mesh/endpoint/EndpointGate.js'
+import { ResponseBufferBudget } from '../../src/mesh/exchange/ResponseBufferBudget.js'
 import { LocalEndpoint } from '../../src/mesh/endpoint/LocalEndpoint.js'
 import type { IConfigurationService } from '../../src/mesh/Services.js'
 import type { AttemptOutcome, IMeshCall, Idempotency, NodeName } from '../../src/mesh/Types.js'
@@ -47,7 +48,8 @@
       clock,
       log,
       metrics,
-      invariants: new InvariantService({ log, metrics })
+      invariants: new InvariantService({ log, metrics }),
+      responseBuffers: new ResponseBufferBudget()
     })
   }
 
