--- a/src/common/LogService.test.ts
+++ b/src/common/LogService.test.ts
@@ -57,4 +57,20 @@
     await new Promise((resolve) => setImmediate(resolve))
     expect(writes).to.deep.equal([5, 1])
   })
+
+  it('passes the last lines to the system when the process exits in the callback that wrote them', () => {
+    let lines = 0
+    const stream = new Writable({
+      write: (_chunk, _encoding, done) => {
+        lines++
+        done()
+      }
+    })
+    const before = process.listeners('exit')
+    const log = new LogService({ level: 'error' }, batchedTransport(stream))
+    log.log(INVARIANT_BREACHED, { step: 'test' })
+    const [onExit] = process.listeners('exit').filter((listener) => !before.includes(listener))
+    onExit?.call(process, 0)
+    expect(lines).to.equal(1)
+  })
 })
--- a/src/common/LogService.ts
+++ b/src/common/LogService.ts
@@ -76,6 +76,8 @@
 /** Transport that passes the lines of one event loop callback to the system in a single call. */
 export function batchedTransport (stream: Writable): LogTransport {
   let isCorked = false
+  // A process that exits does not run the callback below.
+  process.once('exit', () => stream.uncork())
   const transport = new transports.Stream({ stream })
   const write = transport.write.bind(transport) as (entry: unknown) => boolean
   transport.write = (entry: unknown): boolean => {
