--- a/bench/soak/RegressionSeeds.ts
+++ b/bench/soak/RegressionSeeds.ts
@@ -18,6 +18,7 @@
   { seed: 301, nodes: 6, minutes: 0.4, cause: 'a planned stop waited for the stream of an unresponsive node; GrpcPeerTransport.test.ts' },
   { seed: 304, nodes: 6, minutes: 0.4, cause: 'the same as 301' },
   { seed: 7, nodes: 9, minutes: 2, cause: 'requests were sent although the event loop was blocked after the last read of pending input; PendingInput.test.ts; and a response that arrived after the notification that it was sent was treated as lost; RemoteNode.test.ts' },
-  { seed: 2316, nodes: 6, minutes: 0.4, cause: 'a request was sent 100 ms after its node had read it, and its disconnect was read 1 ms later; an event loop delay too short to cause another read of pending input is suspected; KNOWN-RED.txt' },
-  { seed: 2324, nodes: 6, minutes: 0.4, cause: 'a request was sent 386 ms and eight event loop iterations after its node had read it, and its disconnect was read 5 ms later: three reads of pending input, each with an event loop delay; KNOWN-RED.txt' }
+  { seed: 2316, nodes: 6, minutes: 0.4, cause: 'a request was sent after its process had been suspended in the iteration between its dispatch and its first byte, with the disconnect of its caller unread; CallerDisconnectWhileBlocked.test.ts' },
+  { seed: 2324, nodes: 6, minutes: 0.4, cause: 'the same as 2316' },
+  { seed: 1, nodes: 6, minutes: 0.5, cause: 'the same as 2316' }
 ])
