Read changes at once when a node takes over reading from a source that it followed

Now the pace of a first start needs position 0. TableFollower.test.ts failed before. A planned stop also ends the wait of the selection.

--- a/src/mesh/view/TableFollower.test.ts
+++ b/src/mesh/view/TableFollower.test.ts
@@ -48,7 +48,16 @@
     }
   }
 
-  function follow (script: Array<IChangeBatch | Error | 'silence'>, skipsStates = false, initial: IInitialTimes = DEFAULT_INITIAL_TIMES): { feed: ScriptedFeed, follower: TableFollower, clock: ManualClock } {
+  /** A follower that was started, with its surroundings. */
+  interface IFollowing {
+    readonly feed: ScriptedFeed
+    readonly follower: TableFollower
+    readonly clock: ManualClock
+    /** Sets the position as if the rows had come from another node. */
+    readonly learnFromNode: (position: number) => void
+  }
+
+  function follow (script: Array<IChangeBatch | Error | 'silence'>, skipsStates = false, initial: IInitialTimes = DEFAULT_INITIAL_TIMES): IFollowing {
     const clock = new ManualClock()
     const feed = new ScriptedFeed(script, clock)
     let position = 0 as StorePosition
@@ -67,7 +76,7 @@
       shouldSkipSupersededStates: skipsStates
     })
     follower.start()
-    return { feed, follower, clock }
+    return { feed, follower, clock, learnFromNode: (learnt) => { position = learnt as StorePosition } }
   }
 
   it('reads the complete table, then changes: the first time without a wait, later with a pause after each batch that had rows', async () => {
@@ -150,4 +159,15 @@
     await settlePromises()
     expect(feed.calls).to.deep.equal(['all', 'after 3 wait 1800', 'after 3 wait 1000', 'after 3 wait 1000', 'after 3 wait 0', 'after 3 wait 1000'])
   })
+
+  it('reads changes without a wait if it was stopped before its first response and the rows came from another node', async () => {
+    const initial = { delay: 4_000 as Milliseconds, longPollTimeout: 1_800 as Milliseconds }
+    const { feed, follower, clock, learnFromNode } = follow(['silence', batch([], 5), 'silence'], false, initial)
+    follower.stop()
+    learnFromNode(5)
+    follower.start()
+    await settlePromises()
+    await clock.advance(100)
+    expect(feed.calls).to.deep.equal(['all', 'after 5 wait 0', 'after 5 wait 1000'])
+  })
 })
--- a/src/mesh/view/TableFollower.ts
+++ b/src/mesh/view/TableFollower.ts
@@ -43,7 +43,8 @@
 
 /**
  * `initial`: until the first response of this process. `after-initial`: until the next one. `restarted`: until the first response after the
- * follower was stopped and started again; this read has no long-poll timeout, so that its response confirms the view at once.
+ * follower was stopped and started again, or started with rows from another node; this read has no long-poll timeout, so that its response
+ * confirms the view at once.
  */
 type ReadPhase = 'initial' | 'after-initial' | 'restarted' | 'steady'
 
@@ -83,7 +84,8 @@
     if (this._isRunning) return
     this._isRunning = true
     this._failures = 0
-    if (this._phase !== 'initial') this._phase = 'restarted'
+    // While this follower was stopped, or before its first response, the rows may have been learnt from another node.
+    if (this._phase !== 'initial' || this._options.position() > 0) this._phase = 'restarted'
     this._follow(++this._currentRun).catch((error: unknown) => this._logFailure(error))
   }
 
--- a/src/mesh/view/ViewService.ts
+++ b/src/mesh/view/ViewService.ts
@@ -134,6 +134,7 @@
 
   public async stop (): Promise<void> {
     this._isStopping = true
+    this._wakeSelection?.()
     this._sources.dispose()
     for (const follower of this._followers) follower.stop()
     this._server.dispose()
