Draw the ports of tests from a block for each process

Ports were drawn at random from 20,000 by all processes; between the draw and the start of a node another process could draw the same.

--- a/testing/demonstration/FreePorts.ts
+++ b/testing/demonstration/FreePorts.ts
@@ -6,13 +6,15 @@
  * should listen on it starts or restarts.
  */
 const FIRST_PORT = 10_000
-const PORT_COUNT = 20_000
+/** Each process draws from a block of its own: between the draw and the start of a node, another process could draw the same port. */
+const BLOCKS = 40
+const PORTS_IN_BLOCK = 500
 
 /** Returns distinct ports that were free at the time of the call. */
 export async function findFreePorts (count: number): Promise<number[]> {
   const servers = new Map<number, Server>()
   while (servers.size < count) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT)
+    const port = FIRST_PORT + process.pid % BLOCKS * PORTS_IN_BLOCK + Math.floor(Math.random() * PORTS_IN_BLOCK)
     const server = servers.has(port) ? undefined : await tryListen(port)
     if (server !== undefined) servers.set(port, server)
   }
