--- a/testing/demonstration/FreePorts.ts
+++ b/testing/demonstration/FreePorts.ts
@@ -10,11 +10,14 @@
 const BLOCKS = 40
 const PORTS_IN_BLOCK = 500
 
+/** Number of ports drawn so far. Ports are drawn in turn, since one that was drawn may not be open yet at the next draw. */
+let draws = 0
+
 /** Returns distinct ports that were free at the time of the call. */
 export async function findFreePorts (count: number): Promise<number[]> {
   const servers = new Map<number, Server>()
   while (servers.size < count) {
-    const port = FIRST_PORT + process.pid % BLOCKS * PORTS_IN_BLOCK + Math.floor(Math.random() * PORTS_IN_BLOCK)
+    const port = FIRST_PORT + process.pid % BLOCKS * PORTS_IN_BLOCK + draws++ % PORTS_IN_BLOCK
     const server = servers.has(port) ? undefined : await tryListen(port)
     if (server !== undefined) servers.set(port, server)
   }
