--- a/review/common/Deployment.mjs
+++ b/review/common/Deployment.mjs
@@ -43,10 +43,10 @@
   }
 
   /** `routes`: `{ prefix, service, kind, timeoutMs, maxAttempts }`; `services`: the service of each machine's endpoint. */
-  async start (routes, services, endpointOptions = {}) {
+  async start (routes, services, endpointOptions = {}, limits = {}) {
     if (!existsSync(join(REPOSITORY, 'target/savoryknotd.cjs'))) throw new Error('target/ has not been built')
     await this.store.start()
-    this.configure(1, routes)
+    this.configure(1, routes, limits)
     for (const [index, service] of services.entries()) this.machines.push(await this._createMachine(index, service, endpointOptions))
     await Promise.all(this.machines.map((machine) => this._startMachine(machine)))
     // Contact is counted from the start of a process.
@@ -54,7 +54,8 @@
     this.record('all machines are in touch')
   }
 
-  configure (version, routes) {
+  /** Writes a version of the configuration, as the operator does. */
+  configure (version, routes, limits = {}) {
     const names = [...new Set(routes.map(({ service }) => service))]
     this.store.put('op', 'config', JSON.stringify({
       version: `r${version}`,
@@ -65,11 +66,12 @@
         })
       },
       services: { columns: ['name', 'healthPath', 'maxConns'], rows: names.map((name) => [name, '/health', 110]) },
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 10_000 }
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 10_000, ...limits }
     }))
     this.record(`operator writes configuration r${version}`)
   }
 
+  /** Starts the node's process of a machine. */
   startProcess (machine) {
     const child = spawn(machine.command[0], machine.command.slice(1), { cwd: REPOSITORY, stdio: ['ignore', 'pipe', 'pipe'] })
     machine.log ??= createWriteStream(join(this._temporary, `${machine.name}.log`))
@@ -85,7 +87,7 @@
   }
 
   /** Sends a request of a client on the machine; resolves with its answer. */
-  call (machine, { id, method = 'GET', path = '/', body, deadlineMs = 1_500, headers = {} }) {
+  call (machine, { id, method = 'GET', path = '/', body, deadlineMs = 1_500, headers = {}, agent = false }) {
     const answer = { id, machine: machine.name, method, path, sentAt: performance.now(), status: 0, headers: {}, body: '', isWhole: false, error: '' }
     this.answers.push(answer)
     this.record(`client of ${machine.name} sends ${id} ${method} ${path}`)
@@ -95,7 +97,7 @@
         port: machine.ports.outbound,
         method,
         path,
-        agent: false,
+        agent,
         headers: { host: 'mesh.example', 'x-savoryknot-attempt-id': id, 'x-savoryknot-deadline-ms': String(deadlineMs), ...headers }
       })
       const finish = (error = '') => {
@@ -176,6 +178,10 @@
 /** Runs a case: exits with 1 if `run` found the rule broken, with 0 if it held, with 2 if the case couldn't run. */
 export async function runCase (folder, run) {
   const deployment = new Deployment(folder)
+  process.on('uncaughtException', (error) => {
+    process.stderr.write(`${error.stack}\n`)
+    deployment.stop().finally(() => process.exit(2))
+  })
   let code = 2
   try {
     const breach = await run(deployment)
