--- a/review/common/Deployment.mjs
+++ b/review/common/Deployment.mjs
@@ -86,8 +86,8 @@
     this.record(`${machine.name} started, process ${child.pid}`)
   }
 
-  /** Sends a request of a client on the machine; resolves with its answer. */
-  call (machine, { id, method = 'GET', path = '/', body, deadlineMs = 1_500, headers = {}, agent = false }) {
+  /** Sends a request of a client on the machine; resolves with its answer. `bytesPerSecond`: rate of the client's link. */
+  call (machine, { id, method = 'GET', path = '/', body, deadlineMs = 1_500, headers = {}, agent = false, bytesPerSecond }) {
     const answer = { id, machine: machine.name, method, path, sentAt: performance.now(), status: 0, headers: {}, body: '', isWhole: false, error: '' }
     this.answers.push(answer)
     this.record(`client of ${machine.name} sends ${id} ${method} ${path}`)
@@ -116,14 +116,22 @@
         answer.status = response.statusCode
         answer.headers = response.headers
         const chunks = []
-        response.on('data', (chunk) => { chunks.push(chunk) })
+        response.on('data', (chunk) => {
+          chunks.push(chunk)
+          if (bytesPerSecond === undefined) return
+          response.pause()
+          setTimeout(() => response.resume(), chunk.length * 1_000 / bytesPerSecond)
+        })
         response.once('end', () => {
           clearTimeout(timer)
           answer.body = Buffer.concat(chunks).toString('latin1')
           answer.isWhole = response.complete
           finish()
         })
-        response.once('error', (error) => finish(error.message))
+        response.once('error', (error) => {
+          clearTimeout(timer)
+          finish(error.message)
+        })
       })
       request.once('error', (error) => {
         clearTimeout(timer)
@@ -166,10 +174,14 @@
     await sleep(500)
   }
 
+  lastLogLines ({ name }) {
+    return readFileSync(join(this._temporary, `${name}.log`), 'utf8').split('\n').slice(-4).join(' ')
+  }
+
   async waitUntilReady (machine) {
     const deadline = performance.now() + START_TIMEOUT_MS
     while (!await isReady(machine)) {
-      if (performance.now() > deadline) throw new Error(`${machine.name} is not ready`)
+      if (performance.now() > deadline) throw new Error(`${machine.name} is not ready; its log ends with: ${this.lastLogLines(machine)}`)
       await sleep(CHECK_INTERVAL_MS)
     }
   }
@@ -230,16 +242,24 @@
   return sections.replace(/\{\{([\w.]+)\}\}/g, (_match, key) => values[key])
 }
 
+const drawnPorts = new Set()
+
 /** Ports below the ephemeral range, so that no outgoing connection takes one of them. */
 async function freePorts () {
   const ports = {}
-  for (const name of PORTS) {
-    do ports[name] = FIRST_PORT + Math.floor(Math.random() * PORT_RANGE)
-    while (!await isFree(ports[name]))
-  }
+  for (const name of PORTS) ports[name] = await freePort()
   return ports
 }
 
+async function freePort () {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_RANGE)
+    if (drawnPorts.has(port) || !await isFree(port)) continue
+    drawnPorts.add(port)
+    return port
+  }
+}
+
 function isFree (port) {
   const server = createServer()
   return new Promise((resolve) => {
