--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,30 +1,61 @@
 /**
- * An endpoint that started again under its id deregisters before its first heartbeat, which is seconds late, has arrived. Its machine
- * acknowledges that it leaves and goes on sending requests to it.
+ * A faulty endpoint answers one request with a body without end, in chunks of one byte. The process of its machine runs out of memory,
+ * and with it end the requests of other clients, at which a sound endpoint on another machine is at work.
  */
+import { Agent } from 'node:http'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { HAS_TROUBLE, runCase, sleep } from '../common/Deployment.mjs'
-import { LeavingEndpoint } from '../common/LeavingEndpoint.mjs'
+import { headerLines } from '../common/Endpoint.mjs'
 
-const DOWN_MS = 3_000
-const HEARTBEAT_DELAY_MS = HAS_TROUBLE ? 6_000 : 0
-const LIFE_BEFORE_LEAVING_MS = 1_000
+const KEPT_CLIENTS = 6
+const WORK_MS = 1_500
+/** The largest deadline of the site's lookups; the node gives up on the answer then. */
+const DEADLINE_MS = 1_500
+const CHUNK = '1\r\na\r\n'
+const BLOCK = CHUNK.repeat(10_000)
+const LARGEST_ALLOWED_LOSS = 3
+
+const ROUTES = [
+  { prefix: '/status/', service: 'status', timeoutMs: DEADLINE_MS },
+  { prefix: '/inspect/', service: 'inspect', kind: 'non_idempotent', timeoutMs: 2_000 }
+]
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment) => {
-  const leaving = new LeavingEndpoint(deployment)
-  await leaving.start()
-  await sleep(1_000)
+  await deployment.start(ROUTES, ['status', 'inspect', 'fee'])
+  const [faulty, sound, other] = deployment.machines
+  sound.endpoint.workMs = WORK_MS
+  let sentBytes = 0
+  faulty.endpoint.script = ({ response, socket, signed, run }) => {
+    if (!HAS_TROUBLE) {
+      response.writeHead(200, { ...signed, 'content-length': '5' })
+      response.end('sound')
+      return
+    }
+    deployment.record(`endpoint ${run.endpoint} answers ${run.id} without end`)
+    const write = () => {
+      while (!socket.destroyed && socket.write(BLOCK)) sentBytes += BLOCK.length
+    }
+    socket.on('drain', write)
+    socket.write(`HTTP/1.1 200 OK\r\n${headerLines(signed)}transfer-encoding: chunked\r\n\r\n`)
+    write()
+  }
+  const agents = Array.from({ length: KEPT_CLIENTS }, () => new Agent({ keepAlive: true, maxSockets: 1 }))
+  const file = (agent, id) => deployment.call(faulty, { id, method: 'POST', path: '/inspect/1', body: 'approval', deadlineMs: 2_000, agent })
+  await Promise.all(agents.map((agent, index) => file(agent, `first-${index}`)))
 
-  const { endpoint, machine } = leaving
-  endpoint.crash()
-  await sleep(DOWN_MS)
-  await endpoint.start()
-  // The heartbeat is sent now; with the disruption it is on its way for seconds.
-  const heartbeat = sleep(HEARTBEAT_DELAY_MS).then(() => endpoint.heartbeat(machine.post))
-  await sleep(LIFE_BEFORE_LEAVING_MS)
+  const filings = agents.map((agent, index) => file(agent, `filing-${index}`))
+  await sleep(200)
+  const lookup = deployment.call(other, { id: 'lookup', path: '/status/1', deadlineMs: DEADLINE_MS })
+  const answers = await Promise.all(filings)
+  await lookup
+  for (const agent of agents) agent.destroy()
+  await sleep(500)
 
-  const breach = await leaving.leave()
-  await heartbeat
-  return breach
+  const ran = new Set(sound.endpoint.runs.map(({ id }) => id))
+  const lost = answers.filter(({ id, status }) => ran.has(id) && status === 0)
+  const { exitCode, signalCode } = faulty.process
+  deployment.record(`the faulty endpoint sent ${(sentBytes / 1e6).toFixed(1)} MB; process of its machine: code ${exitCode}, signal ${signalCode}`)
+  deployment.record(`${lost.length} requests on kept connections had run at a sound endpoint and got no answer`)
+  return lost.length <= LARGEST_ALLOWED_LOSS ? undefined : `${lost.length} requests at work at a sound endpoint ended without an answer`
 })
