--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -9,20 +9,22 @@
 import { headerLines } from '../common/Endpoint.mjs'
 
 const KEPT_CLIENTS = 6
-const WORK_MS = 1_500
-/** The largest deadline of the site's lookups; the node gives up on the answer then. */
-const DEADLINE_MS = 1_500
+/** The longest work of the site's deposits. */
+const WORK_MS = 1_700
+/** Deadlines of the site's proofs and deposits. The node gives up on an endless answer at the first. */
+const PROOF_DEADLINE_MS = 4_000
+const DEPOSIT_DEADLINE_MS = 5_000
 const CHUNK = '1\r\na\r\n'
 const BLOCK = CHUNK.repeat(10_000)
 const LARGEST_ALLOWED_LOSS = 3
 
 const ROUTES = [
-  { prefix: '/status/', service: 'status', timeoutMs: DEADLINE_MS },
-  { prefix: '/inspect/', service: 'inspect', kind: 'non_idempotent', timeoutMs: 2_000 }
+  { prefix: '/proof/', service: 'gallery', timeoutMs: PROOF_DEADLINE_MS },
+  { prefix: '/deposit/', service: 'billing', kind: 'non_idempotent', timeoutMs: 2_500 }
 ]
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment) => {
-  await deployment.start(ROUTES, ['status', 'inspect', 'fee'])
+  await deployment.start(ROUTES, ['gallery', 'billing', 'printhouse'])
   const [faulty, sound, other] = deployment.machines
   sound.endpoint.workMs = WORK_MS
   let sentBytes = 0
@@ -41,14 +43,16 @@
     write()
   }
   const agents = Array.from({ length: KEPT_CLIENTS }, () => new Agent({ keepAlive: true, maxSockets: 1 }))
-  const file = (agent, id) => deployment.call(faulty, { id, method: 'POST', path: '/inspect/1', body: 'approval', deadlineMs: 2_000, agent })
-  await Promise.all(agents.map((agent, index) => file(agent, `first-${index}`)))
+  const deposit = (agent, id) => deployment.call(faulty, {
+    id, method: 'POST', path: '/deposit/1', body: 'amount=1', deadlineMs: DEPOSIT_DEADLINE_MS, agent
+  })
+  await Promise.all(agents.map((agent, index) => deposit(agent, `first-${index}`)))
 
-  const filings = agents.map((agent, index) => file(agent, `filing-${index}`))
-  await sleep(200)
-  const lookup = deployment.call(other, { id: 'lookup', path: '/status/1', deadlineMs: DEADLINE_MS })
-  const answers = await Promise.all(filings)
-  await lookup
+  const deposits = agents.map((agent, index) => deposit(agent, `deposit-${index}`))
+  await sleep(100)
+  const proof = deployment.call(other, { id: 'proof', path: '/proof/1', deadlineMs: PROOF_DEADLINE_MS })
+  const answers = await Promise.all(deposits)
+  await proof
   for (const agent of agents) agent.destroy()
   await sleep(500)
 
