Review scripts end their processes also when they are ended themselves

Cause: a signal to a script left its three nodes running (seen: three processes after SIGTERM), and a restart that case 3 had planned could begin while its processes were being ended (read, not seen). Change: SIGINT and SIGTERM stop the deployment and exit with 2; no process starts once that has begun. Measured: none left over after SIGTERM to case 4, exit code 2.

--- a/review/common/Deployment.mjs
+++ b/review/common/Deployment.mjs
@@ -32,6 +32,7 @@
     this.store = new Store()
     this.machines = []
     this.answers = []
+    this._isStopping = false
     this._startedAt = performance.now()
     this._record = createWriteStream(join(folder, 'record.txt'))
     this._temporary = mkdtempSync(join(tmpdir(), 'savoryknot-review-'))
@@ -73,6 +74,8 @@
 
   /** Starts the node's process of a machine. */
   startProcess (machine) {
+    // A case may have planned a restart for later than its end.
+    if (this._isStopping) return
     const child = spawn(machine.command[0], machine.command.slice(1), { cwd: REPOSITORY, stdio: ['ignore', 'pipe', 'pipe'] })
     machine.log ??= createWriteStream(join(this._temporary, `${machine.name}.log`))
     for (const stream of [child.stdout, child.stderr]) stream.on('data', (chunk) => machine.log.write(chunk))
@@ -143,6 +146,7 @@
 
   /** Ends all processes that were started. */
   async stop () {
+    this._isStopping = true
     for (const machine of this.machines) {
       machine.endpoint.exit()
       if (machine.process === undefined || machine.process.exitCode !== null || machine.process.signalCode !== null) continue
@@ -190,10 +194,12 @@
 /** Runs a case: exits with 1 if `run` found the rule broken, with 0 if it held, with 2 if the case couldn't run. */
 export async function runCase (folder, run) {
   const deployment = new Deployment(folder)
-  process.on('uncaughtException', (error) => {
-    process.stderr.write(`${error.stack}\n`)
+  const abandon = (reason) => {
+    process.stderr.write(`${reason}\n`)
     deployment.stop().finally(() => process.exit(2))
-  })
+  }
+  process.on('uncaughtException', (error) => abandon(error.stack))
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => abandon(`ended by ${signal}`))
   let code = 2
   try {
     const breach = await run(deployment)
