Memory of a response follows its bytes, not its chunks

Within a second, after 8 MB on the wire, the process of its VM ended with SIGABRT, and six requests of other callers, at work at a sound endpoint elsewhere, ended without a response.

Cause: HttpExchange kept a list with one Buffer for each chunk and limited only the bytes.

Fix: ByteCollector copies chunks into few segments of up to 64 KiB; it reserves at most twice the bytes. The response buffer budget counts what is reserved. No limit on the number of chunks: small chunks are legal.

--- a/bench/DistributionCost.ts
+++ b/bench/DistributionCost.ts
@@ -1,6 +1,4 @@
 /** Memory and processor time of documents and of the reports at the collector, for the number of services at the design size. */
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { InvariantService } from '../src/common/InvariantService.js'
 import { MetricsService } from '../src/common/MetricsService.js'
 import { createNodeId } from '../src/common/Ids.js'
@@ -19,6 +17,7 @@
 import { encodePeerMessage } from '../src/membership/PeerCodec.js'
 import { versionOf, writeDocument } from '../testing/documents/DocumentText.js'
 import { RecordingLog } from '../testing/RecordingLog.js'
+import { measureUsedHeap } from '../testing/UsedHeap.js'
 import { DESIGN } from './fleet/Sizes.js'
 import type { IBench, IBenchOptions, IFigure } from './Types.js'
 
@@ -37,13 +36,6 @@
   return versionOf(service, version, writeDocument({ service, pools: POOLS, targets: POOLS.map((pool) => `${service}/${pool}`), note }))
 }
 
-/** Used bytes of the heap after a garbage collection. */
-function measureUsedHeap (): number {
-  setFlagsFromString('--expose_gc')
-  ;(runInNewContext('gc') as () => void)()
-  return process.memoryUsage().heapUsed
-}
-
 /** Processor time of `action`, in microseconds. */
 function measureProcessorTime (action: () => void): number {
   const before = process.cpuUsage()
--- a/src/mesh/exchange/HttpExchange.test.ts
+++ b/src/mesh/exchange/HttpExchange.test.ts
@@ -1,6 +1,8 @@
 /** Responses that are truncated after every possible byte, and responses that arrive without a request. */
 import { expect } from 'chai'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { MAXIMUM_HEAP_GROWTH_BYTES, SMALL_CHUNKS, smallChunks } from '../../../testing/SmallChunks.js'
+import { measureUsedHeap } from '../../../testing/UsedHeap.js'
 import type { Milliseconds, NetworkAddress } from '../../common/Types.js'
 import { ClockService } from '../../common/ClockService.js'
 import { UpstreamConnections, type UpstreamConnection } from '../../gate/UpstreamConnections.js'
@@ -202,4 +204,19 @@
     await clock.sleep(SETTLE_MS)
     expect([first.kind, connection.isOpen, connections.tryAcquire()]).to.deep.equal(['answer', false, undefined])
   })
+  // Guards against a list of chunks: an endless response in chunks of one byte ended the process.
+  it('takes memory for the bytes of a response, not for each chunk', async () => {
+    const connection = await connections.acquire()
+    const before = measureUsedHeap()
+    behaviours.push((socket) => { socket.write(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${smallChunks(SMALL_CHUNKS)}`) })
+    const given = new HttpExchange({ method: 'GET', path: '/', fields: ['host', 'mesh.example'], body: undefined })
+    const end = given.run(connection)
+    while (given.bytes < SMALL_CHUNKS) await clock.sleep(SETTLE_MS)
+    const growth = measureUsedHeap() - before
+    const [socket] = sockets
+    socket?.write('0\r\n\r\n')
+    const result = await end
+    expect(growth).to.be.at.most(MAXIMUM_HEAP_GROWTH_BYTES)
+    expect(result.kind === 'answer' && result.body.equals(Buffer.alloc(SMALL_CHUNKS, 'a'))).to.equal(true)
+  })
 })
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -1,6 +1,7 @@
 /** One HTTP request and its complete response on a connection that is used exclusively. */
 import type { IncomingHttpHeaders } from 'node:http'
 import { errors, type Dispatcher } from 'undici'
+import { ByteCollector } from '../../common/ByteCollector.js'
 import { hasDelimitedBody } from '../../gate/HeaderRules.js'
 import type { UpstreamConnection } from '../../gate/UpstreamConnections.js'
 import type { ResponseBufferBudget, IBufferedResponse } from './ResponseBufferBudget.js'
@@ -46,13 +47,12 @@
 
 /** Buffers the complete response, so that a partial response is never forwarded. */
 export class HttpExchange implements Dispatcher.DispatchHandler, IBufferedResponse {
-  private _chunks: Buffer[] = []
+  private readonly _body = new ByteCollector()
   private _controller: Dispatcher.DispatchController | undefined
   private _resolve: ((end: ExchangeResult) => void) | undefined
   private _connection: UpstreamConnection | undefined
   private _status = 0
   private _headers: IncomingHttpHeaders = {}
-  private _bytes = 0
   private _interimResponses = 0
   private _abortReason: string | undefined
 
@@ -68,9 +68,9 @@
     return this._abortReason !== undefined
   }
 
-  /** Number of buffered bytes of the response. */
+  /** Memory of the buffered part of the response body, in bytes. */
   public get bytes (): number {
-    return this._bytes
+    return this._body.reservedBytes
   }
 
   /** Runs the exchange. Never rejects. */
@@ -92,8 +92,7 @@
   public abort (reason: string): void {
     if (this._abortReason !== undefined) return
     this._abortReason = reason
-    this._chunks = []
-    this._bytes = 0
+    this._body.clear()
     this._controller?.abort(new Error(reason))
   }
 
@@ -115,16 +114,15 @@
 
   public onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this._abortReason !== undefined) return
-    this._bytes += chunk.byteLength
-    this._chunks.push(chunk)
-    if (this._bytes > (this._request.maximumResponseBytes ?? MAXIMUM_BODY_BYTES)) this.abort('answer too large')
+    this._body.append(chunk)
+    if (this._body.byteLength > (this._request.maximumResponseBytes ?? MAXIMUM_BODY_BYTES)) this.abort('answer too large')
     else this._request.bufferBudget?.recordGrowth(this)
   }
 
   public onResponseEnd (): void {
     const hasLength = hasDelimitedBody(this._headers) || this._request.method === 'HEAD' || BODILESS_STATUSES.includes(this._status)
     if (!hasLength && this._connection?.hasFailed === true) return this._finish({ kind: 'broken', reason: 'answer without length was cut' })
-    this._finish({ kind: 'answer', status: this._status, headers: this._headers, body: Buffer.concat(this._chunks), hasLength })
+    this._finish({ kind: 'answer', status: this._status, headers: this._headers, body: this._body.content(), hasLength })
   }
 
   public onResponseError (_controller: Dispatcher.DispatchController | undefined, error: Error): void {
--- a/src/mesh/exchange/ResponseBufferBudget.ts
+++ b/src/mesh/exchange/ResponseBufferBudget.ts
@@ -3,7 +3,7 @@
 
 /** A response that occupies memory: one that is being received, or a complete one that its reader has not received yet. */
 export interface IBufferedResponse {
-  /** Number of buffered bytes. */
+  /** Occupied memory in bytes. */
   readonly bytes: number
   /** Discards the buffered bytes and closes the connection. */
   abort (reason: string): void
@@ -11,7 +11,7 @@
 
 /** Options of `ResponseBufferBudget`. */
 export interface IResponseBufferBudgetOptions {
-  /** Maximum number of buffered bytes of all responses together. */
+  /** Maximum memory of all responses together, in bytes. */
   readonly limit: number
 }
 
@@ -41,7 +41,7 @@
     this._options = { ...DEFAULT_RESPONSE_BUFFER_BUDGET_OPTIONS, ...options }
   }
 
-  /** Number of buffered bytes of all responses. */
+  /** Memory of all responses in bytes. */
   public get bytes (): number {
     return this._total
   }
--- a/testing/mesh/EndpointStandIn.ts
+++ b/testing/mesh/EndpointStandIn.ts
@@ -1,12 +1,14 @@
 /** Stand-in of a platform endpoint with switchable faults. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { smallChunks } from '../SmallChunks.js'
 
 /**
  * What the endpoint sends endlessly until the peer closes the connection: bytes that are not HTTP, a response head, interim responses, the
- * head of a chunk, a body, or bytes behind a complete response.
+ * head of a chunk, chunks of one byte, a body, or bytes behind a complete response.
  */
-export type EndlessMode = 'endless-noise' | 'endless-head' | 'endless-interim' | 'endless-chunk-head' | 'endless-body' | 'endless-whole'
+export type EndlessMode =
+  'endless-noise' | 'endless-head' | 'endless-interim' | 'endless-chunk-head' | 'endless-small-chunks' | 'endless-body' | 'endless-whole'
 
 /** How the endpoint treats a request after it has read it. */
 export type EndpointMode =
@@ -138,6 +140,8 @@
       case 'endless-head': return this._writeEndlessly(request, 'HTTP/1.1 200 OK\r\nx-long: ', 'a')
       case 'endless-interim': return this._writeEndlessly(request, '', 'HTTP/1.1 103 Early Hints\r\n\r\n')
       case 'endless-chunk-head': return this._writeEndlessly(request, 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;x=', 'a')
+      case 'endless-small-chunks':
+        return this._writeEndlessly(request, `HTTP/1.1 200 OK\r\n${fieldLines(signed)}transfer-encoding: chunked\r\n\r\n`, smallChunks(1))
       case 'endless-body': return this._writeEndlessly(request, `HTTP/1.1 200 OK\r\n${fieldLines(signed)}connection: close\r\n\r\n`, 'a')
       case 'endless-whole': return this._writeEndlessly(request, `HTTP/1.1 200 OK\r\n${fieldLines(signed)}content-length: 5\r\n\r\nwhole`, 'a')
       case 'whole-without-length': return writeWithoutLength(request, signed, 'whole', false)
