Memory of a response of the store follows its bytes, not its chunks

Cause: PlatformHttpClient kept a list with one Buffer for each chunk that the response body hands over.

Fix: ByteCollector.

--- a/src/platform/PlatformHttpClient.ts
+++ b/src/platform/PlatformHttpClient.ts
@@ -2,6 +2,7 @@
 import type { SecureContextOptions } from 'node:tls'
 import { Histogram } from 'prom-client'
 import { Agent, type Dispatcher } from 'undici'
+import { ByteCollector } from '../common/ByteCollector.js'
 import type { IClockService, ILogService, IMetricsService } from '../common/Services.js'
 import type { Milliseconds } from '../common/Types.js'
 import { ResponseTimeout, type IResponseLimits } from './ResponseTimeout.js'
@@ -135,13 +136,13 @@
         body,
         signal: timeout.signal
       })
-      const chunks: Buffer[] = []
+      const collector = new ByteCollector()
       timeout.recordChunk()
       for await (const chunk of response.body) {
         timeout.recordChunk()
-        chunks.push(chunk as Buffer)
+        collector.append(chunk as Buffer)
       }
-      const complete = { status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks) }
+      const complete = { status: response.statusCode, headers: response.headers, body: collector.content() }
       return this._checkStatus(request, complete)
     } catch (error) {
       throw this._classifyError(request, error)
