Documents path: memory of bodies and copies follows their bytes, not their chunks

Found by searching for every list of chunks and every stream that queues what a caller or an upstream sends.

- UpstreamExchange kept the chunks of the first 64 KiB of a body for its fingerprint.
- Bodies passed one or two streams of Node.js (PassThrough, BodyLimiter), whose queues take some 200 bytes for each chunk.
BodyRelay replaces both: it joins what waits, pauses the sender at 64 KiB, and does not read the sender before it is read itself.

What is left is the queue of the IncomingMessage itself and of the socket to the upstream, each bounded by its bytes.

--- a/src/gate/BodyStart.ts
+++ b/src/gate/BodyStart.ts
@@ -9,15 +9,11 @@
 /** Number of leading body bytes that are part of the fingerprint. */
 export const FINGERPRINT_BODY_BYTES = 65_536
 
-/** Hash of service, route, method, target and the start of the body. Identifies equal requests across nodes. */
-export function fingerprintOf (call: ICall, chunks: readonly Uint8Array[]): RequestFingerprint {
+/** Hash of service, route, method, target and the start of the body. Identifies equal requests across nodes. Ignores further bytes. */
+export function fingerprintOf (call: ICall, bodyStart: Uint8Array): RequestFingerprint {
   const hash = createHash('sha256')
   hash.update(JSON.stringify([call.service, call.route, call.method, call.path]))
-  let remainingBytes = FINGERPRINT_BODY_BYTES
-  for (const chunk of chunks) {
-    hash.update(chunk.subarray(0, remainingBytes))
-    remainingBytes -= Math.min(remainingBytes, chunk.byteLength)
-  }
+  hash.update(bodyStart.subarray(0, FINGERPRINT_BODY_BYTES))
   return hash.digest('base64url') as RequestFingerprint
 }
 
--- a/src/gate/CallRunner.ts
+++ b/src/gate/CallRunner.ts
@@ -31,6 +31,7 @@
 
 /** Maximum number of connections tried for a call when each of them turns out to have been closed while idle. */
 const MAXIMUM_CONNECTION_ATTEMPTS = 3
+const NO_BODY = Buffer.alloc(0)
 
 /** Request body: a stream, its complete content, or none. */
 export type Body = Readable | Buffer | undefined
@@ -83,15 +84,15 @@
   /** Computes the fingerprint of a call and how it may run. */
   private async _inspect (call: ICall, body: Body): Promise<IInspection> {
     let inspectedBody = body
-    let chunks: readonly Uint8Array[] = []
-    if (Buffer.isBuffer(body)) chunks = [body]
+    let start: Buffer = NO_BODY
+    if (Buffer.isBuffer(body)) start = body
     else if (body !== undefined) {
       const bodyStart = await readBodyStartByDeadline(body, FINGERPRINT_BODY_BYTES, call.deadlineAt, this._options.clock)
       if (bodyStart === undefined) return { body, refusal: 'cancelled' }
-      chunks = [bodyStart.content]
+      start = bodyStart.content
       inspectedBody = bodyStart.isWhole ? bodyStart.content : body
     }
-    const fingerprint = fingerprintOf(call, chunks)
+    const fingerprint = fingerprintOf(call, start)
     const standing = this._options.guard.standingOf(fingerprint, this._options.clock.now())
     if (standing === 'quarantined') return { body: inspectedBody, refusal: 'quarantined' }
     return { body: inspectedBody, suspect: standing === 'suspect' ? fingerprint : undefined }
--- a/src/gate/CrashGuard.ts
+++ b/src/gate/CrashGuard.ts
@@ -41,7 +41,8 @@
 /** An exchange whose upstream closed the connection; a crash makes its request suspect. */
 export interface ILostExchange {
   readonly call: ICall
-  readonly fingerprintChunks: readonly Uint8Array[]
+  /** At least the first `FINGERPRINT_BODY_BYTES` of the body, or all of a shorter one. */
+  readonly bodyStart: Uint8Array
   /** True if no other request ran in the upstream. */
   readonly isIsolated: boolean
 }
@@ -97,7 +98,7 @@
   /** Marks the requests that were in flight when an upstream crashed. */
   public recordCrash (lostExchanges: readonly ILostExchange[], now: Timestamp): void {
     for (const lostExchange of lostExchanges) {
-      const fingerprint = fingerprintOf(lostExchange.call, lostExchange.fingerprintChunks)
+      const fingerprint = fingerprintOf(lostExchange.call, lostExchange.bodyStart)
       // A request is proven to be the cause only if it ran alone.
       const standing = lostExchange.isIsolated ? 'quarantined' : 'suspect'
       this._announce({ fingerprint, service: lostExchange.call.service, route: lostExchange.call.route, standing }, now)
--- a/src/gate/RecordingSink.ts
+++ b/src/gate/RecordingSink.ts
@@ -1,5 +1,6 @@
 /** Copies a response while it is forwarded. */
 import type { IncomingHttpHeaders } from 'node:http'
+import { ByteCollector } from '../common/ByteCollector.js'
 import type { IEvent } from '../common/Types.js'
 import type { IAnswerSink } from './Types.js'
 
@@ -15,7 +16,7 @@
 export class RecordingSink implements IAnswerSink {
   private _status = 0
   private _headers: IncomingHttpHeaders = {}
-  private readonly _chunks: Uint8Array[] = []
+  private readonly _copy = new ByteCollector()
   private _size = 0
 
   constructor (private readonly _sink: IAnswerSink, private readonly _limit: number) {}
@@ -30,7 +31,7 @@
 
   /** The copy; valid once the response is complete. */
   public get response (): ICapturedResponse {
-    const body = this._size > this._limit ? undefined : Buffer.concat(this._chunks)
+    const body = this._size > this._limit ? undefined : this._copy.content()
     return { status: this._status, headers: this._headers, body }
   }
 
@@ -42,8 +43,8 @@
 
   public write (chunk: Uint8Array): boolean {
     this._size += chunk.byteLength
-    if (this._size <= this._limit) this._chunks.push(chunk)
-    else this._chunks.length = 0
+    if (this._size <= this._limit) this._copy.append(chunk)
+    else this._copy.clear()
     return this._sink.write(chunk)
   }
 
--- a/src/gate/UpstreamEndpoint.ts
+++ b/src/gate/UpstreamEndpoint.ts
@@ -132,7 +132,7 @@
     if (end.kind === 'whole') this._onCompleted(exchange.call.route, startedAt, clock.now())
     if (end.kind === 'cut' && end.isByUpstream && end.reason === 'connection-lost') {
       const isCrash = await this._crashDetector.recordLostExchange({
-        call: exchange.call, fingerprintChunks: exchange.fingerprintChunks, isIsolated
+        call: exchange.call, bodyStart: exchange.bodyStart, isIsolated
       })
       if (isCrash) return { ...end, reason: UPSTREAM_CRASHED_REASON }
     }
--- a/src/gate/UpstreamExchange.ts
+++ b/src/gate/UpstreamExchange.ts
@@ -1,11 +1,13 @@
 /** One request and its response on one connection to an upstream. */
 import type { IncomingHttpHeaders } from 'node:http'
-import { PassThrough, type Readable } from 'node:stream'
+import type { Readable } from 'node:stream'
 import type { Dispatcher } from 'undici'
+import { ByteCollector } from '../common/ByteCollector.js'
 import type { IClockService } from '../common/Services.js'
 import type { IDisposable, Milliseconds } from '../common/Types.js'
 import { ExchangeAbortedError, StartRefusedError } from './GateErrors.js'
 import { contentLength, fieldsOf, hasUnsupportedTransferCoding } from './HeaderRules.js'
+import { BodyRelay } from './BodyRelay.js'
 import { FINGERPRINT_BODY_BYTES } from './BodyStart.js'
 import { HEADER, type IAnswerSink, type ICall, type NotRunReason } from './Types.js'
 import type { UpstreamConnection } from './UpstreamConnections.js'
@@ -37,10 +39,10 @@
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
   public readonly call: ICall
   private readonly _options: IUpstreamExchangeOptions
-  private readonly _fingerprintChunks: Uint8Array[] = []
+  private readonly _streamedStart = new ByteCollector()
   private readonly _subscriptions: IDisposable[] = []
   /** Stream from which the client reads a streamed body. When the client destroys it, the connection of the caller stays open. */
-  private readonly _bodyRelay: PassThrough | undefined
+  private readonly _bodyRelay: BodyRelay | undefined
   private _sentBytes = 0
   private _controller: Dispatcher.DispatchController | undefined
   private _resolve: ((end: ExchangeEnd) => void) | undefined
@@ -51,7 +53,9 @@
   constructor (options: IUpstreamExchangeOptions) {
     this.call = options.call
     this._options = options
-    if (options.body !== undefined && !Buffer.isBuffer(options.body)) this._bodyRelay = new PassThrough()
+    if (options.body === undefined || Buffer.isBuffer(options.body)) return
+    this._bodyRelay = new BodyRelay(options.body, { onChunk: (chunk) => this._recordStreamed(chunk) })
+    this._bodyRelay.on('error', ignore)
   }
 
   /** True once the first byte may have been sent. */
@@ -59,9 +63,10 @@
     return this._controller !== undefined
   }
 
-  /** First chunks of the body that were sent, for the fingerprint of the request. */
-  public get fingerprintChunks (): readonly Uint8Array[] {
-    return this._fingerprintChunks
+  /** Start of the body that was sent, at least as much of it as the fingerprint of the request covers. */
+  public get bodyStart (): Buffer {
+    const { body } = this._options
+    return Buffer.isBuffer(body) ? body : this._streamedStart.content()
   }
 
   /** Runs the exchange. Never rejects. */
@@ -92,7 +97,7 @@
     const remaining = call.deadlineAt - clock.now() as Milliseconds
     this._subscriptions.push(clock.after(remaining, () => { this.abort('deadline') }))
     this._subscriptions.push(call.onCancelled(() => { this.abort('cancelled') }))
-    this._startBodyStream()
+    if (Buffer.isBuffer(this._options.body)) this._recordSent(this._options.body.byteLength)
   }
 
   public onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
@@ -138,34 +143,19 @@
     return call.isCancelled || (body !== undefined && !Buffer.isBuffer(body) && body.destroyed && !body.readableEnded)
   }
 
-  /** Starts streaming the body; its first chunks are recorded without a copy. */
-  private _startBodyStream (): void {
-    const { body } = this._options
-    const relay = this._bodyRelay
-    if (Buffer.isBuffer(body)) this._recordChunk(body)
-    if (body === undefined || Buffer.isBuffer(body) || relay === undefined) return
-    body.on('data', this._recordChunk)
-    body.pipe(relay)
-    body.once('close', () => {
-      if (!body.readableEnded) relay.destroy(new Error('request body ended prematurely'))
-    })
-    relay.on('error', ignore)
-    relay.once('close', () => {
-      body.unpipe(relay)
-      body.resume()
-    })
+  private _recordStreamed (chunk: Uint8Array): void {
+    const missing = FINGERPRINT_BODY_BYTES - this._streamedStart.byteLength
+    if (missing > 0) this._streamedStart.append(chunk.subarray(0, missing))
+    this._recordSent(chunk.byteLength)
   }
 
-  private readonly _recordChunk = (chunk: Uint8Array): void => {
-    if (this._sentBytes < FINGERPRINT_BODY_BYTES) this._fingerprintChunks.push(chunk)
-    this._sentBytes += chunk.byteLength
+  private _recordSent (bytes: number): void {
+    this._sentBytes += bytes
     if (this._sentBytes > this._options.requestBytes) this.abort('request-too-large')
   }
 
   private _finish (end: ExchangeEnd): void {
     for (const subscription of this._subscriptions) subscription.dispose()
-    const { body } = this._options
-    if (body !== undefined && !Buffer.isBuffer(body)) body.off('data', this._recordChunk)
     this._resolve?.(end)
     this._resolve = undefined
   }
--- a/src/routing/CallBody.ts
+++ b/src/routing/CallBody.ts
@@ -2,9 +2,9 @@
 import type { Readable } from 'node:stream'
 import type { IClockService } from '../common/Services.js'
 import type { Milliseconds } from '../common/Types.js'
+import { BodyRelay } from '../gate/BodyRelay.js'
 import { readBodyStart, type IBodyStart } from '../gate/BodyStart.js'
 import type { NotRunReason } from '../gate/Types.js'
-import { BodyLimiter } from './BodyLimiter.js'
 import type { RoutedCall } from './RoutedCall.js'
 
 /** Bodies up to this size are kept in memory, so that they can be sent again. */
@@ -13,7 +13,7 @@
 /** Buffers small bodies completely; streams large ones once. */
 export class CallBody {
   private _content: Buffer | undefined
-  private _limiter: BodyLimiter | undefined
+  private _relay: BodyRelay | undefined
 
   constructor (private readonly _source: Readable | undefined, private readonly _limitBytes: number) {}
 
@@ -24,7 +24,7 @@
 
   /** True if a streamed body exceeded its limit. */
   public get isTooLarge (): boolean {
-    return this._limiter?.isExceeded === true
+    return this._relay?.isExceeded === true
   }
 
   /** Reads a small body and stores it in the call. Returns the reason if the call is refused, otherwise undefined. */
@@ -43,9 +43,9 @@
   }
 
   private _limit (source: Readable): Readable {
-    this._limiter = new BodyLimiter(this._limitBytes)
-    this._limiter.on('error', () => undefined)
-    return source.pipe(this._limiter)
+    this._relay = new BodyRelay(source, { maximumBytes: this._limitBytes })
+    this._relay.on('error', () => undefined)
+    return this._relay
   }
 
   private _readByDeadline (source: Readable, call: RoutedCall, clock: IClockService): Promise<IBodyStart | NotRunReason> {
--- a/src/routing/CollectingSink.ts
+++ b/src/routing/CollectingSink.ts
@@ -1,5 +1,6 @@
 /** Buffers a response in memory. */
 import type { IncomingHttpHeaders } from 'node:http'
+import { ByteCollector } from '../common/ByteCollector.js'
 import type { IEvent } from '../common/Types.js'
 import type { IAnswerSink } from '../gate/Types.js'
 
@@ -12,11 +13,11 @@
   public status = 0
   public headers: IncomingHttpHeaders = {}
   public hasBegun = false
-  private readonly _chunks: Uint8Array[] = []
+  private readonly _collector = new ByteCollector()
 
   /** The body received so far; empty after `abort`. */
   public get body (): Buffer {
-    return Buffer.concat(this._chunks)
+    return this._collector.content()
   }
 
   public begin (status: number, headers: IncomingHttpHeaders): void {
@@ -26,7 +27,7 @@
   }
 
   public write (chunk: Uint8Array): boolean {
-    this._chunks.push(chunk)
+    this._collector.append(chunk)
     return true
   }
 
@@ -34,6 +35,6 @@
 
   /** Discards the body, so that a truncated response never looks complete. */
   public abort (): void {
-    this._chunks.length = 0
+    this._collector.clear()
   }
 }
--- a/src/routing/RemoteRequest.ts
+++ b/src/routing/RemoteRequest.ts
@@ -1,6 +1,7 @@
 /** Head and body of a request to the gate of another node. */
-import { PassThrough, type Readable } from 'node:stream'
+import type { Readable } from 'node:stream'
 import type { Timestamp } from '../common/Types.js'
+import { BodyRelay } from '../gate/BodyRelay.js'
 import { HEADER, type ICall } from '../gate/Types.js'
 
 /** Maximum time reserved for the transit of the response, subtracted from the deadline that is sent to the gate. */
@@ -59,15 +60,10 @@
   return fields
 }
 
-/**
- * Returns the body for undici. A stream is piped through a relay, because undici destroys the body stream of a failed
- * request.
- */
+/** Returns the body for undici. A stream is read through a relay, because undici destroys the body stream of a failed request. */
 export function bodyToSend (call: ICall): Buffer | Readable | null {
   const { body, bodyContent } = call
   if (bodyContent !== undefined) return bodyContent
   if (body === undefined) return null
-  const relay = new PassThrough()
-  body.on('error', (error) => relay.destroy(error))
-  return body.pipe(relay)
+  return new BodyRelay(body)
 }
