Memory of an incomplete gRPC message follows its bytes, not its frames

Measured: 107.7 B of heap a byte if the frames have one byte, so that one stream of another node can take 113 MB (worked out for 1 MiB), more than the heap of a node.

Weighed: a smaller limit for messages (the same factor, and views of large fleets need long messages); parsing the frames on a socket of our own in front of grpc-js (costs all streams); an option or interceptor of grpc-js (there is none that sees frames). Chosen: the decoder joins its parts when there are more than 1,024.

Test that failed before: "GrpcPeerTransport takes memory for the bytes of an incomplete message, not for each frame in which they arrive" (21.4 MB for 200,000 bytes, bound 4 MB), with a client that writes the frames itself. Streams that a node dials use the same decoder; they have no test of their own.

--- a/src/common/Protocol.ts
+++ b/src/common/Protocol.ts
@@ -5,13 +5,15 @@
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import type { ProtoGrpcType } from '../generated/savoryknot.js'
+import { joinGrpcMessageParts } from './GrpcMessageParts.js'
 
 const PROTO_FILE = join('proto', 'savoryknot.proto')
 
 let loaded: ProtoGrpcType | undefined
 
-/** Returns the RPC services, which are loaded once per process. */
+/** Returns the RPC services, which are loaded once per process. Every client and server needs them before its first message. */
 export function loadProtocol (): ProtoGrpcType {
+  joinGrpcMessageParts()
   loaded ??= loadPackageDefinition(loadSync(findProtoFile(), {
     longs: Number,
     enums: String,
--- a/src/membership/GrpcPeerTransport.test.ts
+++ b/src/membership/GrpcPeerTransport.test.ts
@@ -2,15 +2,21 @@
 import { Client, credentials } from '@grpc/grpc-js'
 import { expect } from 'chai'
 import { connect as connectSocket, createServer, type AddressInfo } from 'node:net'
+import { Http2Frames } from '../../testing/membership/Http2Frames.js'
+import { MAXIMUM_HEAP_GROWTH_BYTES, SMALL_CHUNKS } from '../../testing/SmallChunks.js'
+import { measureUsedHeap } from '../../testing/UsedHeap.js'
 import { ClockService } from '../common/ClockService.js'
+import { splitAddress } from '../common/HostPort.js'
 import { MetricsService } from '../common/MetricsService.js'
 import { GrpcPeerTransport, type GrpcPeerTransportOptions } from './GrpcPeerTransport.js'
-import { exchangeDefinition } from './PeerCodec.js'
+import { encodePeerMessage, exchangeDefinition } from './PeerCodec.js'
 import { RecordingLog } from '../../testing/RecordingLog.js'
 import type { Milliseconds, NetworkAddress } from '../common/Types.js'
 import type { ReceivedPeerMessage } from '../generated/savoryknot/PeerMessage.js'
 import type { IPeerChannel } from './Services.js'
 
+/** Compression flag and length of a gRPC message. */
+const GRPC_HEAD_BYTES = 5
 const LOOPBACK = '127.0.0.1:0' as NetworkAddress
 
 describe('GrpcPeerTransport', () => {
@@ -121,4 +127,26 @@
     const error = await create({ dialTimeout: 300 as Milliseconds }).dial('127.0.0.1:1' as NetworkAddress).catch((reason: unknown) => reason)
     expect(error).to.include({ name: 'PeerUnreachableError', step: 'transport.dial', peer: '127.0.0.1:1' })
   })
+
+  // Guards against the list of parts of grpc-js: 200,000 bytes in frames of one byte took 21 MB of heap.
+  it('takes memory for the bytes of an incomplete message, not for each frame in which they arrive', async () => {
+    const transport = create()
+    const address = await transport.bind()
+    const accepted = new Promise<IPeerChannel>((resolve, reject) => { transport.listen(resolve).catch(reject) })
+    const frames = await Http2Frames.open(splitAddress(address).port, exchangeDefinition().path)
+    const channel = await accepted
+    const received = new Promise<ReceivedPeerMessage>((resolve) => { channel.onMessage(resolve) })
+    const message = encodePeerMessage({ broadcast: { topic: 'small', payload: Buffer.alloc(SMALL_CHUNKS, 'a') } })
+    const head = Buffer.alloc(GRPC_HEAD_BYTES)
+    head.writeUInt32BE(message.byteLength, 1)
+    const before = measureUsedHeap()
+    await frames.send(Buffer.concat([head, message.subarray(0, -1)]), 1)
+    await frames.acknowledged()
+    const growth = measureUsedHeap() - before
+    await frames.send(message.subarray(-1), 1)
+    const { broadcast } = await received
+    frames.close()
+    expect(growth).to.be.at.most(MAXIMUM_HEAP_GROWTH_BYTES)
+    expect(Buffer.from(broadcast?.payload ?? []).equals(Buffer.alloc(SMALL_CHUNKS, 'a'))).to.equal(true)
+  })
 })
--- a/testing/membership/Http2Frames.ts
+++ b/testing/membership/Http2Frames.ts
@@ -4,8 +4,10 @@
 
 const PREFACE = 'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
 const FRAME_HEAD_BYTES = 9
-const FRAME_TYPE = Object.freeze({ data: 0, headers: 1, settings: 4, windowUpdate: 8 })
+const FRAME_TYPE = Object.freeze({ data: 0, headers: 1, settings: 4, ping: 6, windowUpdate: 8 })
 const END_HEADERS = 4
+const ACKNOWLEDGEMENT = 1
+const PING_BYTES = 8
 const STREAM = 1
 /** Initial flow control window of a stream and of a connection, in bytes. */
 const INITIAL_WINDOW_BYTES = 65_535
@@ -15,6 +17,7 @@
   private _streamWindow = INITIAL_WINDOW_BYTES
   private _connectionWindow = INITIAL_WINDOW_BYTES
   private _received: Buffer = Buffer.alloc(0)
+  private _acknowledgedPings = 0
 
   private constructor (private readonly _socket: Socket) {
     _socket.on('error', () => undefined)
@@ -53,6 +56,13 @@
     }
   }
 
+  /** Resolves when the server has read everything that was sent, or has closed the connection. */
+  public async acknowledged (): Promise<void> {
+    const pings = this._acknowledgedPings
+    this._socket.write(frame(FRAME_TYPE.ping, 0, 0, Buffer.alloc(PING_BYTES)))
+    while (this._acknowledgedPings === pings && !this.isClosed) await new Promise((resolve) => setTimeout(resolve, 1))
+  }
+
   public close (): void {
     this._socket.destroy()
   }
@@ -62,6 +72,7 @@
     while (this._received.byteLength >= FRAME_HEAD_BYTES) {
       const length = this._received.readUIntBE(0, 3)
       if (this._received.byteLength < FRAME_HEAD_BYTES + length) return
+      if (this._received[3] === FRAME_TYPE.ping && this._received[4] === ACKNOWLEDGEMENT) this._acknowledgedPings++
       if (this._received[3] === FRAME_TYPE.windowUpdate) {
         const increment = this._received.readUInt32BE(FRAME_HEAD_BYTES)
         if (this._received.readUInt32BE(5) === 0) this._connectionWindow += increment
