Limit the unfinished requests of a connection

Found while looking for what else a node collects from a peer: Node.js reads on while pipelined requests wait for their responses, and each unfinished request takes some 9 KB, however small it is on the wire.

Fix: UnfinishedRequests counts by connection; from the 65th on a request is refused at once as not run. Refusals that wait to be sent make Node.js stop reading. The caller port no longer reads a connection whose last response has been decided (each ignored request was kept).

Up to the limit all are answered in order, and the connection stays usable after refusals.

Not changed: a connection that is paused in the middle of a request head for longer than the head timeout is closed, also while earlier requests are in progress.

--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -127,6 +127,8 @@
   private _onRequest (message: IncomingMessage, response: ServerResponse): void {
     const { socket } = message
     if (!this._connections.tryRegister(response)) {
+      // Further requests get no response either, and would be kept until the connection closes.
+      socket.pause()
       this._options.log.log(CALLER_MALFORMED, { step: 'caller.request', peer: socket.remoteAddress, reason: 'request was sent after the response that closes the connection' })
       return
     }
@@ -140,6 +142,7 @@
     const { configuration, clock, format } = this._options
     const arrivedAt = clock.now()
     const requestId = format.callerRequestId(message.headers)
+    if (this._connections.hasTooManyRequests(message.socket)) return this._refusePipelined(message, response, requestId)
     const fault = this._rules.faultOf(message)
     if (fault !== undefined) return this._refuseMalformed(message, response, fault)
     const index = configuration.current
@@ -212,13 +215,23 @@
     this._refuse(message, response, STATUS.refused, requestId, UNAVAILABLE_RETRY_AFTER_MS)
   }
 
+  /**
+   * Refuses a request as not run because too many requests of its connection wait for their responses. Node.js stops reading the connection
+   * while refusals wait to be sent.
+   */
+  private _refusePipelined (message: IncomingMessage, response: ServerResponse, requestId: string | undefined): void {
+    const isBodyUnread = new HttpInbound(message, response).body !== undefined
+    this._refuse(message, response, STATUS.refused, requestId, UNAVAILABLE_RETRY_AFTER_MS, isBodyUnread)
+  }
+
   private _refuse (
-    message: IncomingMessage, response: ServerResponse, status: number, requestId: string | undefined, retryAfter?: Milliseconds
+    message: IncomingMessage, response: ServerResponse, status: number, requestId: string | undefined, retryAfter?: Milliseconds,
+    isBodyUnread = !message.complete
   ): void {
     if (response.destroyed) return
     const fields = [...this._options.format.refusalFields(requestId, retryAfter), 'content-length', '0']
     // The unread rest of a body must not be parsed as the next request.
-    const closing = message.complete ? this._closingFields(response) : this._connections.closeAfter(response)
+    const closing = isBodyUnread ? this._connections.closeAfter(response) : this._closingFields(response)
     response.writeHead(status, [...fields, ...closing])
     response.end()
   }
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -4,6 +4,7 @@
 import { Emitter } from '../../common/Emitter.js'
 import { closeAfterPendingInput, listenAt } from '../../common/Listening.js'
 import { waitForPendingInput } from '../../common/PendingInput.js'
+import { UnfinishedRequests } from '../../common/UnfinishedRequests.js'
 import type { IClockService, ILogService, IService } from '../../common/Services.js'
 import type { IEvent, NetworkAddress, RequestId } from '../../common/Types.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
@@ -39,6 +40,7 @@
 export class GateServer implements IService {
   private readonly _onPeerRequest = new Emitter<string>()
   private readonly _server: Server
+  private readonly _unfinished = new UnfinishedRequests()
   private _inFlight = 0
 
   constructor (private readonly _options: IGateServerOptions) {
@@ -70,6 +72,8 @@
   }
 
   private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    this._unfinished.add(response)
+    if (this._unfinished.hasTooMany(message.socket)) return this._respond(response, encodeOutcome({ kind: 'refused', reason: 'overloaded' }))
     const peer = message.headers[NODE_HEADER.peer]
     if (typeof peer === 'string') this._onPeerRequest.fire(peer)
     switch (message.headers[NODE_HEADER.purpose]) {
