One memory budget for the request bodies of a process

Cause: bodies were limited one by one only, to 16 MiB each, and a body was held twice while its chunks were joined. A body whose deadline had passed, or whose sender went on after it, was still collected until its connection closed.

Fix: RequestBodyBudget, for the caller port and the port of other nodes. A body is decided on by its stated length before it is received, into one buffer of that length; one without a length as it grows. What does not fit gets 503 with Retry-After 1 s at once, and the rest is discarded while the response is on its way. An eighth of the budget is only for bodies of up to 64 KiB. Metrics: savoryknot_request_body_bytes, _limit_bytes, savoryknot_request_bodies_refused; event 9417 names each refusal and what decided it. The memory comes by an environment variable, since the settings template is filled by other tools too, which know no further field.

The other side of the limit: a body of more than 16 MiB within maxBodyBytes no longer gets 413. It is served if the budget has room for it, else refused with 503. Bodies are still buffered whole, so one that is larger than the budget of every VM is never served.

Tests: platform/LargeRequestBodies.test.ts, RequestBodyBudget.test.ts.

--- a/src/common/ByteCollector.ts
+++ b/src/common/ByteCollector.ts
@@ -16,12 +16,15 @@
   private _byteLength = 0
   private _reservedBytes = 0
 
+  /** `expectedBytes`: number of bytes that are likely to be collected, for which one segment is reserved with the first chunk. */
+  constructor (private readonly _expectedBytes = 0) {}
+
   /** Number of collected bytes. */
   public get byteLength (): number {
     return this._byteLength
   }
 
-  /** Capacity of all segments in bytes: at most twice the collected bytes, or the minimum of one segment. */
+  /** Capacity of all segments in bytes: at most twice the collected bytes, or what was expected, or the minimum of one segment. */
   public get reservedBytes (): number {
     return this._reservedBytes
   }
@@ -60,7 +63,7 @@
   private _segmentFor (byteLength: number): Buffer {
     const last = this._segments.at(-1)
     if (last !== undefined && this._lastSegmentBytes < last.byteLength) return last
-    const growth = Math.min(MAXIMUM_SEGMENT_BYTES, this._byteLength)
+    const growth = last === undefined ? this._expectedBytes : Math.min(MAXIMUM_SEGMENT_BYTES, this._byteLength)
     const segment = Buffer.allocUnsafe(Math.max(MINIMUM_SEGMENT_BYTES, growth, byteLength))
     this._segments.push(segment)
     this._lastSegmentBytes = 0
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -8,9 +8,10 @@
 import type { Milliseconds, NetworkAddress, Timestamp } from '../../common/Types.js'
 import { HeaderRules } from '../../gate/HeaderRules.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
-import { readBodyStartByDeadline } from '../../gate/BodyStart.js'
 import { CALL_FINISHED, CALL_UNROUTED, CALLER_MALFORMED, RESPONSE_DROPPED } from '../Events.js'
-import { BODILESS_STATUSES, MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
+import { BODILESS_STATUSES } from '../exchange/HttpExchange.js'
+import type { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
+import { RequestBodyReader } from '../exchange/RequestBodyReader.js'
 import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import type { IConfigurationService, IMessageFormat, IStopBounds } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
@@ -36,10 +37,16 @@
   readonly metrics: IMetricsService
   /** Limits the memory of responses that callers have not read. */
   readonly responseBuffers: ResponseBufferBudget
+  /** Limits the memory of request bodies. */
+  readonly requestBodies: RequestBodyBudget
 }
 
 /** Retry delay that is stated to a caller while the node is starting or stopping. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500 as Milliseconds
+/** Retry delay that is stated to a caller whose request body does not fit into memory: about the time for which another body is held. */
+const NO_MEMORY_RETRY_AFTER_MS = 1_000 as Milliseconds
+/** Time in which the rest of a refused body is read and discarded: a caller that is still sending would lose the response to a reset. */
+const DISCARD_TIME_MS = 5_000 as Milliseconds
 /** Maximum size of a request head; includes the request line in addition to the header fields that the configuration allows. */
 const MAXIMUM_HEAD_BYTES = 65_536
 const MAXIMUM_FIELDS = 200
@@ -61,6 +68,7 @@
 
   private readonly _latency: Histogram
   private readonly _connections = new CallerConnections()
+  private readonly _bodies: RequestBodyReader
   private readonly _termination: CallTermination
   /** Undefined unless a planned stop is in progress. */
   private _stopBounds: IStopBounds | undefined
@@ -68,6 +76,7 @@
 
   constructor (private readonly _options: ICallerPortOptions) {
     this._termination = new CallTermination(_options.clock)
+    this._bodies = new RequestBodyReader({ ..._options, budget: _options.requestBodies, step: 'caller.body' })
     this._server = createServer({
       requestTimeout: 0, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS, maxHeaderSize: MAXIMUM_HEAD_BYTES, noDelay: true
     })
@@ -154,15 +163,20 @@
     const latestAt = arrivedAt + timeout as Timestamp
     const bodyDeadlineAt = this._deadlineOf(latestAt)
     if (bodyDeadlineAt === undefined) return this._refuseUnavailable(message, response, requestId)
-    const limit = Math.min(index.configuration.limits.bodyBytes, MAXIMUM_BODY_BYTES)
-    const body = inbound.body === undefined ? EMPTY_BODY : await readBodyStartByDeadline(inbound.body, limit, bodyDeadlineAt, clock)
-    await waitForPendingInput()
-    // A planned stop may have started or reached its next step while the body was being received.
-    const deadlineAt = this._deadlineOf(latestAt)
-    if (body === undefined || deadlineAt === undefined) return this._refuseUnavailable(message, response, requestId)
-    if (!body.isWhole) return this._refuse(message, response, STATUS.tooLarge, requestId)
-    const content = inbound.body === undefined ? undefined : body.content
-    await this._route({ message, response, inbound, route, requestId, body: content, arrivedAt, deadlineAt })
+    const maximumBytes = index.configuration.limits.bodyBytes
+    const body = await this._bodies.read(inbound, { maximumBytes, deadlineAt: bodyDeadlineAt }, requestId)
+    if (body.kind === 'too-large') return this._refuse(message, response, STATUS.tooLarge, requestId)
+    if (body.kind === 'no-memory') return this._refuseForMemory(message, response, requestId)
+    if (body.kind === 'incomplete') return this._refuseUnavailable(message, response, requestId)
+    try {
+      await waitForPendingInput()
+      // A planned stop may have started or reached its next step while the body was being received.
+      const deadlineAt = this._deadlineOf(latestAt)
+      if (deadlineAt === undefined) return this._refuseUnavailable(message, response, requestId)
+      await this._route({ message, response, inbound, route, requestId, body: body.content, arrivedAt, deadlineAt })
+    } finally {
+      body.release()
+    }
   }
 
   /** The deadline of a request that arrives now; undefined if the request must be refused. */
@@ -224,6 +238,14 @@
     this._refuse(message, response, STATUS.refused, requestId, UNAVAILABLE_RETRY_AFTER_MS, isBodyUnread)
   }
 
+  /** Refuses a request as not run whose body does not fit into memory. The connection is usable again once the rest has arrived. */
+  private _refuseForMemory (message: IncomingMessage, response: ServerResponse, requestId: string | undefined): void {
+    this._refuse(message, response, STATUS.refused, requestId, NO_MEMORY_RETRY_AFTER_MS, false)
+    const { socket } = message
+    const timer = this._options.clock.after(DISCARD_TIME_MS, () => { if (!message.complete) socket.destroy() })
+    message.once('close', () => timer.dispose())
+  }
+
   private _refuse (
     message: IncomingMessage, response: ServerResponse, status: number, requestId: string | undefined, retryAfter?: Milliseconds,
     isBodyUnread = !message.complete
@@ -342,5 +364,4 @@
   readonly deadlineAt: Timestamp
 }
 
-const EMPTY_BODY = Object.freeze({ content: Buffer.alloc(0), isWhole: true })
 const NO_FIELDS: readonly string[] = Object.freeze([])
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -23,6 +23,7 @@
 import { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
 import { RegistrationService } from '../endpoint/RegistrationService.js'
 import { NodeQueries } from '../exchange/NodeQueries.js'
+import { RequestBodyBudget, requestBodyLimit } from '../exchange/RequestBodyBudget.js'
 import { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
 import { NodeTable } from '../view/NodeTable.js'
@@ -52,6 +53,7 @@
 const STORE_TIMEOUT_MS = 2_000 as Milliseconds
 const STORE_CONNECTIONS = 4
 const MICROSECONDS_PER_MILLISECOND = 1_000
+const BYTES_PER_MEGABYTE = 1_000_000
 
 /** Registers all components. The kernel creates and starts them in dependency order: the ports before the view. */
 export function registerMesh (kernel: IKernel, options: IMeshServicesOptions): void {
@@ -175,6 +177,7 @@
     })
   })
   kernel.register({ key: MESH_KEY.responseBuffers, dependsOn: FOUNDATION, create: () => createResponseBuffers(kernel) })
+  kernel.register({ key: MESH_KEY.requestBodies, dependsOn: FOUNDATION, create: () => createRequestBodies(kernel, settings()) })
   kernel.register({
     key: MESH_KEY.gate,
     dependsOn: [MESH_KEY.endpoint, MESH_KEY.crashes, MESH_KEY.responseBuffers, IConfigurationService],
@@ -189,12 +192,13 @@
   })
   kernel.register({
     key: MESH_KEY.gateServer,
-    dependsOn: [MESH_KEY.gate],
+    dependsOn: [MESH_KEY.gate, MESH_KEY.requestBodies],
     create: () => new GateServer({
       ...foundationOf(kernel),
       gate: kernel.get(MESH_KEY.gate),
       format: adapter.format,
       responseBuffers: kernel.get(MESH_KEY.responseBuffers),
+      requestBodies: kernel.get(MESH_KEY.requestBodies),
       address: mesh['gate-address'],
       processToken: randomBytes(TOKEN_BYTES).toString('hex')
     })
@@ -226,7 +230,7 @@
   })
   kernel.register({
     key: MESH_KEY.callerPort,
-    dependsOn: [MESH_KEY.directory, MESH_KEY.retryBudget, MESH_KEY.crashes, IConfigurationService],
+    dependsOn: [MESH_KEY.directory, MESH_KEY.retryBudget, MESH_KEY.crashes, MESH_KEY.requestBodies, IConfigurationService],
     create: () => new CallerPort({
       ...foundationOf(kernel),
       address: mesh['caller-address'],
@@ -234,6 +238,7 @@
       format: adapter.format,
       directory: kernel.get(MESH_KEY.directory),
       responseBuffers: kernel.get(MESH_KEY.responseBuffers),
+      requestBodies: kernel.get(MESH_KEY.requestBodies),
       split: new WeightedSplit(kernel.get(IRandomService)),
       endpointSelector: new EndpointSelector(kernel.get(IRandomService)),
       retryBudget: kernel.get(MESH_KEY.retryBudget),
@@ -270,6 +275,30 @@
   return buffers
 }
 
+function createRequestBodies (kernel: IKernel, { mesh }: IMeshSettings): RequestBodyBudget {
+  const bodies = new RequestBodyBudget({ limit: requestBodyLimit(mesh.memory * BYTES_PER_MEGABYTE) })
+  const registers = [kernel.get(IMetricsService).registry]
+  const held: Gauge = new Gauge({
+    name: 'savoryknot_request_body_bytes',
+    help: 'Memory of the bodies of all requests in progress. Unit: bytes.',
+    registers,
+    collect: () => held.set(bodies.bytes)
+  })
+  const limit: Gauge = new Gauge({
+    name: 'savoryknot_request_body_limit_bytes',
+    help: 'Maximum memory of the bodies of all requests in progress. Unit: bytes.',
+    registers,
+    collect: () => limit.set(bodies.limit)
+  })
+  const refused: Gauge = new Gauge({
+    name: 'savoryknot_request_bodies_refused',
+    help: 'Bodies since the start of the process that did not fit into the memory for request bodies.',
+    registers,
+    collect: () => refused.set(bodies.refusals)
+  })
+  return bodies
+}
+
 /** The foundation services, and the identity of this node. */
 function commonOf (kernel: IKernel, { mesh }: IMeshSettings): IFoundation & { readonly self: INodeIdentity } {
   return { ...foundationOf(kernel), self: { name: mesh.node, failureDomain: mesh['failure-domain'], region: mesh.region } }
--- a/src/mesh/daemon/MeshSettings.ts
+++ b/src/mesh/daemon/MeshSettings.ts
@@ -3,11 +3,16 @@
 import { z } from 'zod'
 import { IniSectionReader } from '../../common/IniSectionReader.js'
 import { fractionalDurationValue, numberValue, textValue } from '../../common/IniValues.js'
+import { parseNumber } from '../../common/Units.js'
 import type { FailureDomain, Milliseconds, Region } from '../../common/Types.js'
 import { SettingsError } from '../../daemon/settings/SettingsError.js'
 import { LOG_SECTION, addressValue } from '../../daemon/settings/SettingsSchema.js'
 import type { NodeName } from '../Types.js'
 
+/** Environment variable by which a platform states the memory of the VM, in MB. */
+export const MEMORY_VARIABLE = 'SAVORYKNOT_MEMORY_MB'
+/** Bounds of the memory, in MB. */
+const MEMORY_BOUNDS = Object.freeze({ minimum: 32, maximum: 1_000_000 })
 const HOUR_MS = 3_600_000
 const MAXIMUM_TEXT_LENGTH = 200
 
@@ -31,7 +36,11 @@
   'peer-address': addressValue('RPC port for the views of other nodes.'),
   'ready-address': addressValue('HTTP port for the readiness probes of the platform.'),
   'control-address': addressValue('HTTP port for the reports of the endpoint on this VM.'),
-  'metrics-address': addressValue('HTTP port for /metrics.')
+  'metrics-address': addressValue('HTTP port for /metrics.'),
+  memory: numberValue({
+    description: `Memory that this process may use, in MB, from which the limit for request bodies follows. The environment variable ${MEMORY_VARIABLE} takes precedence.`,
+    default: '178'
+  }, MEMORY_BOUNDS)
 })
 
 export const STORE_SECTION = z.strictObject({
@@ -56,9 +65,15 @@
 
 const SECTIONS = ['mesh', 'store', 'bounds', 'log']
 
-/** Reads and validates a settings file. Throws `SettingsError` with every fault. */
-export function readMeshSettings (file: string): IMeshSettings {
-  return parseMeshSettings(file, readFileSync(file, 'utf8'))
+/** Reads and validates a settings file and the memory in the environment. Throws `SettingsError` with every fault. */
+export function readMeshSettings (file: string, environment: NodeJS.ProcessEnv = process.env): IMeshSettings {
+  return applyMemory(parseMeshSettings(file, readFileSync(file, 'utf8')), environment[MEMORY_VARIABLE])
+}
+
+/** Replaces the memory in the settings by a valid one of the environment. */
+export function applyMemory (settings: IMeshSettings, text: string | undefined): IMeshSettings {
+  const parsed = parseNumber(text ?? '', MEMORY_BOUNDS)
+  return parsed.isValid ? Object.freeze({ ...settings, mesh: { ...settings.mesh, memory: parsed.value } }) : settings
 }
 
 /** Parses and validates `text`. `file` is the file name in error messages. */
--- a/src/mesh/daemon/ServiceKeys.ts
+++ b/src/mesh/daemon/ServiceKeys.ts
@@ -11,6 +11,7 @@
 import type { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
 import type { RegistrationService } from '../endpoint/RegistrationService.js'
 import type { NodeQueries } from '../exchange/NodeQueries.js'
+import type { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
 import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import type { NodeTable } from '../view/NodeTable.js'
 
@@ -18,6 +19,7 @@
   store: createServiceKey<ITableService & IChangeFeed>('mesh.store'),
   transport: createServiceKey<IPeerTransport>('mesh.transport'),
   responseBuffers: createServiceKey<ResponseBufferBudget>('mesh.response-buffers'),
+  requestBodies: createServiceKey<RequestBodyBudget>('mesh.request-bodies'),
   nodes: createServiceKey<NodeTable>('mesh.nodes'),
   crashes: createServiceKey<CrashRegistry>('mesh.crashes'),
   endpoint: createServiceKey<LocalEndpoint>('mesh.endpoint'),
--- a/src/mesh/daemon/UnreadRequestsAtStop.test.ts
+++ b/src/mesh/daemon/UnreadRequestsAtStop.test.ts
@@ -12,6 +12,7 @@
 import type { EndpointGate } from '../endpoint/EndpointGate.js'
 import { GateServer } from '../endpoint/GateServer.js'
 import { encodeCall } from '../exchange/CallCodec.js'
+import { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
 import type { AttemptOutcome } from '../Types.js'
 
 /** More connections than one event loop iteration accepts. */
@@ -49,7 +50,7 @@
 
   it('get a response 503 from the port for other nodes', async () => {
     const gate = { execute: async (): Promise<AttemptOutcome> => ({ kind: 'refused', reason: 'draining' }) } as unknown as EndpointGate
-    const server = new GateServer({ ...common, address, gate, processToken: 'one' })
+    const server = new GateServer({ ...common, address, gate, processToken: 'one', requestBodies: new RequestBodyBudget() })
     expect(await statusesOfUnread(server, callFields(common.clock.now()))).to.deep.equal(Array.from({ length: CLIENTS }, () => '503'))
   })
 })
--- a/src/mesh/endpoint/CallTransitTime.test.ts
+++ b/src/mesh/endpoint/CallTransitTime.test.ts
@@ -12,6 +12,7 @@
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import { RemoteNode } from '../calls/RemoteNode.js'
 import { NodeQueries } from '../exchange/NodeQueries.js'
+import { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
 import type { AttemptOutcome, NodeName } from '../Types.js'
 import { GateServer } from './GateServer.js'
 
@@ -44,7 +45,8 @@
     await gateRig.start()
     const common = { clock: servingClock, log: new RecordingLog(), format: new MessageFormat() }
     const [gatePort] = await findFreePorts(1) as [number]
-    server = new GateServer({ ...common, gate: gateRig.gate, address: `127.0.0.1:${gatePort}` as NetworkAddress, processToken: 'one' })
+    const gateAddress = `127.0.0.1:${gatePort}` as NetworkAddress
+    server = new GateServer({ ...common, gate: gateRig.gate, address: gateAddress, processToken: 'one', requestBodies: new RequestBodyBudget() })
     await server.start()
     relay = createServer((socket) => {
       const upstream = connect(gatePort, '127.0.0.1')
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -8,11 +8,11 @@
 import type { IClockService, ILogService, IService } from '../../common/Services.js'
 import type { IEvent, NetworkAddress, RequestId } from '../../common/Types.js'
 import { HttpInbound } from '../../gate/HttpInbound.js'
-import { readBodyStartByDeadline } from '../../gate/BodyStart.js'
 import { CALLER_MALFORMED, RESPONSE_DROPPED } from '../Events.js'
 import { decodeCall, encodeLoad, encodeOutcome, NODE_HEADER, type INodeResponse } from '../exchange/CallCodec.js'
 import { SETTLE_REPLY_HEADER, type SettleReply } from '../exchange/NodeQueries.js'
-import { MAXIMUM_BODY_BYTES } from '../exchange/HttpExchange.js'
+import type { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
+import { RequestBodyReader } from '../exchange/RequestBodyReader.js'
 import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
 import type { IMessageFormat } from '../Services.js'
 import type { IMeshCall } from '../Types.js'
@@ -29,6 +29,8 @@
   readonly log: ILogService
   /** Limits the memory of responses that other nodes have not read; without it they are not limited together. */
   readonly responseBuffers?: ResponseBufferBudget
+  /** Limits the memory of request bodies. */
+  readonly requestBodies: RequestBodyBudget
 }
 
 /** Idle timeout of connections; longer than that of other nodes, so that they close an idle connection first. */
@@ -41,9 +43,11 @@
   private readonly _onPeerRequest = new Emitter<string>()
   private readonly _server: Server
   private readonly _unfinished = new UnfinishedRequests()
+  private readonly _bodies: RequestBodyReader
   private _inFlight = 0
 
   constructor (private readonly _options: IGateServerOptions) {
+    this._bodies = new RequestBodyReader({ ..._options, budget: _options.requestBodies, step: 'gate.body' })
     this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, maxHeaderSize: MAXIMUM_HEAD_BYTES, noDelay: true })
     this._server.on('request', (message: IncomingMessage, response: ServerResponse) => {
       this._serve(message, response).catch((error: unknown) => {
@@ -97,31 +101,37 @@
 
   private async _serveCall (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const inbound = new HttpInbound(message, response)
-    const call = await this._readCall(inbound)
-    if (call === undefined) {
-      this._options.log.log(CALLER_MALFORMED, { step: 'gate.decode', peer: message.socket.remoteAddress })
-      return this._respond(response, encodeOutcome({ kind: 'refused', reason: 'cancelled' }))
+    const head = this._readHead(inbound)
+    if (head === undefined) return this._respondToMalformed(message, response)
+    const limits = { maximumBytes: this._options.requestBodies.largestBody, deadlineAt: head.deadlineAt }
+    const body = await this._bodies.read(inbound, limits, head.callerRequestId)
+    if (body.kind === 'incomplete') return this._respondToMalformed(message, response)
+    if (body.kind !== 'whole') return this._respond(response, encodeOutcome({ kind: 'refused', reason: 'overloaded' }))
+    try {
+      await waitForPendingInput()
+      const outcome = await this._options.gate.execute({ ...head, body: body.content }, inbound)
+      this._respond(response, encodeOutcome(outcome))
+    } finally {
+      body.release()
     }
-    await waitForPendingInput()
-    const outcome = await this._options.gate.execute(call, inbound)
-    this._respond(response, encodeOutcome(outcome))
   }
 
-  /** Reads a call; undefined if the call is malformed or its body is incomplete. */
-  private async _readCall (inbound: HttpInbound): Promise<IMeshCall | undefined> {
+  private _respondToMalformed (message: IncomingMessage, response: ServerResponse): void {
+    this._options.log.log(CALLER_MALFORMED, { step: 'gate.decode', peer: message.socket.remoteAddress })
+    this._respond(response, encodeOutcome({ kind: 'refused', reason: 'cancelled' }))
+  }
+
+  /** The call without its body; undefined if it is malformed. */
+  private _readHead (inbound: HttpInbound): IMeshCall | undefined {
     const { clock, format } = this._options
-    const arrivedAt = clock.now()
-    const parsed = {
+    return decodeCall({
       method: inbound.method,
       path: inbound.path,
       headers: inbound.headers,
       callerRequestId: format.callerRequestId(inbound.headers),
-      fields: format.forwardedFields(inbound.headers)
-    }
-    const head = decodeCall({ ...parsed, body: undefined }, arrivedAt)
-    if (head === undefined || inbound.body === undefined) return head
-    const received = await readBodyStartByDeadline(inbound.body, MAXIMUM_BODY_BYTES, head.deadlineAt, clock)
-    return received?.isWhole === true ? { ...head, body: received.content } : undefined
+      fields: format.forwardedFields(inbound.headers),
+      body: undefined
+    }, clock.now())
   }
 
   private _respondToProbe (response: ServerResponse): void {
--- a/src/mesh/endpoint/UnreadResponses.test.ts
+++ b/src/mesh/endpoint/UnreadResponses.test.ts
@@ -11,6 +11,7 @@
 import type { NetworkAddress } from '../../common/Types.js'
 import { encodeCall } from '../exchange/CallCodec.js'
 import { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
+import { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
 import type { AttemptOutcome } from '../Types.js'
 import type { EndpointGate } from './EndpointGate.js'
 import { GateServer } from './GateServer.js'
@@ -35,7 +36,8 @@
       processToken: 'one',
       clock,
       log,
-      responseBuffers
+      responseBuffers,
+      requestBodies: new RequestBodyBudget()
     })
     await server.start()
     const readers: Socket[] = []
--- a/testing/mesh/ConfigurationText.ts
+++ b/testing/mesh/ConfigurationText.ts
@@ -7,13 +7,15 @@
 export interface IRigLimits {
   /** Milliseconds. */
   readonly idleTimeout: number
+  /** Maximum size of a request body in bytes. */
+  readonly bodyBytes: number
 }
 
-const DEFAULT_RIG_LIMITS: IRigLimits = Object.freeze({ idleTimeout: 15_000 })
+const DEFAULT_RIG_LIMITS: IRigLimits = Object.freeze({ idleTimeout: 15_000, bodyBytes: 1_000_000 })
 
 /** Text of a configuration with this version and these routes. */
 export function configurationText (version: number, routes: readonly IRigRoute[], limits: Partial<IRigLimits> = {}): string {
-  const { idleTimeout } = { ...DEFAULT_RIG_LIMITS, ...limits }
+  const { idleTimeout, bodyBytes } = { ...DEFAULT_RIG_LIMITS, ...limits }
   const services = [...new Set(routes.map((route) => route.service))]
   return JSON.stringify({
     version: `r${version}`,
@@ -22,7 +24,7 @@
       rows: routes.map(({ prefix, service, kind, timeout }) => [`r-${prefix}`, 'mesh.example', prefix, kind ?? 'idempotent', timeout ?? 2_000, 500, 1, 2, service, null])
     },
     services: { columns: ['name', 'healthPath', 'maxConns', 'protocol', 'tls'], rows: services.map((name) => [name, '/health', 20, 'h1', false]) },
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: idleTimeout }
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: bodyBytes, headerTimeoutMs: 3_000, idleTimeoutMs: idleTimeout }
   })
 }
 
