A deregistration or drain of another incarnation with the same ID takes effect

Cause: LocalEndpoint orders incarnations by start time alone. A deregistration by a later incarnation was only remembered, one by an earlier one was ignored; the record of the known incarnation, with the same ID and address, stayed in use. The same held for a draining report of an incarnation that seems earlier, and for a draining report that a later report of the same incarnation overtook.

If another incarnation with the same ID leaves, the known one gets no requests until two further reports show that it is running, not before 5 s have passed. Several deregistered incarnations are remembered instead of one. An endpoint that is doubted may close its connections without this being a crash.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -89,6 +89,8 @@
 /** The local endpoint: the one on the same VM as this node. */
 export interface ILocalEndpoint {
   readonly record: IEndpointRecord | undefined
+  /** True while it is uncertain whether the endpoint with this record has ended. */
+  readonly isDoubted: boolean
   /** Restores the record that an earlier process of this node published. */
   restore (record: IEndpointRecord, now: Timestamp): void
   report (report: IEndpointReport, now: Timestamp): ReportOutcome
--- a/src/mesh/endpoint/EndpointGate.ts
+++ b/src/mesh/endpoint/EndpointGate.ts
@@ -229,7 +229,8 @@
     this._queue.resize(record.slots)
     if (known?.id !== record.id || known.bornAt !== record.bornAt || known.address !== record.address) this._sender.resetFor(record)
     if (record.phase === 'serving') return
-    if (record.phase !== 'silent') this._sender.expectEnd()
+    // The end of an endpoint that leaves is no crash.
+    if (record.phase !== 'silent' || this._options.endpoint.isDoubted) this._sender.expectEnd()
     this.refuseQueued()
   }
 
--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -151,4 +151,88 @@
     endpoint.restore({ ...report('z', 1, 0), phase: 'serving' }, NOW)
     expect([endpoint.record?.id, endpoint.record?.phase, endpoint.reportedAt]).to.deep.equal(['a', 'draining', NOW])
   })
+
+  /** Phases after reports of an incarnation at these times, in milliseconds after `NOW`. */
+  function phasesAfterReports (bornAt: number, firstSequence: number, times: readonly number[]): Array<string | undefined> {
+    return times.map((time, index) => {
+      endpoint.report(report('a', bornAt, firstSequence + index), NOW + time as Timestamp)
+      return endpoint.record?.phase
+    })
+  }
+
+  // Guards against an acknowledged deregistration without effect: the endpoint had started again, and its first report was late.
+  it('gets no requests once a later incarnation with the same id deregisters before its first report', () => {
+    endpoint.report(report('a', 10, 5), NOW)
+    const outcome = endpoint.deregister('a' as EndpointId, 20, NOW)
+    expect([outcome, endpoint.record?.phase, endpoint.isDoubted]).to.deep.equal(['accepted', 'silent', true])
+    endpoint.report(report('a', 20, 1), NOW)
+    expect([endpoint.record?.bornAt, endpoint.record?.phase]).to.deep.equal([20, 'gone'])
+    endpoint.report(report('a', 30, 1), NOW)
+    expect([endpoint.record?.phase, endpoint.isDoubted]).to.deep.equal(['serving', false])
+  })
+
+  // Guards against the same where the clock was set back between two starts, so that the later incarnation seems to be the earlier one.
+  it('gets no requests once an incarnation with the same id and an earlier start time deregisters', () => {
+    endpoint.report(report('a', 20, 1), NOW)
+    endpoint.report(report('a', 10, 1), NOW)
+    const outcome = endpoint.deregister('a' as EndpointId, 10, NOW)
+    expect([outcome, endpoint.record?.phase]).to.deep.equal(['accepted', 'silent'])
+    // Further reports of the one that has left: the other one is silent, so they supersede it, and it stays deregistered.
+    expect(phasesAfterReports(10, 2, [1_500, 3_000, 5_000, 6_500])).to.deep.equal(['silent', 'silent', 'gone', 'gone'])
+    endpoint.report(report('a', 15, 1), NOW + 20_000 as Timestamp)
+    endpoint.report(report('a', 15, 2), NOW + 21_500 as Timestamp)
+    expect(endpoint.record).to.include({ bornAt: 15, phase: 'serving' })
+  })
+
+  it('gets no requests once an incarnation with the same id and an earlier start time reports that it drains', () => {
+    endpoint.report(report('a', 20, 1), NOW)
+    expect([endpoint.report(report('a', 10, 3, 'draining'), NOW), endpoint.record?.phase]).to.deep.equal(['accepted', 'silent'])
+  })
+
+  it('gets requests again within two heartbeats after five seconds if the message of the other incarnation was a late one', () => {
+    for (const leave of [
+      () => endpoint.deregister('a' as EndpointId, 10, NOW), () => endpoint.report(report('a', 10, 3, 'draining'), NOW), () => endpoint.deregister('a' as EndpointId, 25, NOW)
+    ]) {
+      endpoint = new LocalEndpoint(new RecordingLog())
+      endpoint.report(report('a', 20, 1), NOW)
+      leave()
+      expect(phasesAfterReports(20, 2, [1_500, 3_000, 4_500, 6_000])).to.deep.equal(['silent', 'silent', 'silent', 'serving'])
+      expect(endpoint.isDoubted).to.equal(false)
+    }
+  })
+
+  it('gets no requests from a single late report of an incarnation that is doubted, nor from a repeated one', () => {
+    endpoint.report(report('a', 10, 5), NOW)
+    endpoint.deregister('a' as EndpointId, 20, NOW)
+    endpoint.report(report('a', 10, 6), NOW + 7_000 as Timestamp)
+    endpoint.report(report('a', 10, 6), NOW + 8_000 as Timestamp)
+    endpoint.report(report('a', 10, 4), NOW + 9_000 as Timestamp)
+    expect(endpoint.record?.phase).to.equal('silent')
+  })
+
+  it('drains although the report of it arrives after a later one, and stays deregistered despite it', () => {
+    endpoint.report(report('a', 10, 5), NOW)
+    expect([endpoint.report(report('a', 10, 4, 'draining'), NOW), endpoint.record?.phase]).to.deep.equal(['accepted', 'draining'])
+    endpoint.deregister('a' as EndpointId, 10, NOW)
+    expect([endpoint.report(report('a', 10, 3, 'draining'), NOW), endpoint.record?.phase]).to.deep.equal(['outdated', 'gone'])
+  })
+
+  it('stays deregistered if other incarnations deregister afterwards', () => {
+    endpoint.report(report('z', 50, 1), NOW)
+    for (const bornAt of [30, 20, 10]) endpoint.deregister('a' as EndpointId, bornAt, NOW)
+    endpoint.report(report('a', 30, 8), NOW + 6_000 as Timestamp)
+    endpoint.report(report('a', 30, 9), NOW + 7_500 as Timestamp)
+    expect([endpoint.record?.id, endpoint.record?.phase]).to.deep.equal(['a', 'gone'])
+  })
+
+  it('is not affected by a deregistration of an endpoint with another id', () => {
+    endpoint.report(report('a', 20, 1), NOW)
+    const outcomes = [0, 10, 30].map((bornAt) => endpoint.deregister('b' as EndpointId, bornAt, NOW))
+    expect([outcomes, endpoint.record?.phase]).to.deep.equal([['outdated', 'outdated', 'outdated'], 'serving'])
+  })
+
+  it('keeps a drain of the known incarnation when another one with the same id leaves', () => {
+    endpoint.report(report('a', 20, 1, 'draining'), NOW)
+    expect([endpoint.deregister('a' as EndpointId, 10, NOW), endpoint.record?.phase]).to.deep.equal(['accepted', 'draining'])
+  })
 })
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -11,20 +11,41 @@
 
 /** Time without a report after which an incarnation with an earlier start time may replace the endpoint; longer than three heartbeats. */
 const SUPERSEDED_AFTER_MS = 5_000
+/** Time for which a doubted incarnation gets no requests, even if it reports: reports that it sent before it ended may arrive late. */
+const DOUBTED_FOR_MS = 5_000
+/** Number of reports, each later than all before, by which a doubted incarnation shows that it is running. */
+const REPORTS_OF_A_RUNNING_ENDPOINT = 2
+/** Maximum number of incarnations whose deregistration is remembered; each restart of the endpoint adds one at most. */
+const MAXIMUM_DEREGISTERED = 16
+
+/** An incarnation by its ID and its start time, which is 0 if it is unknown. */
+type IncarnationId = Pick<IEndpointRecord, 'id' | 'bornAt'>
+
+/** Evidence that an incarnation has ended: another one with its ID leaves, and start times do not tell for certain which is newer. */
+interface IDoubt {
+  readonly since: Timestamp
+  /** Number of later reports of the doubted incarnation since then. */
+  readonly reports: number
+}
 
 /** One incarnation of the endpoint: the time from a start of its process to the next start. */
 interface IIncarnation {
   readonly record: IEndpointRecord
   readonly sequence: number
   readonly reportedAt: Timestamp
+  /** Undefined if nothing contradicts that the incarnation is running. */
+  readonly doubt?: IDoubt
 }
 
-/** Accepts each report once, in order, and only from the newest incarnation. The phase never goes back within an incarnation. */
+/**
+ * Accepts each report once, in order, and only from the newest incarnation. The phase never goes back within an incarnation. The table
+ * of all cases is in docs/DESIGN.md, "Incarnations of an endpoint".
+ */
 export class LocalEndpoint implements ILocalEndpoint {
   private readonly _onChanged = new Emitter<IEndpointRecord>()
   private _incarnation: IIncarnation | undefined
-  /** Incarnation that deregistered before this process knew of it; neither the row of an earlier process nor a report reactivates it. */
-  private _deregisteredIncarnation: Pick<IEndpointRecord, 'id' | 'bornAt'> | undefined
+  /** Incarnations that deregistered, the latest last; neither the row of an earlier process nor a report reactivates them. */
+  private readonly _deregistered: IncarnationId[] = []
   private _hasReportWaitExpired = false
   /** Last report that appeared to come from an earlier incarnation. */
   private _lastOutdatedReport: IEndpointReport | undefined
@@ -35,6 +56,11 @@
     return this._incarnation?.record
   }
 
+  /** True while another incarnation with the same ID has left and the known one has not shown that it is running. */
+  public get isDoubted (): boolean {
+    return this._incarnation?.doubt !== undefined
+  }
+
   /** Time of the last report; undefined if the endpoint has not reported to this process. */
   public get reportedAt (): Timestamp | undefined {
     const incarnation = this._incarnation
@@ -75,8 +101,10 @@
     const current = this._incarnation
     if (current !== undefined) {
       const order = compareIncarnations(report, current.record)
-      if (order < 0 && !this._supersedes(report, current, now)) return 'outdated'
-      if (order === 0 && report.sequence <= current.sequence) return 'outdated'
+      if (order < 0 && !this._supersedes(report, current, now)) {
+        return report.phase === 'draining' ? this._recordDoubt(current, report, now) : 'outdated'
+      }
+      if (order === 0 && report.sequence <= current.sequence) return this._applyLateDrain(current, report)
       if (order === 0) return this._update(current, report, now)
     }
     const phase = this._hasDeregistered(report) ? 'gone' : report.phase
@@ -88,8 +116,9 @@
     const current = this._incarnation
     const order = current === undefined ? 1 : compareIncarnations({ id, bornAt }, current.record)
     // A deregistration without start time may be a delayed message from an incarnation long before the current one.
-    if (current === undefined || (order > 0 && bornAt > 0)) this._deregisteredIncarnation = { id, bornAt }
-    if (current === undefined || order !== 0) return 'outdated'
+    if (current === undefined || (order !== 0 && bornAt > 0)) this._rememberDeregistered({ id, bornAt })
+    if (current === undefined) return 'accepted'
+    if (order !== 0) return this._recordDoubt(current, { id, bornAt }, now)
     if (current.record.phase !== 'gone') this._replace({ ...current, record: { ...current.record, phase: 'gone' }, reportedAt: now }, 'deregistered')
     return 'accepted'
   }
@@ -99,9 +128,36 @@
     return this._hasReportWaitExpired && record.phase === 'serving' ? { ...record, phase: 'silent' } : record
   }
 
-  private _hasDeregistered (incarnation: Pick<IEndpointRecord, 'id' | 'bornAt'>): boolean {
-    const deregistered = this._deregisteredIncarnation
-    return deregistered?.id === incarnation.id && compareIncarnations(incarnation, deregistered) <= 0
+  private _hasDeregistered (incarnation: IncarnationId): boolean {
+    return this._deregistered.some((deregistered) => {
+      return deregistered.id === incarnation.id && compareIncarnations(incarnation, deregistered) <= 0
+    })
+  }
+
+  private _rememberDeregistered (incarnation: IncarnationId): void {
+    this._deregistered.push(incarnation)
+    if (this._deregistered.length > MAXIMUM_DEREGISTERED) this._deregistered.shift()
+  }
+
+  /**
+   * Another incarnation with the ID of the current one leaves. Either it is the newer one, and the current one has ended, or its message
+   * is a late one. The current one gets no requests until it has shown that it is running. A message with another ID says nothing about
+   * the current one, since an endpoint does not run requests that are addressed to another ID.
+   */
+  private _recordDoubt (current: IIncarnation, leaving: IncarnationId, now: Timestamp): ReportOutcome {
+    if (leaving.id !== current.record.id) return 'outdated'
+    if (current.record.phase === 'draining' || current.record.phase === 'gone') return 'accepted'
+    const record: IEndpointRecord = { ...current.record, phase: 'silent' }
+    this._replace({ ...current, record, doubt: { since: now, reports: 0 } }, 'contradicted')
+    return 'accepted'
+  }
+
+  /** Applies a draining phase from a report that arrived after a later one: the phase of an incarnation never goes back. */
+  private _applyLateDrain (current: IIncarnation, report: IEndpointReport): ReportOutcome {
+    const phase = laterPhase(current.record.phase, report.phase)
+    if (report.phase !== 'draining' || phase === current.record.phase) return 'outdated'
+    this._replace({ ...current, record: { ...current.record, phase } }, 'reported')
+    return 'accepted'
   }
 
   /**
@@ -118,9 +174,10 @@
 
   /** Applies a later report of the same incarnation. */
   private _update (current: IIncarnation, report: IEndpointReport, now: Timestamp): ReportOutcome {
-    const phase = laterPhase(current.record.phase, report.phase)
+    const doubt = remainingDoubt(current.doubt, now)
+    const phase = doubt !== undefined && report.phase === 'serving' ? 'silent' : laterPhase(current.record.phase, report.phase)
     const record = toRecord(report, phase)
-    const next = { record, sequence: report.sequence, reportedAt: now }
+    const next = { record, sequence: report.sequence, reportedAt: now, doubt }
     if (isEquivalent(record, current.record)) this._incarnation = { ...next, record: current.record }
     else this._replace(next, 'reported')
     return 'accepted'
@@ -144,6 +201,14 @@
   }
 }
 
+/** The doubt after a further report of the incarnation; undefined if the incarnation has shown that it is running. */
+function remainingDoubt (doubt: IDoubt | undefined, now: Timestamp): IDoubt | undefined {
+  if (doubt === undefined) return undefined
+  const reports = doubt.reports + 1
+  const isOver = reports >= REPORTS_OF_A_RUNNING_ENDPOINT && now - doubt.since >= DOUBTED_FOR_MS
+  return isOver ? undefined : { ...doubt, reports }
+}
+
 const PHASE_ORDER: readonly EndpointPhase[] = ['silent', 'serving', 'draining', 'gone']
 
 function laterPhase (left: EndpointPhase, right: EndpointPhase): EndpointPhase {
@@ -154,7 +219,7 @@
  * Negative if `left` belongs to an earlier incarnation than `right`, 0 if to the same one, positive if to a later one. If a start
  * time is unknown, a different id means a later incarnation, since only a running endpoint reports.
  */
-function compareIncarnations (left: Pick<IEndpointRecord, 'id' | 'bornAt'>, right: Pick<IEndpointRecord, 'id' | 'bornAt'>): number {
+function compareIncarnations (left: IncarnationId, right: IncarnationId): number {
   const areStartTimesKnown = left.bornAt > 0 && right.bornAt > 0
   if (areStartTimesKnown && left.bornAt !== right.bornAt) return left.bornAt - right.bornAt
   return left.id === right.id ? 0 : 1
