Rename the event of a refused request body, whose name was taken

Event 9417 had the name `body-refused` and the constant BODY_REFUSED, both of which event 5010 of src/distribution has already. Now `request-body-refused`.

--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -57,7 +57,7 @@
 export const CALL_TRIED = define(9414, 'call-tried', 'info', 'A quarantined request is sent to the local endpoint as a trial. If the endpoint executes it to its end, call-cleared follows.')
 export const CALL_CLEARED = define(9415, 'call-cleared', 'info', 'An endpoint has executed a request with this fingerprint to its end, so its earlier crashes had another cause. Identical requests are served again.')
 
-export const BODY_REFUSED = define(9417, 'body-refused', 'warn', 'The body of a request did not fit into the memory for request bodies; the request was refused as not run. The field decidedBy states whether its stated length or the bytes received so far decided it; bytes is that number, heldBytes the memory of all other bodies, limitBytes the limit of all bodies.')
+export const REQUEST_BODY_REFUSED = define(9417, 'request-body-refused', 'warn', 'The body of a request did not fit into the memory for request bodies; the request was refused as not run. The field decidedBy states whether its stated length or the bytes received so far decided it; bytes is that number, heldBytes the memory of all other bodies, limitBytes the limit of all bodies.')
 
 export const MESH_EVENTS: readonly IEventDefinition[] = Object.freeze([
   NODE_STARTED, NODE_STARTING, NODE_STOPPING, NODE_STOPPED, SETTINGS_RELOADED, SETTINGS_REJECTED, PROCESS_DELAYED,
@@ -69,5 +69,5 @@
   REGISTRATION_STORED, REGISTRATION_FAILED,
   CALL_FINISHED, CALL_RETRIED, CALL_SETTLED, CALL_REFUSED_AT_GATE, RESPONSE_MALFORMED, CALLER_MALFORMED, NODE_SUSPECT, NODE_TRUSTED,
   CALL_NOT_RETRIED, CALL_UNROUTED, CALL_ABANDONED, CALL_SUSPECTED, CALL_QUARANTINED, CALL_TRIED, CALL_CLEARED, RESPONSE_DROPPED,
-  BODY_REFUSED
+  REQUEST_BODY_REFUSED
 ])
--- a/src/mesh/exchange/RequestBodyReader.ts
+++ b/src/mesh/exchange/RequestBodyReader.ts
@@ -4,7 +4,7 @@
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { Milliseconds, Timestamp } from '../../common/Types.js'
 import type { HttpInbound } from '../../gate/HttpInbound.js'
-import { BODY_REFUSED } from '../Events.js'
+import { REQUEST_BODY_REFUSED } from '../Events.js'
 import type { BodyReservation, RequestBodyBudget } from './RequestBodyBudget.js'
 
 /** Dependencies of `RequestBodyReader`. */
@@ -54,7 +54,7 @@
 
   private _refuse (bytes: number, decidedBy: string, requestId: string | undefined): BodyReadResult {
     const { budget, log, step } = this._options
-    log.log(BODY_REFUSED, { step, request: requestId, bytes, decidedBy, heldBytes: budget.bytes, limitBytes: budget.limit })
+    log.log(REQUEST_BODY_REFUSED, { step, request: requestId, bytes, decidedBy, heldBytes: budget.bytes, limitBytes: budget.limit })
     return { kind: 'no-memory' }
   }
 
