--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -201,6 +201,12 @@
     }
   })
 
+  it('gets requests at once if a later incarnation that has not deregistered reports while the known one is doubted', () => {
+    endpoint.report(report('a', 10, 5), NOW)
+    endpoint.deregister('a' as EndpointId, 20, NOW)
+    expect([endpoint.report(report('a', 30, 1), NOW), endpoint.record?.phase, endpoint.isDoubted]).to.deep.equal(['accepted', 'serving', false])
+  })
+
   it('gets no requests from a single late report of an incarnation that is doubted, nor from a repeated one', () => {
     endpoint.report(report('a', 10, 5), NOW)
     endpoint.deregister('a' as EndpointId, 20, NOW)
--- a/src/mesh/exchange/HttpExchange.ts
+++ b/src/mesh/exchange/HttpExchange.ts
@@ -36,7 +36,7 @@
   /** The request was sent, at least in part, and its response is lost. */
   | { readonly kind: 'broken', readonly reason: string }
 
-/** Maximum size of a request or response body; both are buffered completely. A larger response breaks its exchange. */
+/** Default maximum size of a response body, in bytes; responses are buffered completely. A larger response breaks its exchange. */
 export const MAXIMUM_BODY_BYTES = 16_777_216
 /** Maximum number of interim (1xx) responses; more of them break the exchange. */
 const MAXIMUM_INTERIM_RESPONSES = 16
