Log which caller service a node states, and where it has it from

No line told which name went to the endpoints, nor whether the node had it from its settings, a report of its endpoint or its stored row. call-finished now has callerService and callerServiceFrom; node-starting and settings-reloaded have the service of the settings.

--- a/src/mesh/Events.ts
+++ b/src/mesh/Events.ts
@@ -6,10 +6,10 @@
 }
 
 export const NODE_STARTED = define(9001, 'node-started', 'info', 'The node has the newest configuration and the node table, and accepts requests. The field source names where it received them from.')
-export const NODE_STARTING = define(9002, 'node-starting', 'info', 'The process has opened its ports and is loading the configuration; until the configuration is known, every request gets 503.')
+export const NODE_STARTING = define(9002, 'node-starting', 'info', 'The process has opened its ports and is loading the configuration; until the configuration is known, every request gets 503. The field service is the service of the VM according to the settings.')
 export const NODE_STOPPING = define(9003, 'node-stopping', 'info', 'A planned stop has started. The readiness check fails at once; requests are still served until none is left or the time limit of the stop expires.')
 export const NODE_STOPPED = define(9004, 'node-stopped', 'info', 'The planned stop has finished. The field unfinished counts the requests that were aborted.')
-export const SETTINGS_RELOADED = define(9005, 'settings-reloaded', 'info', 'The settings file was read again after SIGHUP. Settings that are only read at process start keep their old value.')
+export const SETTINGS_RELOADED = define(9005, 'settings-reloaded', 'info', 'The settings file was read again after SIGHUP. Settings that are only read at process start keep their old value. The field service is the service of the VM according to the settings.')
 export const SETTINGS_REJECTED = define(9006, 'settings-rejected', 'error', 'The settings file could not be read after SIGHUP; the previous settings stay in effect. Correct the file and send SIGHUP again.')
 export const PROCESS_DELAYED = define(9007, 'process-delayed', 'warn', 'The event loop was blocked for the time in the field lateMs. If processorMs is about as long, the process itself used the CPU for that time, over the number of event loop iterations in the field turns; if processorMs is short, the CPU was busy with other processes or the process was suspended.')
 
@@ -39,7 +39,7 @@
 export const REGISTRATION_STORED = define(9305, 'registration-stored', 'info', 'The store contains the current row of this node.')
 export const REGISTRATION_FAILED = define(9306, 'registration-failed', 'warn', 'The row of this node could not be written; the write is retried until it succeeds. Logged only for the first of consecutive failures.')
 
-export const CALL_FINISHED = define(9401, 'call-finished', 'info', 'A request of a caller has its final response. The fields give the route, the configuration, the endpoint of the last attempt, the outcome and the duration in milliseconds; leftAfterMs is the time until the caller disconnected, if it did.')
+export const CALL_FINISHED = define(9401, 'call-finished', 'info', 'A request of a caller has its final response. The fields give the route, the configuration, the endpoint of the last attempt, the outcome and the duration in milliseconds; callerService is the service that the endpoint was told as the caller, callerServiceFrom where this node has it from: its settings, a report of its endpoint, or its stored row; leftAfterMs is the time until the caller disconnected, if it did.')
 export const CALL_RETRIED = define(9402, 'call-repeated', 'info', 'An attempt failed or takes longer than expected, and the request is sent to another endpoint. The fields give the endpoint and the outcome of the attempt.')
 export const CALL_SETTLED = define(9403, 'call-settled', 'info', 'An attempt got no response in the expected time or its connection broke, and its node was queried for the state of the attempt.')
 export const CALL_REFUSED_AT_GATE = define(9404, 'call-refused-at-gate', 'info', 'The node of the endpoint refused an attempt; the attempt did not run and never will. The fields afterMs and turns give the time and the number of event loop iterations since the attempt was read.')
--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -99,6 +99,20 @@
   readonly onChanged: IEvent<IEndpointRecord>
 }
 
+/** Where a node has the service of its VM from. */
+export type LocalServiceSource =
+  | 'settings'
+  /** A report that the endpoint sent to this process. */
+  | 'report'
+  /** The row that an earlier process of this node stored. */
+  | 'stored-row'
+
+/** The service of the VM, which endpoints are told with each request that begins there. */
+export interface ILocalService {
+  readonly name: string
+  readonly source: LocalServiceSource
+}
+
 /** Maintains this node's row in the node table. */
 export interface IRegistrationService {
   /** Resolves when the store contains the current row of this node, or after `limit`. */
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -13,7 +13,7 @@
 import type { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
 import { RequestBodyReader } from '../exchange/RequestBodyReader.js'
 import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
-import type { IConfigurationService, IMessageFormat, IStopBounds } from '../Services.js'
+import type { IConfigurationService, ILocalService, IMessageFormat, IStopBounds } from '../Services.js'
 import type { ICallerLimits, IMeshRoute } from '../Types.js'
 import type { WeightedSplit } from '../configuration/WeightedSplit.js'
 import { CallTermination } from './CallTermination.js'
@@ -31,8 +31,7 @@
   readonly isReady: () => boolean
   /** When the view was last confirmed by the store or by a node that reads the store. */
   readonly viewConfirmedAt: () => Timestamp
-  /** Service that runs on this VM. */
-  readonly callerService: () => string
+  readonly localService: () => ILocalService
   readonly log: ILogService
   readonly metrics: IMetricsService
   /** Limits the memory of responses that callers have not read. */
@@ -187,11 +186,12 @@
 
   private async _route (accepted: IAcceptedRequest): Promise<void> {
     const { message, response, inbound, route, requestId, body, arrivedAt, deadlineAt } = accepted
+    const localService = this._options.localService()
     const task = new CallTask(this._options, {
       route,
       service: this._options.split.choose(route),
       callerRequestId: requestId,
-      callerService: this._options.callerService(),
+      callerService: localService.name,
       method: inbound.method,
       path: inbound.path,
       fields: this._options.format.forwardedFields(message.headers),
@@ -206,7 +206,7 @@
     const result = await this._termination.resultOf(task.run())
     subscription.dispose()
     if (inbound.isCancelled) disconnectedAt ??= this._options.clock.now()
-    this._logResult(route, requestId, task, result, arrivedAt, disconnectedAt)
+    this._logResult(accepted, localService, task, result, disconnectedAt)
     this._writeResult(message, response, requestId, result)
   }
 
@@ -325,7 +325,8 @@
   }
 
   private _logResult (
-    route: IMeshRoute, requestId: string | undefined, task: CallTask, result: CallResult, arrivedAt: Timestamp, disconnectedAt?: Timestamp
+    { route, requestId, arrivedAt }: IAcceptedRequest, localService: ILocalService, task: CallTask, result: CallResult,
+    disconnectedAt: Timestamp | undefined
   ): void {
     const { clock, configuration, directory, log, viewConfirmedAt } = this._options
     const now = clock.now()
@@ -336,6 +337,8 @@
       step: 'caller.answer',
       request: requestId,
       route: route.name,
+      callerService: localService.name,
+      callerServiceFrom: localService.source,
       configuration: configuration.version,
       viewPosition: directory.position,
       viewAgeMs: now - viewConfirmedAt(),
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -55,7 +55,7 @@
 
   /** Resolves when the node serves requests. */
   public async start (): Promise<void> {
-    this._log.log(NODE_STARTING, { step: 'daemon.start' })
+    this._log.log(NODE_STARTING, { step: 'daemon.start', service: this._settings.mesh.service })
     this._starting = this._kernel.start()
     await this._starting
     // The ports are open: reports can reach this process from here on, even before it serves requests.
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -25,7 +25,7 @@
 import { NodeQueries } from '../exchange/NodeQueries.js'
 import { RequestBodyBudget, requestBodyLimit } from '../exchange/RequestBodyBudget.js'
 import { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
-import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
+import { IConfigurationService, IViewService, type ILocalService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
 import { NodeTable } from '../view/NodeTable.js'
 import { ViewService } from '../view/ViewService.js'
 import type { NodeName } from '../Types.js'
@@ -245,7 +245,7 @@
       crashes: kernel.get(MESH_KEY.crashes),
       isReady: isServing,
       viewConfirmedAt: () => kernel.get(IViewService).confirmedAt,
-      callerService: () => kernel.get(MESH_KEY.endpoint).record?.service ?? settings().mesh.service
+      localService: () => localServiceOf(kernel.get(MESH_KEY.endpoint), settings())
     })
   })
 }
@@ -299,6 +299,11 @@
   return bodies
 }
 
+function localServiceOf ({ record, reportedAt }: LocalEndpoint, { mesh }: IMeshSettings): ILocalService {
+  if (record === undefined) return { name: mesh.service, source: 'settings' }
+  return { name: record.service, source: reportedAt === undefined ? 'stored-row' : 'report' }
+}
+
 /** The foundation services, and the identity of this node. */
 function commonOf (kernel: IKernel, { mesh }: IMeshSettings): IFoundation & { readonly self: INodeIdentity } {
   return { ...foundationOf(kernel), self: { name: mesh.node, failureDomain: mesh['failure-domain'], region: mesh.region } }
--- a/src/mesh/daemon/Run.ts
+++ b/src/mesh/daemon/Run.ts
@@ -43,8 +43,9 @@
 
 function reload (daemon: MeshDaemon, file: string, log: ILogService): void {
   try {
-    daemon.reload(readMeshSettings(file))
-    log.log(SETTINGS_RELOADED, { step: 'daemon.reload', file })
+    const settings = readMeshSettings(file)
+    daemon.reload(settings)
+    log.log(SETTINGS_RELOADED, { step: 'daemon.reload', file, service: settings.mesh.service })
   } catch (error) {
     log.log(SETTINGS_REJECTED, { step: 'daemon.reload', file, reason: String(error) })
   }
