--- a/src/common/IniValues.ts
+++ b/src/common/IniValues.ts
@@ -40,6 +40,11 @@
   return schemaWithDefault.meta({ ...meta }) as unknown as z.ZodType<TValue>
 }
 
+/** Makes a key optional. */
+export function optionalValue<TValue> (schema: z.ZodType<TValue>): z.ZodType<TValue | undefined> {
+  return schema.optional().meta({ ...describeValue(schema), isOptional: true })
+}
+
 /** Metadata of a schema created by `textValue`. */
 export function describeValue (schema: z.ZodType): IValueMeta {
   return schema.meta() as unknown as IValueMeta
--- a/src/daemon/settings/SettingsSchema.ts
+++ b/src/daemon/settings/SettingsSchema.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod'
 import type { EventLevel } from '../../common/Services.js'
 import type { FailureDomain, NetworkAddress, Region, ServiceName } from '../../common/Types.js'
-import { choiceValue, countValue, describeValue, durationValue, nameValue, sizeValue, textValue } from '../../common/IniValues.js'
+import { choiceValue, countValue, durationValue, nameValue, optionalValue, sizeValue, textValue } from '../../common/IniValues.js'
 
 const SECOND_MS = 1_000
 const MINUTE_MS = 60 * SECOND_MS
@@ -29,11 +29,6 @@
   return isValid ? text as NetworkAddress : undefined
 }
 
-/** Makes a key optional. */
-function optional<TValue> (schema: z.ZodType<TValue>): z.ZodType<TValue | undefined> {
-  return schema.optional().meta({ ...describeValue(schema), isOptional: true })
-}
-
 function parseUrl (text: string): string | undefined {
   const url = URL.parse?.(text) ?? safeUrl(text)
   if (url === null || !['http:', 'https:'].includes(url.protocol)) return undefined
@@ -77,7 +72,7 @@
     { description: 'embedded: inside this process, for one machine; http: the platform\'s table service and object store.' },
     ['embedded', 'http']
   ),
-  url: optional(textValue({ description: 'Address of the platform, for kind http.' }, 'a URL such as http://10.0.0.2:7500', parseUrl)),
+  url: optionalValue(textValue({ description: 'Address of the platform, for kind http.' }, 'a URL such as http://10.0.0.2:7500', parseUrl)),
   timeout: durationValue({ description: 'Maximum wait for a response of the platform.', default: '2 s' }, { minimum: 10, maximum: MINUTE_MS })
 })
 
@@ -90,9 +85,9 @@
 
 export const TLS_SECTION = z.strictObject({
   mode: choiceValue({ description: 'on: certificates on all ports of nodes and operators; off: plaintext, on loopback only.' }, ['on', 'off']),
-  certificate: optional(textValue({ description: 'Certificate of this node in PEM, for mode on.' }, 'a file name', parseFile)),
-  key: optional(textValue({ description: 'Key of the certificate in PEM, for mode on.' }, 'a file name', parseFile)),
-  authority: optional(textValue({ description: 'Certificate in PEM of the authority that signs all node and operator certificates, for mode on.' }, 'a file name', parseFile))
+  certificate: optionalValue(textValue({ description: 'Certificate of this node in PEM, for mode on.' }, 'a file name', parseFile)),
+  key: optionalValue(textValue({ description: 'Key of the certificate in PEM, for mode on.' }, 'a file name', parseFile)),
+  authority: optionalValue(textValue({ description: 'Certificate in PEM of the authority that signs all node and operator certificates, for mode on.' }, 'a file name', parseFile))
 })
 
 export const LOG_SECTION = z.strictObject({
--- a/src/documents/DocumentSchema.ts
+++ b/src/documents/DocumentSchema.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 import type { ServiceName, TeamName } from '../common/Types.js'
 import {
-  choiceValue, countValue, describeValue, durationValue, flagValue, nameValue, percentValue, sizeValue, textValue
+  choiceValue, countValue, durationValue, flagValue, nameValue, optionalValue, percentValue, sizeValue, textValue
 } from '../common/IniValues.js'
 import type { IResourceReference, RouteIdempotency, RequestClass } from './Types.js'
 import { parseMethod, parsePath, parseReference } from './RoutePattern.js'
@@ -32,8 +32,7 @@
 
 /** An optional reference. */
 function optionalReference (description: string): z.ZodType<IResourceReference | undefined> {
-  const schema = reference(description)
-  return schema.optional().meta({ ...describeValue(schema), isOptional: true })
+  return optionalValue(reference(description))
 }
 
 export const SERVICE_SECTION = z.strictObject({
