The settings decide which service a VM runs, not a message

What callers saw: nothing; endpoints got requests with a caller service that no VM runs (UNASKED). Cause: a node took the service, address, slots and phase of its endpoint from any heartbeat that it could decode, and from its own stored row, and stated that service as the caller of all requests that began there. Class: a node believes of itself what a message says, although it has an authority of its own. Why it works: the caller service is that of the settings. A report or stored record with another service or address than the settings name is refused with 400 before it can touch anything, so that nothing is acknowledged and nothing changes. Settings may change without a signal, so a contradiction reads them again, at most once a second, before it counts. If the settings name no service, it must be one of the configuration; until the VM's service is known, requests are refused as not run.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -83,12 +83,20 @@
   addPeerAddress (address: string): void
 }
 
-/** Whether an endpoint's report was accepted. */
-export type ReportOutcome = 'accepted' | 'outdated'
+/** Decides whose endpoint a message describes. */
+export interface IEndpointAuthority {
+  /** Why the endpoint cannot be the one of this VM; undefined if it can be. */
+  faultOf (endpoint: Pick<IEndpointRecord, 'service' | 'address'>): string | undefined
+}
+
+/** Whether an endpoint's report was accepted. `foreign`: it does not describe the endpoint of this VM and had no effect. */
+export type ReportOutcome = 'accepted' | 'outdated' | 'foreign'
 
 /** The local endpoint: the one on the same VM as this node. */
 export interface ILocalEndpoint {
   readonly record: IEndpointRecord | undefined
+  /** Time of the last report; undefined if the endpoint has not reported to this process. */
+  readonly reportedAt: Timestamp | undefined
   /** True while it is uncertain whether the endpoint with this record has ended. */
   readonly isDoubted: boolean
   /** Restores the record that an earlier process of this node published. */
@@ -109,7 +117,7 @@
 
 /** The service of the VM, which endpoints are told with each request that begins there. */
 export interface ILocalService {
-  readonly name: string
+  readonly name: ServiceName
   readonly source: LocalServiceSource
 }
 
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -31,7 +31,8 @@
   readonly isReady: () => boolean
   /** When the view was last confirmed by the store or by a node that reads the store. */
   readonly viewConfirmedAt: () => Timestamp
-  readonly localService: () => ILocalService
+  /** Undefined while the service of this VM is not known. */
+  readonly localService: () => ILocalService | undefined
   readonly log: ILogService
   readonly metrics: IMetricsService
   /** Limits the memory of responses that callers have not read. */
@@ -172,7 +173,9 @@
       // A planned stop may have started or reached its next step while the body was being received.
       const deadlineAt = this._deadlineOf(latestAt)
       if (deadlineAt === undefined) return this._refuseUnavailable(message, response, requestId)
-      await this._route({ message, response, inbound, route, requestId, body: body.content, arrivedAt, deadlineAt })
+      const localService = this._options.localService()
+      if (localService === undefined) return this._refuseUnavailable(message, response, requestId)
+      await this._route({ message, response, inbound, route, requestId, body: body.content, arrivedAt, deadlineAt, localService })
     } finally {
       body.release()
     }
@@ -185,8 +188,7 @@
   }
 
   private async _route (accepted: IAcceptedRequest): Promise<void> {
-    const { message, response, inbound, route, requestId, body, arrivedAt, deadlineAt } = accepted
-    const localService = this._options.localService()
+    const { message, response, inbound, route, requestId, body, arrivedAt, deadlineAt, localService } = accepted
     const task = new CallTask(this._options, {
       route,
       service: this._options.split.choose(route),
@@ -206,7 +208,7 @@
     const result = await this._termination.resultOf(task.run())
     subscription.dispose()
     if (inbound.isCancelled) disconnectedAt ??= this._options.clock.now()
-    this._logResult(accepted, localService, task, result, disconnectedAt)
+    this._logResult(accepted, task, result, disconnectedAt)
     this._writeResult(message, response, requestId, result)
   }
 
@@ -325,8 +327,7 @@
   }
 
   private _logResult (
-    { route, requestId, arrivedAt }: IAcceptedRequest, localService: ILocalService, task: CallTask, result: CallResult,
-    disconnectedAt: Timestamp | undefined
+    { route, requestId, arrivedAt, localService }: IAcceptedRequest, task: CallTask, result: CallResult, disconnectedAt?: Timestamp
   ): void {
     const { clock, configuration, directory, log, viewConfirmedAt } = this._options
     const now = clock.now()
@@ -365,6 +366,8 @@
   readonly body: Buffer | undefined
   readonly arrivedAt: Timestamp
   readonly deadlineAt: Timestamp
+  /** Service of this VM when the request was accepted. */
+  readonly localService: ILocalService
 }
 
 const NO_FIELDS: readonly string[] = Object.freeze([])
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -4,7 +4,8 @@
 import type { IClockService, ILogService } from '../../common/Services.js'
 import type { EndpointId, IDisposable, Milliseconds, Timestamp } from '../../common/Types.js'
 import type { RowKey, RowRevision } from '../../platform/Types.js'
-import { ENDPOINT_REPORT_IGNORED, NODE_STARTED, NODE_STARTING, NODE_STOPPED, NODE_STOPPING } from '../Events.js'
+import { ENDPOINT_REPORT_IGNORED, NODE_STARTED, NODE_STARTING, NODE_STOPPED, NODE_STOPPING, SETTINGS_RELOADED } from '../Events.js'
+import { ForeignReportError } from '../MeshErrors.js'
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl } from '../Services.js'
 import type { IEndpointReport } from '../Types.js'
 import { firstReportWait, registerMesh } from './MeshServices.js'
@@ -18,18 +19,25 @@
   readonly adapter: IMeshAdapter
   readonly log: ILogService
   readonly clock?: IClockService
+  /** Reads the settings again, which may change without notice; undefined if they cannot be read. By default they do not change. */
+  readonly readSettings?: () => IMeshSettings | undefined
 }
 
 /** Maximum time that the acknowledgement of a draining or deregistering endpoint waits for the store. */
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 500 as Milliseconds
 const STOP_CHECK_INTERVAL_MS = 50 as Milliseconds
+/** Minimum time between two reads of the settings because of reports that contradict them. */
+const SETTINGS_READ_INTERVAL_MS = 1_000
 
 /** Starts and stops the components of one mesh node. */
 export class MeshDaemon implements INodeControl {
   private readonly _kernel = new Kernel()
   private readonly _log: ILogService
   private readonly _clock: IClockService
+  private readonly _readSettings: () => IMeshSettings | undefined
   private _settings: IMeshSettings
+  /** When a report that contradicts the settings last caused them to be read again. */
+  private _settingsReadAt = -Infinity
   private _isServing = false
   private _reportWait: IDisposable | undefined
   private _starting: Promise<void> | undefined
@@ -37,8 +45,9 @@
   /** When a readiness probe first got the response that the node is stopping. */
   private _notReadyReportedAt: Timestamp | undefined
 
-  constructor ({ settings, adapter, log, clock = new ClockService() }: IMeshDaemonOptions) {
+  constructor ({ settings, adapter, log, clock = new ClockService(), readSettings = () => undefined }: IMeshDaemonOptions) {
     this._settings = settings
+    this._readSettings = readSettings
     this._log = log
     this._clock = clock
     registerMesh(this._kernel, { adapter, log, clock, settings: () => this._settings, control: this, isServing: () => this._isServing })
@@ -70,8 +79,13 @@
     })
   }
 
+  /** Rejects with `ForeignReportError` if the report does not describe the endpoint of this VM. */
   public async report (report: IEndpointReport): Promise<void> {
-    const outcome = this._kernel.get(MESH_KEY.endpoint).report(report, this._clock.now())
+    const now = this._clock.now()
+    const endpoint = this._kernel.get(MESH_KEY.endpoint)
+    let outcome = endpoint.report(report, now)
+    if (outcome === 'foreign' && this._reloadAfterContradiction(now)) outcome = endpoint.report(report, now)
+    if (outcome === 'foreign') throw this._toForeignReportError(report)
     if (outcome === 'outdated') this._logOutdated(report.id, report.bornAt, report.sequence)
     if (report.phase === 'draining') await this._kernel.get(MESH_KEY.registration).waitUntilStored(ACKNOWLEDGEMENT_TIMEOUT_MS)
   }
@@ -85,6 +99,8 @@
   /** Replaces the settings that may change while the process runs. */
   public reload (settings: IMeshSettings): void {
     this._settings = settings
+    this._log.log(SETTINGS_RELOADED, { step: 'daemon.reload', service: settings.mesh.service, endpointAddress: settings.mesh['endpoint-address'] })
+    this._kernel.get(MESH_KEY.endpoint).applySettings()
   }
 
   /** Fails readiness probes at once, keeps serving until callers have switched to other nodes, then stops all components. */
@@ -128,6 +144,23 @@
     return this._kernel.get(MESH_KEY.callerPort).inFlight + this._kernel.get(MESH_KEY.gateServer).inFlight
   }
 
+  /** Reads the settings again, which may have changed before the endpoint did. Returns true if they were read. */
+  private _reloadAfterContradiction (now: Timestamp): boolean {
+    if (now - this._settingsReadAt < SETTINGS_READ_INTERVAL_MS) return false
+    this._settingsReadAt = now
+    const settings = this._readSettings()
+    if (settings === undefined) return false
+    const { mesh } = this._settings
+    const isChanged = settings.mesh.service !== mesh.service || settings.mesh['endpoint-address'] !== mesh['endpoint-address']
+    if (isChanged) this.reload(settings)
+    return isChanged
+  }
+
+  private _toForeignReportError (report: IEndpointReport): ForeignReportError {
+    const fault = this._kernel.get(MESH_KEY.authority).faultOf(report)
+    return new ForeignReportError(`report of ${report.id} is not from the endpoint of this VM: ${fault}`, { step: 'endpoint.report', peer: report.id })
+  }
+
   private _logOutdated (id: EndpointId, bornAt: number, sequence?: number): void {
     const present = this._kernel.get(MESH_KEY.endpoint).record?.id
     this._log.log(ENDPOINT_REPORT_IGNORED, {
--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -18,14 +18,16 @@
 import { ConfigurationService } from '../configuration/ConfigurationService.js'
 import { WeightedSplit } from '../configuration/WeightedSplit.js'
 import { CrashRegistry } from '../crashes/CrashRegistry.js'
+import { EndpointAuthority } from '../endpoint/EndpointAuthority.js'
 import { EndpointGate } from '../endpoint/EndpointGate.js'
 import { GateServer } from '../endpoint/GateServer.js'
 import { LocalEndpoint } from '../endpoint/LocalEndpoint.js'
+import { localServiceOf } from '../endpoint/LocalService.js'
 import { RegistrationService } from '../endpoint/RegistrationService.js'
 import { NodeQueries } from '../exchange/NodeQueries.js'
 import { RequestBodyBudget, requestBodyLimit } from '../exchange/RequestBodyBudget.js'
 import { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
-import { IConfigurationService, IViewService, type ILocalService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
+import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
 import { NodeTable } from '../view/NodeTable.js'
 import { ViewService } from '../view/ViewService.js'
 import type { NodeName } from '../Types.js'
@@ -161,7 +163,19 @@
 
 function registerEndpoint (kernel: IKernel, { adapter, settings }: IMeshServicesOptions): void {
   const { mesh } = settings()
-  kernel.register({ key: MESH_KEY.endpoint, dependsOn: FOUNDATION, create: () => new LocalEndpoint(kernel.get(ILogService)) })
+  kernel.register({
+    key: MESH_KEY.authority,
+    dependsOn: [IConfigurationService],
+    create: () => new EndpointAuthority({
+      expected: () => ({ service: settings().mesh.service, address: settings().mesh['endpoint-address'] }),
+      configuration: kernel.get(IConfigurationService)
+    })
+  })
+  kernel.register({
+    key: MESH_KEY.endpoint,
+    dependsOn: [...FOUNDATION, MESH_KEY.authority],
+    create: () => new LocalEndpoint({ authority: kernel.get(MESH_KEY.authority), log: kernel.get(ILogService) })
+  })
   kernel.register({
     key: MESH_KEY.registration,
     dependsOn: [MESH_KEY.endpoint, MESH_KEY.nodes, MESH_KEY.crashes, MESH_KEY.store],
@@ -245,7 +259,7 @@
       crashes: kernel.get(MESH_KEY.crashes),
       isReady: isServing,
       viewConfirmedAt: () => kernel.get(IViewService).confirmedAt,
-      localService: () => localServiceOf(kernel.get(MESH_KEY.endpoint), settings())
+      localService: () => localServiceOf(settings().mesh.service, kernel.get(MESH_KEY.endpoint))
     })
   })
 }
@@ -299,11 +313,6 @@
   return bodies
 }
 
-function localServiceOf ({ record, reportedAt }: LocalEndpoint, { mesh }: IMeshSettings): ILocalService {
-  if (record === undefined) return { name: mesh.service, source: 'settings' }
-  return { name: record.service, source: reportedAt === undefined ? 'stored-row' : 'report' }
-}
-
 /** The foundation services, and the identity of this node. */
 function commonOf (kernel: IKernel, { mesh }: IMeshSettings): IFoundation & { readonly self: INodeIdentity } {
   return { ...foundationOf(kernel), self: { name: mesh.node, failureDomain: mesh['failure-domain'], region: mesh.region } }
--- a/src/mesh/daemon/MeshSettings.ts
+++ b/src/mesh/daemon/MeshSettings.ts
@@ -2,9 +2,9 @@
 import { readFileSync } from 'node:fs'
 import { z } from 'zod'
 import { IniSectionReader } from '../../common/IniSectionReader.js'
-import { fractionalDurationValue, numberValue, textValue } from '../../common/IniValues.js'
+import { fractionalDurationValue, numberValue, optionalValue, textValue } from '../../common/IniValues.js'
 import { parseNumber } from '../../common/Units.js'
-import type { FailureDomain, Milliseconds, Region } from '../../common/Types.js'
+import type { FailureDomain, Milliseconds, Region, ServiceName } from '../../common/Types.js'
 import { SettingsError } from '../../daemon/settings/SettingsError.js'
 import { LOG_SECTION, addressValue } from '../../daemon/settings/SettingsSchema.js'
 import type { NodeName } from '../Types.js'
@@ -30,7 +30,10 @@
   node: labelValue<NodeName>('Name of this node; a restarted process has the same name.'),
   'failure-domain': labelValue<FailureDomain>('Failure domain in which this node runs.'),
   region: labelValue<Region>('Region of the failure domain.'),
-  service: textValue({ description: 'Service that runs on this VM, until its endpoint reports one.', default: 'none' }, 'a name', (text) => text),
+  service: optionalValue(labelValue<ServiceName>(
+    'Service that runs on this VM; reports of another one are refused. Without it, the endpoint may report any service of the configuration.'
+  )),
+  'endpoint-address': optionalValue(addressValue('Address of the endpoint on this VM; reports of another one are refused. Without it, the endpoint may report any address.')),
   'caller-address': addressValue('HTTP port for callers on this VM.'),
   'gate-address': addressValue('HTTP port for calls from other nodes.'),
   'peer-address': addressValue('RPC port for the views of other nodes.'),
--- a/src/mesh/daemon/Run.ts
+++ b/src/mesh/daemon/Run.ts
@@ -6,7 +6,7 @@
 import { SavoryknotError } from '../../common/SavoryknotError.js'
 import { EXIT_DONE, EXIT_FAILED } from '../../daemon/ExitCodes.js'
 import { DAEMON_FAILED } from '../../daemon/Events.js'
-import { SETTINGS_REJECTED, SETTINGS_RELOADED } from '../Events.js'
+import { SETTINGS_REJECTED } from '../Events.js'
 import type { IMeshAdapter } from '../Services.js'
 import { MeshDaemon } from './MeshDaemon.js'
 import { readMeshSettings, type IMeshSettings } from './MeshSettings.js'
@@ -24,13 +24,16 @@
   const fields = { node: settings.mesh.node, failureDomain: settings.mesh['failure-domain'] }
   const log = new BoundedLogService(new LogService({ ...settings.log, fields }, outputTransport()), new ClockService())
   try {
-    const daemon = new MeshDaemon({ settings, adapter, log })
+    const daemon = new MeshDaemon({ settings, adapter, log, readSettings: () => readSettings(file, log) })
     const stopped = new Promise<void>((resolve, reject) => {
       const stop = (): void => { daemon.stop().then(resolve, reject) }
       process.on('SIGTERM', stop)
       process.on('SIGINT', stop)
     })
-    process.on('SIGHUP', () => reload(daemon, file, log))
+    process.on('SIGHUP', () => {
+      const changed = readSettings(file, log)
+      if (changed !== undefined) daemon.reload(changed)
+    })
     await Promise.race([daemon.start(), stopped])
     await stopped
     return EXIT_DONE
@@ -41,12 +44,12 @@
   }
 }
 
-function reload (daemon: MeshDaemon, file: string, log: ILogService): void {
+/** Undefined if the file cannot be read or is not valid. */
+function readSettings (file: string, log: ILogService): IMeshSettings | undefined {
   try {
-    const settings = readMeshSettings(file)
-    daemon.reload(settings)
-    log.log(SETTINGS_RELOADED, { step: 'daemon.reload', file, service: settings.mesh.service })
+    return readMeshSettings(file)
   } catch (error) {
     log.log(SETTINGS_REJECTED, { step: 'daemon.reload', file, reason: String(error) })
+    return undefined
   }
 }
--- a/src/mesh/daemon/ServiceKeys.ts
+++ b/src/mesh/daemon/ServiceKeys.ts
@@ -13,6 +13,7 @@
 import type { NodeQueries } from '../exchange/NodeQueries.js'
 import type { RequestBodyBudget } from '../exchange/RequestBodyBudget.js'
 import type { ResponseBufferBudget } from '../exchange/ResponseBufferBudget.js'
+import type { IEndpointAuthority } from '../Services.js'
 import type { NodeTable } from '../view/NodeTable.js'
 
 export const MESH_KEY = Object.freeze({
@@ -22,6 +23,7 @@
   requestBodies: createServiceKey<RequestBodyBudget>('mesh.request-bodies'),
   nodes: createServiceKey<NodeTable>('mesh.nodes'),
   crashes: createServiceKey<CrashRegistry>('mesh.crashes'),
+  authority: createServiceKey<IEndpointAuthority>('mesh.endpoint-authority'),
   endpoint: createServiceKey<LocalEndpoint>('mesh.endpoint'),
   registration: createServiceKey<RegistrationService>('mesh.registration'),
   gate: createServiceKey<EndpointGate>('mesh.gate'),
--- /dev/null
+++ b/src/mesh/endpoint/EndpointAuthority.ts
@@ -0,0 +1,35 @@
+/** Decides whether a report or a stored record can belong to the endpoint of this VM. */
+import type { NetworkAddress, ServiceName } from '../../common/Types.js'
+import type { IConfigurationService, IEndpointAuthority } from '../Services.js'
+import type { IEndpointRecord } from '../Types.js'
+
+/** What the settings of a node state about the endpoint on its VM. */
+export interface IExpectedEndpoint {
+  readonly service?: ServiceName | undefined
+  readonly address?: NetworkAddress | undefined
+}
+
+/** Dependencies of `EndpointAuthority`. */
+export interface IEndpointAuthorityOptions {
+  /** According to the current settings. */
+  readonly expected: () => IExpectedEndpoint
+  readonly configuration: Pick<IConfigurationService, 'current'>
+}
+
+/** The settings take precedence over messages. Where they do not name the service, it has to be one of the configuration in force. */
+export class EndpointAuthority implements IEndpointAuthority {
+  constructor (private readonly _options: IEndpointAuthorityOptions) {}
+
+  public faultOf ({ service, address }: Pick<IEndpointRecord, 'service' | 'address'>): string | undefined {
+    const expected = this._options.expected()
+    if (expected.address !== undefined && address !== expected.address) return `address ${address} is not that of the endpoint, ${expected.address}`
+    if (expected.service === undefined) return this._faultOfUnverifiedService(service)
+    return service === expected.service ? undefined : `service ${service} is not that of the VM, ${expected.service}`
+  }
+
+  private _faultOfUnverifiedService (service: ServiceName): string | undefined {
+    const index = this._options.configuration.current
+    if (index === undefined) return `service ${service} cannot be verified before the configuration is known`
+    return index.configuration.services.has(service) ? undefined : `service ${service} is not in the configuration`
+  }
+}
--- a/src/mesh/endpoint/LocalEndpoint.test.ts
+++ b/src/mesh/endpoint/LocalEndpoint.test.ts
@@ -1,6 +1,7 @@
 /** Reports that are delayed, repeated, reordered, or sent by another incarnation. */
 import { expect } from 'chai'
 import type { EndpointId, Milliseconds, NetworkAddress, ServiceName, Timestamp } from '../../common/Types.js'
+import { ANY_ENDPOINT } from '../../../testing/mesh/AnyEndpoint.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import type { IEndpointReport } from '../Types.js'
 import { LocalEndpoint } from './LocalEndpoint.js'
@@ -25,7 +26,7 @@
   let changes: string[]
 
   beforeEach(() => {
-    endpoint = new LocalEndpoint(new RecordingLog())
+    endpoint = new LocalEndpoint({ authority: ANY_ENDPOINT, log: new RecordingLog() })
     changes = []
     endpoint.onChanged(({ id, phase, service }) => changes.push(`${id} ${service} ${phase}`))
   })
@@ -193,7 +194,7 @@
     for (const leave of [
       () => endpoint.deregister('a' as EndpointId, 10, NOW), () => endpoint.report(report('a', 10, 3, 'draining'), NOW), () => endpoint.deregister('a' as EndpointId, 25, NOW)
     ]) {
-      endpoint = new LocalEndpoint(new RecordingLog())
+      endpoint = new LocalEndpoint({ authority: ANY_ENDPOINT, log: new RecordingLog() })
       endpoint.report(report('a', 20, 1), NOW)
       leave()
       expect(phasesAfterReports(20, 2, [1_500, 3_000, 4_500, 6_000])).to.deep.equal(['silent', 'silent', 'silent', 'serving'])
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -2,8 +2,8 @@
 import { Emitter } from '../../common/Emitter.js'
 import type { ILogService } from '../../common/Services.js'
 import type { EndpointId, IEvent, Timestamp } from '../../common/Types.js'
-import { ENDPOINT_CHANGED } from '../Events.js'
-import type { ILocalEndpoint, ReportOutcome } from '../Services.js'
+import { ENDPOINT_CHANGED, NODE_ROW_IGNORED } from '../Events.js'
+import type { IEndpointAuthority, ILocalEndpoint, ReportOutcome } from '../Services.js'
 import type { EndpointPhase, IEndpointRecord, IEndpointReport } from '../Types.js'
 
 /** Sequence number of an endpoint that is known only from the row written by an earlier process of this node. */
@@ -37,8 +37,15 @@
   readonly doubt?: IDoubt
 }
 
+/** Dependencies of `LocalEndpoint`. */
+export interface ILocalEndpointOptions {
+  readonly authority: IEndpointAuthority
+  readonly log: ILogService
+}
+
 /**
- * Accepts each report once, in order, and only from the newest incarnation. The phase never goes back within an incarnation. The table
+ * Accepts each report once, in order, and only from the newest incarnation. Messages that do not describe the endpoint of this VM
+ * have no effect. The phase never goes back within an incarnation. The table
  * of all cases is in docs/DESIGN.md, "Incarnations of an endpoint".
  */
 export class LocalEndpoint implements ILocalEndpoint {
@@ -50,7 +57,7 @@
   /** Last report that appeared to come from an earlier incarnation. */
   private _lastOutdatedReport: IEndpointReport | undefined
 
-  constructor (private readonly _log: ILogService) {}
+  constructor (private readonly _options: ILocalEndpointOptions) {}
 
   public get record (): IEndpointRecord | undefined {
     return this._incarnation?.record
@@ -78,6 +85,11 @@
    * incarnation, whichever process learnt it.
    */
   public restore (record: IEndpointRecord, now: Timestamp): void {
+    const fault = this._options.authority.faultOf(record)
+    if (fault !== undefined) {
+      this._options.log.log(NODE_ROW_IGNORED, { step: 'endpoint.restore', endpoint: record.id, reason: fault })
+      return
+    }
     const current = this._incarnation
     const order = current === undefined ? 1 : compareIncarnations(record, current.record)
     if (order > 0 && this.reportedAt === undefined) this._replace({ record: this._toAdoptedRecord(record), sequence: NO_SEQUENCE, reportedAt: now }, 'adopted')
@@ -97,7 +109,15 @@
     this._replace({ ...current, record: { ...current.record, phase: 'silent' } }, 'silent')
   }
 
+  /** Withdraws the endpoint if changed settings contradict it, until it reports in accordance with them. */
+  public applySettings (): void {
+    const current = this._incarnation
+    if (current === undefined || current.record.phase !== 'serving' || this._options.authority.faultOf(current.record) === undefined) return
+    this._replace({ ...current, record: { ...current.record, phase: 'silent' } }, 'settings')
+  }
+
   public report (report: IEndpointReport, now: Timestamp): ReportOutcome {
+    if (this._options.authority.faultOf(report) !== undefined) return 'foreign'
     const current = this._incarnation
     if (current !== undefined) {
       const order = compareIncarnations(report, current.record)
@@ -187,7 +207,7 @@
     const previous = this._incarnation?.record
     this._incarnation = next
     const { record } = next
-    this._log.log(ENDPOINT_CHANGED, {
+    this._options.log.log(ENDPOINT_CHANGED, {
       step: 'endpoint.report',
       endpoint: record.id,
       service: record.service,
--- a/src/mesh/endpoint/RegistrationService.test.ts
+++ b/src/mesh/endpoint/RegistrationService.test.ts
@@ -7,6 +7,7 @@
 import { PlatformHttpClient } from '../../platform/PlatformHttpClient.js'
 import type { RowRevision } from '../../platform/Types.js'
 import { PlatformStore } from '../../../platform/PlatformStore.js'
+import { ANY_ENDPOINT } from '../../../testing/mesh/AnyEndpoint.js'
 import { batch, NOW, row } from '../../../testing/mesh/NodeRows.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import { StoreStandIn, type StoreMode } from '../../../testing/mesh/StoreStandIn.js'
@@ -35,7 +36,7 @@
   })
 
   function startProcess (): void {
-    endpoint = new LocalEndpoint(log)
+    endpoint = new LocalEndpoint({ authority: ANY_ENDPOINT, log })
     nodes = new NodeTable({ log })
     crashes = new CrashRegistry({ self: 'n' as NodeName, clock, log, metrics: new MetricsService() })
     const client = new PlatformHttpClient({ clock, log, metrics: new MetricsService() }, { url: `http://${store.address}`, requestTimeout: 100 as Milliseconds })
--- a/testing/mesh/GateRig.ts
+++ b/testing/mesh/GateRig.ts
@@ -12,6 +12,7 @@
 import type { AttemptOutcome, IMeshCall, Idempotency, NodeName } from '../../src/mesh/Types.js'
 import { MessageFormat } from '../../platform/MessageFormat.js'
 import { RecordingLog } from '../RecordingLog.js'
+import { ANY_ENDPOINT } from './AnyEndpoint.js'
 import { EndpointStandIn } from './EndpointStandIn.js'
 import { meshCall } from './MeshCalls.js'
 
@@ -38,7 +39,7 @@
     this.endpoint.workTimeOf = (path) => path === SLOW_PATH ? firstWork : 0
     const log = new RecordingLog()
     const metrics = new MetricsService()
-    this._local = new LocalEndpoint(log)
+    this._local = new LocalEndpoint({ authority: ANY_ENDPOINT, log })
     this.crashes = new CrashRegistry({ self: 'n' as NodeName, clock, log, metrics })
     this.gate = new EndpointGate({
       endpoint: this._local,
