--- a/src/mesh/daemon/MeshDaemon.test.ts
+++ b/src/mesh/daemon/MeshDaemon.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import { Adapter } from '../../../platform/Adapter.js'
 import type { IService } from '../../common/Services.js'
-import type { Milliseconds, Timestamp } from '../../common/Types.js'
+import type { Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
 import type { IControlPortOptions } from '../Services.js'
 import { findFreePorts } from '../../../testing/demonstration/FreePorts.js'
 import { ManualClock } from '../../../testing/ManualClock.js'
@@ -82,6 +82,15 @@
     expect(await stopDuration(daemon.stop(), requestedAt)).to.be.at.most(STOP_LIMIT_MS)
   })
 
+  it('takes changed settings over while its components are being created', async () => {
+    daemon.start().catch(() => undefined)
+    daemon.reload({ ...settings, mesh: { ...settings.mesh, service: 'other' as ServiceName } })
+    adapter.openControlPort()
+    await clock.advance(STEP_MS)
+    const reloaded = log.events.filter(({ name }) => name === 'settings-reloaded').map(({ fields }) => fields.service)
+    expect([reloaded, await stopDuration(daemon.stop(), clock.now()) <= STOP_LIMIT_MS]).to.deep.equal([['other'], true])
+  })
+
   it('measures the limit from the first request to stop, and ignores later requests and settings', async () => {
     store.mode = 'silent'
     adapter.openControlPort()
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -38,6 +38,7 @@
   private _settings: IMeshSettings
   /** When a report that contradicts the settings last caused them to be read again. */
   private _settingsReadAt = -Infinity
+  private _areComponentsStarted = false
   private _isServing = false
   private _reportWait: IDisposable | undefined
   private _starting: Promise<void> | undefined
@@ -68,7 +69,9 @@
     this._starting = this._kernel.start()
     await this._starting
     // The ports are open: reports can reach this process from here on, even before it serves requests.
+    this._areComponentsStarted = true
     const endpoint = this._kernel.get(MESH_KEY.endpoint)
+    endpoint.applySettings()
     this._reportWait = this._clock.after(firstReportWait(this._settings), () => endpoint.expireReportWait())
     await this._kernel.get(IViewService).completed
     this._adoptOwnRow()
@@ -100,7 +103,7 @@
   public reload (settings: IMeshSettings): void {
     this._settings = settings
     this._log.log(SETTINGS_RELOADED, { step: 'daemon.reload', service: settings.mesh.service, endpointAddress: settings.mesh['endpoint-address'] })
-    this._kernel.get(MESH_KEY.endpoint).applySettings()
+    if (this._areComponentsStarted) this._kernel.get(MESH_KEY.endpoint).applySettings()
   }
 
   /** Fails readiness probes at once, keeps serving until callers have switched to other nodes, then stops all components. */
