--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -101,6 +101,8 @@
   readonly isDoubted: boolean
   /** Restores the record that an earlier process of this node published. */
   restore (record: IEndpointRecord, now: Timestamp): void
+  /** Why the report cannot be from the endpoint of this VM; undefined if it can be. */
+  faultOf (report: IEndpointReport, now: Timestamp): string | undefined
   report (report: IEndpointReport, now: Timestamp): ReportOutcome
   /** Deregisters the endpoint; it gets no further requests. */
   deregister (id: EndpointId, bornAt: number, now: Timestamp): ReportOutcome
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -88,7 +88,7 @@
     const endpoint = this._kernel.get(MESH_KEY.endpoint)
     let outcome = endpoint.report(report, now)
     if (outcome === 'foreign' && this._reloadAfterContradiction(now)) outcome = endpoint.report(report, now)
-    if (outcome === 'foreign') throw this._toForeignReportError(report)
+    if (outcome === 'foreign') throw foreignReportError(report, endpoint.faultOf(report, now))
     if (outcome === 'outdated') this._logOutdated(report.id, report.bornAt, report.sequence)
     if (report.phase === 'draining') await this._kernel.get(MESH_KEY.registration).waitUntilStored(ACKNOWLEDGEMENT_TIMEOUT_MS)
   }
@@ -159,11 +159,6 @@
     return isChanged
   }
 
-  private _toForeignReportError (report: IEndpointReport): ForeignReportError {
-    const fault = this._kernel.get(MESH_KEY.authority).faultOf(report)
-    return new ForeignReportError(`report of ${report.id} is not from the endpoint of this VM: ${fault}`, { step: 'endpoint.report', peer: report.id })
-  }
-
   private _logOutdated (id: EndpointId, bornAt: number, sequence?: number): void {
     const present = this._kernel.get(MESH_KEY.endpoint).record?.id
     this._log.log(ENDPOINT_REPORT_IGNORED, {
@@ -184,3 +179,8 @@
     this._kernel.get(MESH_KEY.registration).startWriting(storedRow)
   }
 }
+
+function foreignReportError ({ id, service, address, sequence }: IEndpointReport, fault: string | undefined): ForeignReportError {
+  const report = `report ${sequence} of ${id} for service ${service} at ${address}`
+  return new ForeignReportError(`${report} is not from the endpoint of this VM: ${fault}`, { step: 'endpoint.report', peer: id })
+}
--- a/src/mesh/endpoint/EndpointAuthority.ts
+++ b/src/mesh/endpoint/EndpointAuthority.ts
@@ -22,14 +22,14 @@
 
   public faultOf ({ service, address }: Pick<IEndpointRecord, 'service' | 'address'>): string | undefined {
     const expected = this._options.expected()
-    if (expected.address !== undefined && address !== expected.address) return `address ${address} is not that of the endpoint, ${expected.address}`
+    if (expected.address !== undefined && address !== expected.address) return `its address is ${expected.address}`
     if (expected.service === undefined) return this._faultOfUnverifiedService(service)
-    return service === expected.service ? undefined : `service ${service} is not that of the VM, ${expected.service}`
+    return service === expected.service ? undefined : `the VM runs service ${expected.service}`
   }
 
   private _faultOfUnverifiedService (service: ServiceName): string | undefined {
     const index = this._options.configuration.current
-    if (index === undefined) return `service ${service} cannot be verified before the configuration is known`
-    return index.configuration.services.has(service) ? undefined : `service ${service} is not in the configuration`
+    if (index === undefined) return 'the service cannot be verified before the configuration is known'
+    return index.configuration.services.has(service) ? undefined : 'the service is not in the configuration'
   }
 }
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -87,7 +87,9 @@
   public restore (record: IEndpointRecord, now: Timestamp): void {
     const fault = this._options.authority.faultOf(record)
     if (fault !== undefined) {
-      this._options.log.log(NODE_ROW_IGNORED, { step: 'endpoint.restore', endpoint: record.id, reason: fault })
+      this._options.log.log(NODE_ROW_IGNORED, {
+        step: 'endpoint.restore', endpoint: record.id, service: record.service, address: record.address, reason: fault
+      })
       return
     }
     const current = this._incarnation
@@ -116,8 +118,19 @@
     this._replace({ ...current, record: { ...current.record, phase: 'silent' } }, 'settings')
   }
 
+  /** Why the report cannot be from the endpoint of this VM; undefined if it can be. */
+  public faultOf (report: IEndpointReport, now: Timestamp): string | undefined {
+    const fault = this._options.authority.faultOf(report)
+    if (fault !== undefined) return fault
+    const current = this._incarnation
+    const isReporting = this.reportedAt !== undefined && now - this.reportedAt < SUPERSEDED_AFTER_MS
+    // An endpoint states its start time always or never.
+    const lacksStartTime = isReporting && report.bornAt === 0 && current !== undefined && current.record.bornAt > 0
+    return lacksStartTime ? 'start time is missing' : undefined
+  }
+
   public report (report: IEndpointReport, now: Timestamp): ReportOutcome {
-    if (this._options.authority.faultOf(report) !== undefined) return 'foreign'
+    if (this.faultOf(report, now) !== undefined) return 'foreign'
     const current = this._incarnation
     if (current !== undefined) {
       const order = compareIncarnations(report, current.record)
