--- a/src/mesh/daemon/MeshDaemon.test.ts
+++ b/src/mesh/daemon/MeshDaemon.test.ts
@@ -1,9 +1,10 @@
-/** Requests to stop that arrive before the node serves requests. */
+/** Requests to stop, changed settings and reports that arrive before the node serves requests. */
 import { expect } from 'chai'
 import { Adapter } from '../../../platform/Adapter.js'
 import type { IService } from '../../common/Services.js'
-import type { Milliseconds, ServiceName, Timestamp } from '../../common/Types.js'
+import type { EndpointId, Milliseconds, NetworkAddress, ServiceName, Timestamp } from '../../common/Types.js'
 import type { IControlPortOptions } from '../Services.js'
+import type { IEndpointReport } from '../Types.js'
 import { findFreePorts } from '../../../testing/demonstration/FreePorts.js'
 import { ManualClock } from '../../../testing/ManualClock.js'
 import { StoreStandIn } from '../../../testing/mesh/StoreStandIn.js'
@@ -91,6 +92,27 @@
     expect([reloaded, await stopDuration(daemon.stop(), clock.now()) <= STOP_LIMIT_MS]).to.deep.equal([['other'], true])
   })
 
+  it('reads the settings at most once a second because of reports that contradict them', async () => {
+    let reads = 0
+    daemon = new MeshDaemon({ settings, adapter, log, clock, readSettings: () => { reads++; return settings } })
+    store.mode = 'silent'
+    adapter.openControlPort()
+    daemon.start().catch(() => undefined)
+    await clock.advance(STEP_MS)
+    const answers = new Set<string>()
+    const sendTwice = async (): Promise<number> => {
+      for (const sequence of [1, 2]) await daemon.report(foreignReport(sequence)).catch((error: Error) => answers.add(error.name))
+      return reads
+    }
+    const counts = [await sendTwice()]
+    await clock.advance(999)
+    counts.push(await sendTwice())
+    await clock.advance(1)
+    counts.push(await sendTwice())
+    expect([counts, [...answers]]).to.deep.equal([[1, 1, 2], ['ForeignReportError']])
+    expect(await stopDuration(daemon.stop(), clock.now())).to.be.at.most(STOP_LIMIT_MS)
+  })
+
   it('measures the limit from the first request to stop, and ignores later requests and settings', async () => {
     store.mode = 'silent'
     adapter.openControlPort()
@@ -106,6 +128,20 @@
   })
 })
 
+/** A report of a service that does not run on the VM. */
+function foreignReport (sequence: number): IEndpointReport {
+  return {
+    id: 'i-foreign' as EndpointId,
+    bornAt: 1,
+    sequence,
+    service: 'xa0de93' as ServiceName,
+    address: '127.0.0.1:9' as NetworkAddress,
+    slots: 4,
+    phase: 'serving',
+    warmUpLeft: 0 as Milliseconds
+  }
+}
+
 async function freeSettings (store: string): Promise<IMeshSettings> {
   const [caller, gate, peer, ready, control, metrics] = await findFreePorts(6)
   const at = (port: number | undefined): string => `127.0.0.1:${port}`
--- a/src/mesh/endpoint/ForeignMessages.test.ts
+++ b/src/mesh/endpoint/ForeignMessages.test.ts
@@ -133,7 +133,8 @@
 describe('EndpointAuthority', () => {
   /** Whether a report of `service` is accepted. */
   function isAccepted (service: string, expected: IExpectedEndpoint, configuration: Pick<IConfigurationService, 'current'>): boolean {
-    return new EndpointAuthority({ expected: () => expected, configuration }).faultOf({ service: service as ServiceName, address: ADDRESS }) === undefined
+    const authority = new EndpointAuthority({ expected: () => expected, configuration })
+    return authority.faultOf({ service: service as ServiceName, address: ADDRESS }) === undefined
   }
 
   it('accepts a service that the settings name although the configuration does not', () => {
@@ -157,8 +158,8 @@
     endpoint.report(report('a', 10, 1), NOW as Timestamp)
     apply('s')
     apply('other')
-    phases.push(endpoint.report(report('a', 10, 2), NOW as Timestamp), endpoint.report(report('b', 20, 1, { service: 'other' as ServiceName }), NOW as Timestamp))
-    phases.push(endpoint.record?.phase)
+    phases.push(endpoint.report(report('a', 10, 2), NOW as Timestamp))
+    phases.push(endpoint.report(report('b', 20, 1, { service: 'other' as ServiceName }), NOW as Timestamp), endpoint.record?.phase)
     apply('s')
     phases.push(endpoint.report(report('c', 30, 1), NOW as Timestamp), endpoint.record?.phase)
     expect(phases).to.deep.equal(['serving', 'silent', 'foreign', 'accepted', 'serving', 'silent', 'accepted', 'serving'])
--- a/testing/mesh/MeshRig.ts
+++ b/testing/mesh/MeshRig.ts
@@ -17,6 +17,8 @@
   readonly ports: Readonly<Record<'caller' | 'gate' | 'peer' | 'ready' | 'control' | 'metrics', number>>
   readonly log: RecordingLog
   readonly settings: IMeshSettings
+  /** Content of the settings file, which may change without a signal. */
+  readonly settingsFile: { content: IMeshSettings }
   readonly started: Promise<void>
 }
 
@@ -69,18 +71,19 @@
   public async startNode (service: string, failureDomain = 'z1'): Promise<IRigNode> {
     const [caller, gate, peer, ready, control, metrics] = await findFreePorts(6) as [number, number, number, number, number, number]
     const name = `node-${this.nodes.length}`
+    const endpoint = new EndpointStandIn(`i-${name}`)
+    await endpoint.start()
     const loopbackAddress = (port: number): string => `127.0.0.1:${port}`
     const settings = parseMeshSettings('rig', [
-      '[mesh]', `node = ${name}`, `failure-domain = ${failureDomain}`, 'region = r1', `service = ${service}`, `caller-address = ${loopbackAddress(caller)}`,
+      '[mesh]', `node = ${name}`, `failure-domain = ${failureDomain}`, 'region = r1', `service = ${service}`, `endpoint-address = ${endpoint.address}`, `caller-address = ${loopbackAddress(caller)}`,
       `gate-address = ${loopbackAddress(gate)}`, `peer-address = ${loopbackAddress(peer)}`, `ready-address = ${loopbackAddress(ready)}`, `control-address = ${loopbackAddress(control)}`,
       `metrics-address = ${loopbackAddress(metrics)}`, '[store]', `address = ${this.store.address}`, '[bounds]', 'heartbeat = 50 ms', 'stop = 3 s', ''
     ].join('\n'))
     const log = new RecordingLog()
-    const daemon = new MeshDaemon({ settings, adapter: new Adapter(), log })
-    const endpoint = new EndpointStandIn(`i-${name}`)
-    await endpoint.start()
+    const settingsFile = { content: settings }
+    const daemon = new MeshDaemon({ settings, adapter: new Adapter(), log, readSettings: () => settingsFile.content })
     const ports = { caller, gate, peer, ready, control, metrics }
-    const node = { daemon, endpoint, service, ports, log, settings, started: daemon.start() }
+    const node = { daemon, endpoint, service, ports, log, settings, settingsFile, started: daemon.start() }
     this.nodes.push(node)
     return node
   }
@@ -89,7 +92,8 @@
   public async restart (node: IRigNode): Promise<IRigNode> {
     await node.daemon['_kernel'].stop()
     const log = new RecordingLog()
-    const daemon = new MeshDaemon({ settings: node.settings, adapter: new Adapter(), log })
+    const { settingsFile } = node
+    const daemon = new MeshDaemon({ settings: settingsFile.content, adapter: new Adapter(), log, readSettings: () => settingsFile.content })
     const next = { ...node, daemon, log, started: daemon.start() }
     this.nodes.splice(this.nodes.indexOf(node), 1, next)
     return next
