--- a/src/cli/explain/RequestTimeline.test.ts
+++ b/src/cli/explain/RequestTimeline.test.ts
@@ -16,6 +16,8 @@
 
 const REFUSED = [
   finished('refused', 300, {
+    callerService: 'status',
+    callerServiceFrom: 'settings',
     outcome: 'refused',
     reason: 'overloaded',
     retryAfter: 250,
--- a/src/cli/explain/RequestTimeline.ts
+++ b/src/cli/explain/RequestTimeline.ts
@@ -50,12 +50,17 @@
 
 function arrivalSteps (finished: ILogLine): ITimelineStep[] {
   const { node } = finished
-  const arrival = `arrived on route ${text(finished, 'route')}; configuration ${text(finished, 'configuration')}, node table at position ${text(finished, 'viewPosition')}, ` +
+  const arrival = `arrived on route ${text(finished, 'route')}${describeCaller(finished)}; configuration ${text(finished, 'configuration')}, node table at position ${text(finished, 'viewPosition')}, ` +
     `confirmed ${text(finished, 'viewAgeMs')} ms before the end`
   const attempts = attemptsOf(finished).map((attempt) => ({ afterMs: Number(attempt.afterMs), node, text: describeAttempt(attempt) }))
   return [{ afterMs: 0, node, text: arrival }, ...attempts]
 }
 
+/** The service that endpoints were told as the caller; empty in logs of earlier programs. */
+function describeCaller ({ fields }: ILogLine): string {
+  return fields.callerService === undefined ? '' : ` from service ${String(fields.callerService)} (known from ${String(fields.callerServiceFrom)})`
+}
+
 type Attempt = Readonly<Record<string, unknown>>
 
 function attemptsOf (finished: ILogLine): readonly Attempt[] {
