A message without start time gives way to the endpoint, and changed settings to its successor

A heartbeat without start time before the first report, after a restart or after 5 s of silence made the true heartbeats outdated for good; the stored row could deregister the endpoint in the same way. With changed settings, the successor with an earlier start time waited for the order of incarnations. A configuration without the service cost the drain of its endpoint where the settings name none, and repeated deregistrations of another endpoint pushed true ones out. Now a report that states a start time replaces a record without one, a record that the settings contradict counts as none, an accepted endpoint is not checked against the configuration again, and a deregistration is remembered once. A node that does not know the service of its VM is not ready. Ruled out: to require a start time of deregistrations.

--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -7,7 +7,7 @@
 import type { IChangeBatch, IRowReference, StorePosition } from '../platform/Types.js'
 import type { RouteIndex } from './configuration/RouteIndex.js'
 import type {
-  ConfigurationVersion, IEndpointRecord, IEndpointReport, IKnownNode, IMeshCall, IMeshConfiguration, IMeshEndpoint, NodeName
+  ConfigurationVersion, EndpointPlace, IEndpointRecord, IEndpointReport, IKnownNode, IMeshCall, IMeshConfiguration, IMeshEndpoint, NodeName
 } from './Types.js'
 
 /** Parses the text of a configuration in the format in which the platform stores it. */
@@ -85,8 +85,8 @@
 
 /** Decides whose endpoint a message describes. */
 export interface IEndpointAuthority {
-  /** Why the endpoint cannot be the one of this VM; undefined if it can be. */
-  faultOf (endpoint: Pick<IEndpointRecord, 'service' | 'address'>): string | undefined
+  /** Why the endpoint cannot be the one of this VM; undefined if it can be. `isInUse`: it was accepted before. */
+  faultOf (endpoint: EndpointPlace, isInUse: boolean): string | undefined
 }
 
 /** Whether an endpoint's report was accepted. `foreign`: it does not describe the endpoint of this VM and had no effect. */
--- a/src/mesh/Types.ts
+++ b/src/mesh/Types.ts
@@ -123,6 +123,9 @@
   readonly warmUpLeft: Milliseconds
 }
 
+/** What an endpoint runs and where. */
+export type EndpointPlace = Pick<IEndpointRecord, 'service' | 'address'>
+
 /** One row of the node table. */
 export interface INodeRow extends ILocation {
   readonly node: NodeName
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -156,6 +156,8 @@
     if (fault !== undefined) return this._refuseMalformed(message, response, fault)
     const index = configuration.current
     if (index === undefined || !this._options.isReady() || this._isRefusing) return this._refuseUnavailable(message, response, requestId)
+    const localService = this._options.localService()
+    if (localService === undefined) return this._refuseUnavailable(message, response, requestId)
     const inbound = new HttpInbound(message, response)
     const route = index.match(message.headers.host ?? '', inbound.path)
     if (route === undefined) return this._refuseUnrouted(message, response, requestId, arrivedAt)
@@ -173,8 +175,6 @@
       // A planned stop may have started or reached its next step while the body was being received.
       const deadlineAt = this._deadlineOf(latestAt)
       if (deadlineAt === undefined) return this._refuseUnavailable(message, response, requestId)
-      const localService = this._options.localService()
-      if (localService === undefined) return this._refuseUnavailable(message, response, requestId)
       await this._route({ message, response, inbound, route, requestId, body: body.content, arrivedAt, deadlineAt, localService })
     } finally {
       body.release()
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -5,9 +5,10 @@
 import type { EndpointId, IDisposable, Milliseconds, Timestamp } from '../../common/Types.js'
 import type { RowKey, RowRevision } from '../../platform/Types.js'
 import { ENDPOINT_REPORT_IGNORED, NODE_STARTED, NODE_STARTING, NODE_STOPPED, NODE_STOPPING, SETTINGS_RELOADED } from '../Events.js'
+import { localServiceOf } from '../endpoint/LocalService.js'
 import { ForeignReportError } from '../MeshErrors.js'
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl } from '../Services.js'
-import type { IEndpointReport } from '../Types.js'
+import type { IEndpointReport, NodeName } from '../Types.js'
 import { firstReportWait, registerMesh } from './MeshServices.js'
 import type { IMeshSettings } from './MeshSettings.js'
 import { MESH_KEY } from './ServiceKeys.js'
@@ -34,6 +35,8 @@
   private readonly _kernel = new Kernel()
   private readonly _log: ILogService
   private readonly _clock: IClockService
+  /** Name at the start of the process, under which the row is stored. */
+  private readonly _node: NodeName
   private readonly _readSettings: () => IMeshSettings | undefined
   private _settings: IMeshSettings
   /** When a report that contradicts the settings last caused them to be read again. */
@@ -48,6 +51,7 @@
 
   constructor ({ settings, adapter, log, clock = new ClockService(), readSettings = () => undefined }: IMeshDaemonOptions) {
     this._settings = settings
+    this._node = settings.mesh.node
     this._readSettings = readSettings
     this._log = log
     this._clock = clock
@@ -55,7 +59,8 @@
   }
 
   public get isReady (): boolean {
-    return this._isServing && this._stopping === undefined
+    if (!this._isServing || this._stopping !== undefined) return false
+    return localServiceOf(this._settings.mesh.service, this._kernel.get(MESH_KEY.endpoint)) !== undefined
   }
 
   public checkReadiness (): boolean {
@@ -65,7 +70,7 @@
 
   /** Resolves when the node serves requests. */
   public async start (): Promise<void> {
-    this._log.log(NODE_STARTING, { step: 'daemon.start', service: this._settings.mesh.service })
+    this._log.log(NODE_STARTING, { step: 'daemon.start', ...expectedEndpointFields(this._settings) })
     this._starting = this._kernel.start()
     await this._starting
     // The ports are open: reports can reach this process from here on, even before it serves requests.
@@ -102,7 +107,7 @@
   /** Replaces the settings that may change while the process runs. */
   public reload (settings: IMeshSettings): void {
     this._settings = settings
-    this._log.log(SETTINGS_RELOADED, { step: 'daemon.reload', service: settings.mesh.service, endpointAddress: settings.mesh['endpoint-address'] })
+    this._log.log(SETTINGS_RELOADED, { step: 'daemon.reload', ...expectedEndpointFields(settings) })
     if (this._areComponentsStarted) this._kernel.get(MESH_KEY.endpoint).applySettings()
   }
 
@@ -147,7 +152,7 @@
     return this._kernel.get(MESH_KEY.callerPort).inFlight + this._kernel.get(MESH_KEY.gateServer).inFlight
   }
 
-  /** Reads the settings again, which may have changed before the endpoint did. Returns true if they were read. */
+  /** Reads the settings again, which may have changed before the endpoint did. Returns true if they name another endpoint now. */
   private _reloadAfterContradiction (now: Timestamp): boolean {
     if (now - this._settingsReadAt < SETTINGS_READ_INTERVAL_MS) return false
     this._settingsReadAt = now
@@ -168,7 +173,7 @@
 
   /** Restores the state of the endpoint, which kept running, from the row that the previous process of this node wrote. */
   private _adoptOwnRow (): void {
-    const { node } = this._settings.mesh
+    const node = this._node
     const nodes = this._kernel.get(MESH_KEY.nodes)
     const row = nodes.row(node as string as RowKey)
     const { endpoint, crashReport } = nodes.node(node) ?? {}
@@ -180,6 +185,11 @@
   }
 }
 
+/** What the settings state about the endpoint, for the log. */
+function expectedEndpointFields ({ mesh }: IMeshSettings): Readonly<Record<string, string | undefined>> {
+  return { service: mesh.service, endpointAddress: mesh['endpoint-address'] }
+}
+
 function foreignReportError ({ id, service, address, sequence }: IEndpointReport, fault: string | undefined): ForeignReportError {
   const report = `report ${sequence} of ${id} for service ${service} at ${address}`
   return new ForeignReportError(`${report} is not from the endpoint of this VM: ${fault}`, { step: 'endpoint.report', peer: id })
--- a/src/mesh/endpoint/EndpointAuthority.ts
+++ b/src/mesh/endpoint/EndpointAuthority.ts
@@ -1,7 +1,7 @@
 /** Decides whether a report or a stored record can belong to the endpoint of this VM. */
 import type { NetworkAddress, ServiceName } from '../../common/Types.js'
 import type { IConfigurationService, IEndpointAuthority } from '../Services.js'
-import type { IEndpointRecord } from '../Types.js'
+import type { EndpointPlace } from '../Types.js'
 
 /** What the settings of a node state about the endpoint on its VM. */
 export interface IExpectedEndpoint {
@@ -20,10 +20,11 @@
 export class EndpointAuthority implements IEndpointAuthority {
   constructor (private readonly _options: IEndpointAuthorityOptions) {}
 
-  public faultOf ({ service, address }: Pick<IEndpointRecord, 'service' | 'address'>): string | undefined {
+  public faultOf ({ service, address }: EndpointPlace, isInUse: boolean): string | undefined {
     const expected = this._options.expected()
     if (expected.address !== undefined && address !== expected.address) return `its address is ${expected.address}`
-    if (expected.service === undefined) return this._faultOfUnverifiedService(service)
+    // A configuration that no longer has the service must not cost the drain of the endpoint.
+    if (expected.service === undefined) return isInUse ? undefined : this._faultOfUnverifiedService(service)
     return service === expected.service ? undefined : `the VM runs service ${expected.service}`
   }
 
--- a/src/mesh/endpoint/ForeignMessages.test.ts
+++ b/src/mesh/endpoint/ForeignMessages.test.ts
@@ -4,7 +4,7 @@
 import type { EndpointId, Milliseconds, NetworkAddress, ServiceName, Timestamp } from '../../common/Types.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
 import type { IConfigurationService } from '../Services.js'
-import type { IEndpointReport } from '../Types.js'
+import type { EndpointPlace, IEndpointReport } from '../Types.js'
 import { EndpointAuthority, type IExpectedEndpoint } from './EndpointAuthority.js'
 import { LocalEndpoint } from './LocalEndpoint.js'
 import { localServiceOf } from './LocalService.js'
@@ -130,11 +130,108 @@
   })
 })
 
+describe('A message without the start time that the endpoint states', () => {
+  let endpoint: LocalEndpoint
+
+  beforeEach(() => {
+    const authority = new EndpointAuthority({ expected: () => ({ service: SERVICE }), configuration: NO_CONFIGURATION })
+    endpoint = new LocalEndpoint({ authority, log: new RecordingLog() })
+  })
+
+  function send (time: number, step: Step): unknown {
+    return step(endpoint, NOW + time as Timestamp)
+  }
+
+  it('before the first report gives way to the next one of the endpoint, whatever its sequence number and phase', () => {
+    send(0, drain('a', 0, 1_000))
+    expect([send(1_500, heartbeat('a', 10, 1)), endpoint.record?.bornAt, endpoint.record?.phase]).to.deep.equal(['accepted', 10, 'serving'])
+    expect([send(3_000, heartbeat('a', 10, 2)), endpoint.record?.phase]).to.deep.equal(['accepted', 'serving'])
+  })
+
+  it('after a restart of the node is refused while the endpoint of the stored row may still report', () => {
+    send(0, restart('a', 10))
+    expect([send(100, drain('a', 0, 1_000)), send(1_000, heartbeat('a', 10, 4)), endpoint.record?.phase]).to.deep.equal(['foreign', 'accepted', 'serving'])
+  })
+
+  it('after five seconds of silence gives way to the next report of the endpoint', () => {
+    send(0, heartbeat('a', 10, 1))
+    const answers = [send(5_000, heartbeat('a', 0, 1_000, { slots: 1 })), send(6_500, heartbeat('a', 10, 2))]
+    expect([answers, endpoint.record?.slots, endpoint.record?.phase]).to.deep.equal([['accepted', 'accepted'], 4, 'serving'])
+  })
+
+  it('does not bring back an endpoint that has deregistered', () => {
+    send(0, heartbeat('a', 0, 1_000))
+    send(1, deregistration('a', 0))
+    send(2, heartbeat('a', 10, 3))
+    expect(endpoint.record?.phase).to.equal('gone')
+  })
+
+  it('in the stored row does not deregister the endpoint', () => {
+    send(0, heartbeat('a', 10, 1))
+    send(1, (local, now) => local.restore({ ...report('a', 0, 0), phase: 'gone' }, now))
+    expect(endpoint.record?.phase).to.equal('serving')
+  })
+
+  it('is accepted from the successor of an endpoint that has deregistered', () => {
+    send(0, heartbeat('a', 10, 1))
+    send(1_000, deregistration('a', 10))
+    expect([send(2_500, heartbeat('b', 0, 1)), endpoint.record?.id]).to.deep.equal(['accepted', 'b'])
+  })
+})
+
+describe('The true endpoint', () => {
+  const OTHER = 'other' as ServiceName
+  let expected: IExpectedEndpoint
+  let configuration: Pick<IConfigurationService, 'current'>
+  let endpoint: LocalEndpoint
+
+  beforeEach(() => {
+    expected = { service: SERVICE }
+    configuration = KNOWN_SERVICE
+    const faultOf = (place: EndpointPlace, isInUse: boolean): string | undefined => {
+      return new EndpointAuthority({ expected: () => expected, configuration }).faultOf(place, isInUse)
+    }
+    endpoint = new LocalEndpoint({ authority: { faultOf }, log: new RecordingLog() })
+  })
+
+  it('replaces one that changed settings contradict with its first report, although its start time is earlier', () => {
+    endpoint.report(report('a', 1_000, 5), NOW as Timestamp)
+    expected = { service: OTHER }
+    endpoint.applySettings()
+    expect([endpoint.isDoubted, endpoint.report(report('b', 500, 1, { service: OTHER }), NOW as Timestamp)]).to.deep.equal([true, 'accepted'])
+    expect([endpoint.record?.id, endpoint.record?.phase, endpoint.isDoubted]).to.deep.equal(['b', 'serving', false])
+  })
+
+  it('replaces one that changed settings contradict although it has the same ID, no start time and a lower sequence number', () => {
+    endpoint.report(report('a', 0, 50), NOW as Timestamp)
+    expected = { service: OTHER }
+    endpoint.applySettings()
+    endpoint.report(report('a', 0, 1, { service: OTHER }), NOW as Timestamp)
+    expect([endpoint.record?.service, endpoint.record?.phase]).to.deep.equal([OTHER, 'serving'])
+  })
+
+  it('drains although the configuration no longer has its service and the settings name none', () => {
+    expected = {}
+    endpoint.report(report('a', 10, 1), NOW as Timestamp)
+    configuration = { current: { configuration: { services: new Map() } } } as unknown as IConfigurationService
+    const answers = [endpoint.report(report('a', 10, 2, { phase: 'draining' }), NOW as Timestamp), endpoint.report(report('b', 20, 1), NOW as Timestamp)]
+    expect([answers, endpoint.record?.phase]).to.deep.equal([['accepted', 'foreign'], 'draining'])
+  })
+
+  it('stays deregistered although one deregistration of another endpoint is repeated many times', () => {
+    endpoint.report(report('z', 50, 1), NOW as Timestamp)
+    endpoint.deregister('a' as EndpointId, 60, NOW as Timestamp)
+    for (let count = 0; count < 16; count++) endpoint.deregister('b' as EndpointId, 70, NOW as Timestamp)
+    endpoint.report(report('a', 60, 8), NOW as Timestamp)
+    expect([endpoint.record?.id, endpoint.record?.phase]).to.deep.equal(['a', 'gone'])
+  })
+})
+
 describe('EndpointAuthority', () => {
   /** Whether a report of `service` is accepted. */
   function isAccepted (service: string, expected: IExpectedEndpoint, configuration: Pick<IConfigurationService, 'current'>): boolean {
     const authority = new EndpointAuthority({ expected: () => expected, configuration })
-    return authority.faultOf({ service: service as ServiceName, address: ADDRESS }) === undefined
+    return authority.faultOf({ service: service as ServiceName, address: ADDRESS }, false) === undefined
   }
 
   it('accepts a service that the settings name although the configuration does not', () => {
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -4,7 +4,7 @@
 import type { EndpointId, IEvent, Timestamp } from '../../common/Types.js'
 import { ENDPOINT_CHANGED, NODE_ROW_IGNORED } from '../Events.js'
 import type { IEndpointAuthority, ILocalEndpoint, ReportOutcome } from '../Services.js'
-import type { EndpointPhase, IEndpointRecord, IEndpointReport } from '../Types.js'
+import type { EndpointPhase, EndpointPlace, IEndpointRecord, IEndpointReport } from '../Types.js'
 
 /** Sequence number of an endpoint that is known only from the row written by an earlier process of this node. */
 const NO_SEQUENCE = -1
@@ -63,9 +63,12 @@
     return this._incarnation?.record
   }
 
-  /** True while another incarnation with the same ID has left and the known one has not shown that it is running. */
+  /**
+   * True while another incarnation with the same ID has left and the known one has not shown that it is running, or while the settings
+   * contradict the known one.
+   */
   public get isDoubted (): boolean {
-    return this._incarnation?.doubt !== undefined
+    return this._incarnation?.doubt !== undefined || this._isContradicted
   }
 
   /** Time of the last report; undefined if the endpoint has not reported to this process. */
@@ -85,7 +88,7 @@
    * incarnation, whichever process learnt it.
    */
   public restore (record: IEndpointRecord, now: Timestamp): void {
-    const fault = this._options.authority.faultOf(record)
+    const fault = this._options.authority.faultOf(record, false)
     if (fault !== undefined) {
       this._options.log.log(NODE_ROW_IGNORED, {
         step: 'endpoint.restore', endpoint: record.id, service: record.service, address: record.address, reason: fault
@@ -93,6 +96,7 @@
       return
     }
     const current = this._incarnation
+    if (current !== undefined && hasUnknownStart(record, current.record)) return
     const order = current === undefined ? 1 : compareIncarnations(record, current.record)
     if (order > 0 && this.reportedAt === undefined) this._replace({ record: this._toAdoptedRecord(record), sequence: NO_SEQUENCE, reportedAt: now }, 'adopted')
     if (current === undefined || order !== 0 || record.phase === 'serving') return
@@ -111,27 +115,24 @@
     this._replace({ ...current, record: { ...current.record, phase: 'silent' } }, 'silent')
   }
 
-  /** Withdraws the endpoint if changed settings contradict it, until it reports in accordance with them. */
+  /** Withdraws the endpoint if changed settings contradict it, until an endpoint reports in accordance with them. */
   public applySettings (): void {
     const current = this._incarnation
-    if (current === undefined || current.record.phase !== 'serving' || this._options.authority.faultOf(current.record) === undefined) return
+    if (current === undefined || current.record.phase !== 'serving' || !this._isContradicted) return
     this._replace({ ...current, record: { ...current.record, phase: 'silent' } }, 'settings')
   }
 
   /** Why the report cannot be from the endpoint of this VM; undefined if it can be. */
   public faultOf (report: IEndpointReport, now: Timestamp): string | undefined {
-    const fault = this._options.authority.faultOf(report)
-    if (fault !== undefined) return fault
     const current = this._incarnation
-    const isReporting = this.reportedAt !== undefined && now - this.reportedAt < SUPERSEDED_AFTER_MS
-    // An endpoint states its start time always or never.
-    const lacksStartTime = isReporting && report.bornAt === 0 && current !== undefined && current.record.bornAt > 0
-    return lacksStartTime ? 'start time is missing' : undefined
+    const isInUse = current !== undefined && current.record.id === report.id && isSameEndpoint(report, current.record)
+    return this._options.authority.faultOf(report, isInUse) ?? this._faultOfStartTime(report, now)
   }
 
   public report (report: IEndpointReport, now: Timestamp): ReportOutcome {
     if (this.faultOf(report, now) !== undefined) return 'foreign'
-    const current = this._incarnation
+    const current = this._isContradicted ? undefined : this._incarnation
+    if (current !== undefined && hasUnknownStart(current.record, report)) return this._startTimeLearnt(current, report, now)
     if (current !== undefined) {
       const order = compareIncarnations(report, current.record)
       if (order < 0 && !this._supersedes(report, current, now)) {
@@ -156,6 +157,25 @@
     return 'accepted'
   }
 
+  private get _isContradicted (): boolean {
+    const record = this._incarnation?.record
+    return record !== undefined && this._options.authority.faultOf(record, true) !== undefined
+  }
+
+  /** An endpoint states its start time always or never, so a report without one is not from an endpoint that has stated it. */
+  private _faultOfStartTime (report: IEndpointReport, now: Timestamp): string | undefined {
+    const current = this._incarnation
+    if (current === undefined || current.record.phase === 'gone' || !hasUnknownStart(report, current.record)) return undefined
+    return now - current.reportedAt < SUPERSEDED_AFTER_MS ? 'start time is missing' : undefined
+  }
+
+  /** Replaces a record without start time, which may be from another writer, by that of a report that states one. */
+  private _startTimeLearnt (current: IIncarnation, report: IEndpointReport, now: Timestamp): ReportOutcome {
+    const isGone = this._hasDeregistered(report) || (current.record.id === report.id && current.record.phase === 'gone')
+    this._replace({ record: toRecord(report, isGone ? 'gone' : report.phase), sequence: report.sequence, reportedAt: now }, 'reported')
+    return 'accepted'
+  }
+
   private _toAdoptedRecord (record: IEndpointRecord): IEndpointRecord {
     if (this._hasDeregistered(record)) return { ...record, phase: 'gone' }
     return this._hasReportWaitExpired && record.phase === 'serving' ? { ...record, phase: 'silent' } : record
@@ -168,6 +188,8 @@
   }
 
   private _rememberDeregistered (incarnation: IncarnationId): void {
+    const known = this._deregistered.findIndex(({ id, bornAt }) => id === incarnation.id && bornAt === incarnation.bornAt)
+    if (known >= 0) this._deregistered.splice(known, 1)
     this._deregistered.push(incarnation)
     if (this._deregistered.length > MAXIMUM_DEREGISTERED) this._deregistered.shift()
   }
@@ -258,6 +280,15 @@
   return left.id === right.id ? 0 : 1
 }
 
+/** Whether only `right` states a start time. */
+function hasUnknownStart (left: IncarnationId, right: IncarnationId): boolean {
+  return left.bornAt === 0 && right.bornAt > 0
+}
+
+function isSameEndpoint (left: EndpointPlace, right: EndpointPlace): boolean {
+  return left.service === right.service && left.address === right.address
+}
+
 function toRecord (report: IEndpointReport, phase: EndpointPhase): IEndpointRecord {
   const { id, bornAt, service, address, slots, warmUpLeft } = report
   return { id, bornAt, service, address, slots, phase, warmUpLeft }
@@ -265,6 +296,5 @@
 
 /** Whether listeners need no notification of the difference; the remaining warm-up time is not compared, since it only counts down. */
 function isEquivalent (left: IEndpointRecord, right: IEndpointRecord): boolean {
-  return left.phase === right.phase && left.service === right.service && left.address === right.address &&
-    left.slots === right.slots && left.bornAt === right.bornAt
+  return left.phase === right.phase && isSameEndpoint(left, right) && left.slots === right.slots && left.bornAt === right.bornAt
 }
