Forward the caller's request id also when Connection names its field

What callers see: a request with "Connection: X-Savoryknot-Attempt-Id" reaches the endpoint without an id. The protocol says that the id is forwarded as the client sent it, and that an endpoint answers 400 to a request without one.

Cause: endToEndHeaders drops each field that Connection names. That is right for a field of one connection, but a client can't make an end-to-end field of the protocol hop-by-hop.

Nothing else that Connection names is kept; the fields that the mesh sets itself are still dropped.

--- a/src/gate/HeaderRules.ts
+++ b/src/gate/HeaderRules.ts
@@ -45,13 +45,15 @@
   return new Set(value.toLowerCase().split(',').map((name) => name.trim()))
 }
 
-/** A copy of `headers` without hop-by-hop fields. */
-export function endToEndHeaders (headers: IncomingHttpHeaders): IncomingHttpHeaders {
+const NO_NAMES: ReadonlySet<string> = new Set()
+
+/** A copy of `headers` without hop-by-hop fields. The fields in `required` are kept even if `connection` names them. */
+export function endToEndHeaders (headers: IncomingHttpHeaders, required = NO_NAMES): IncomingHttpHeaders {
   const listed = namesInConnection(headers.connection)
   const kept: IncomingHttpHeaders = {}
   for (const name in headers) {
     if (HOP_BY_HOP_FIELDS.has(name)) continue
-    if (listed !== undefined && listed.has(name)) continue
+    if (listed !== undefined && listed.has(name) && !required.has(name)) continue
     kept[name] = headers[name]
   }
   return kept
--- a/testing/mesh/OddRequests.ts
+++ b/testing/mesh/OddRequests.ts
@@ -63,7 +63,7 @@
 ])
 const CONNECTION_VALUES: readonly string[] = Object.freeze([
   'keep-alive', 'Keep-Alive', 'KEEP-ALIVE', '', ',', ' , keep-alive ,', 'Content-Length', 'content-type', 'transfer-encoding',
-  'savoryknot-call', 'X-Savoryknot-Caller-Service', 'x-savoryknot-deadline-ms',
+  'X-Savoryknot-Attempt-Id', 'savoryknot-call', 'X-Savoryknot-Caller-Service', 'x-savoryknot-deadline-ms',
   'x-savoryknot-expect-instance', 'x-named', 'X-NAMED,\tx-empty', 'cookie', 'te, trailer'
 ])
 /** Fields with a single value (RFC 9110, section 5.3): a request that repeats them is not legal. */
