--- a/testing/mesh/OddRequests.ts
+++ b/testing/mesh/OddRequests.ts
@@ -62,8 +62,8 @@
   ['tostring', 's'], ['123', 'n'], ['0', 'z'], ['!#$%&\'*+-.^_`|~', 'token'], ['Range', 'bytes=0-0'], ['If-Match', '*'], ['Upgrade-Insecure-Requests', '1']
 ])
 const CONNECTION_VALUES: readonly string[] = Object.freeze([
-  'keep-alive', 'Keep-Alive', 'KEEP-ALIVE', '', ',', ' , keep-alive ,', 'Content-Length', 'content-type', 'transfer-encoding',
-  'X-Savoryknot-Attempt-Id', 'savoryknot-call', 'X-Savoryknot-Caller-Service', 'x-savoryknot-deadline-ms',
+  'keep-alive', 'Keep-Alive', 'KEEP-ALIVE', '', ',', ' , keep-alive ,', 'host', 'Content-Length', 'content-type', 'transfer-encoding',
+  'X-Savoryknot-Attempt-Id', 'x-savoryknot-attempt-id, host', 'savoryknot-call', 'X-Savoryknot-Caller-Service', 'x-savoryknot-deadline-ms',
   'x-savoryknot-expect-instance', 'x-named', 'X-NAMED,\tx-empty', 'cookie', 'te, trailer'
 ])
 /** Fields with a single value (RFC 9110, section 5.3): a request that repeats them is not legal. */
