Refuse a request with two hosts

What callers see: a request with two Host fields was routed by the first one and reached the endpoint without the second. Now the response is 400, as RFC 9112 (section 3.2) requires; such a request does not run.

Cause: Node.js keeps the first Host field and drops further ones without an error, and HeaderRules counted only the fields that delimit the body.

Evidence: without the change of HeaderRules, 'is not received at all if it is not legal, and nothing behind it is' failed with exactly the two requests with a second Host. With it all 15 tests of the file passed.

Why the fix works: HeaderRules counts the fields among the raw ones, before Node.js has dropped any, in any letter case, and the caller port refuses a request with a fault as malformed before it matches a route.

--- a/src/gate/HeaderRules.ts
+++ b/src/gate/HeaderRules.ts
@@ -30,6 +30,10 @@
 /** Visible ASCII only: no space, control character or byte above 0x7E. */
 const TARGET_PATTERN = /^\/[\x21-\x7e]*$/
 
+/** Fields that delimit the body. */
+const FRAMING_FIELDS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding'])
+const HOST_FIELD: ReadonlySet<string> = new Set(['host'])
+
 const FORBIDDEN_IN_VALUE = /[\0\r\n]/
 const CHUNKED = 'chunked'
 const DIGITS_PATTERN = /^\d{1,15}$/
@@ -104,6 +108,7 @@
     const target = message.url ?? ''
     if (target.length > this._options.maximumTargetBytes) return 'request target too long'
     if (!TARGET_PATTERN.test(target)) return 'request target is not a path'
+    if (countFields(message.rawHeaders, HOST_FIELD) > 1) return 'host given twice'
     return this._faultOfFields(message.rawHeaders) ?? faultOfFraming(message)
   }
 
@@ -126,15 +131,14 @@
   if (hasUnsupportedTransferCoding(message.headers)) return 'unsupported transfer-encoding'
   if (encoding === undefined && length === undefined) return undefined
   if (length !== undefined && !DIGITS_PATTERN.test(length)) return 'content-length is not a number'
-  return countFramingFields(message.rawHeaders) > 1 ? 'content-length or transfer-encoding given twice' : undefined
+  return countFields(message.rawHeaders, FRAMING_FIELDS) > 1 ? 'content-length or transfer-encoding given twice' : undefined
 }
 
-/** Number of fields that delimit the body. */
-function countFramingFields (fields: readonly string[]): number {
+/** Number of fields with one of these lower-case names. */
+function countFields (fields: readonly string[], names: ReadonlySet<string>): number {
   let count = 0
   for (let index = 0; index < fields.length; index += 2) {
-    const name = fields[index]?.toLowerCase()
-    if (name === 'content-length' || name === 'transfer-encoding') count++
+    if (names.has(fields[index]?.toLowerCase() ?? '')) count++
   }
   return count
 }
