--- a/testing/mesh/MeshRig.ts
+++ b/testing/mesh/MeshRig.ts
@@ -22,6 +22,13 @@
   readonly started: Promise<void>
 }
 
+/** What the settings of a node say about its endpoint. */
+export interface IRigNodeOptions {
+  readonly isServiceInSettings?: boolean
+  /** Address of an endpoint of the test's own in place of the node's stand-in. */
+  readonly endpointAddress?: string
+}
+
 /** A response as received by a client. */
 export interface IClientResponse {
   /** 0 if the connection ended without a response. */
@@ -68,14 +75,16 @@
   }
 
   /** Starts a node; it accepts requests once `started` has resolved. */
-  public async startNode (service: string, failureDomain = 'z1', { isServiceInSettings = true } = {}): Promise<IRigNode> {
+  public async startNode (
+    service: string, failureDomain = 'z1', { isServiceInSettings = true, endpointAddress }: IRigNodeOptions = {}
+  ): Promise<IRigNode> {
     const [caller, gate, peer, ready, control, metrics] = await findFreePorts(6) as [number, number, number, number, number, number]
     const name = `node-${this.nodes.length}`
     const endpoint = new EndpointStandIn(`i-${name}`)
     await endpoint.start()
     const loopbackAddress = (port: number): string => `127.0.0.1:${port}`
     const settings = parseMeshSettings('rig', [
-      '[mesh]', `node = ${name}`, `failure-domain = ${failureDomain}`, 'region = r1', isServiceInSettings ? `service = ${service}` : '', `endpoint-address = ${endpoint.address}`, `caller-address = ${loopbackAddress(caller)}`,
+      '[mesh]', `node = ${name}`, `failure-domain = ${failureDomain}`, 'region = r1', isServiceInSettings ? `service = ${service}` : '', `endpoint-address = ${endpointAddress ?? endpoint.address}`, `caller-address = ${loopbackAddress(caller)}`,
       `gate-address = ${loopbackAddress(gate)}`, `peer-address = ${loopbackAddress(peer)}`, `ready-address = ${loopbackAddress(ready)}`, `control-address = ${loopbackAddress(control)}`,
       `metrics-address = ${loopbackAddress(metrics)}`, '[store]', `address = ${this.store.address}`, '[bounds]', 'heartbeat = 50 ms', 'stop = 3 s', ''
     ].join('\n'))
--- a/testing/mesh/RecordingEndpoint.ts
+++ b/testing/mesh/RecordingEndpoint.ts
@@ -46,6 +46,11 @@
     return this.connections.flatMap(({ fault }) => fault ?? [])
   }
 
+  public get address (): string {
+    const { address, port } = this._server.address() as AddressInfo
+    return `${address}:${port}`
+  }
+
   public start (): Promise<void> {
     return new Promise((resolve) => { this._server.listen(0, '127.0.0.1', resolve) })
   }
@@ -66,9 +71,8 @@
 
   /** Body of a heartbeat. */
   public heartbeat (service: string, sequence: number): string {
-    const { address, port } = this._server.address() as AddressInfo
     return JSON.stringify({
-      address: `${address}:${port}`,
+      address: this.address,
       born: 1,
       nodeInfo: { service, version: 'v1', zone: 'z1', slots: SLOTS },
       status: { state: 'ready', sequence, coldLeftMs: 0 }
