Serve a request that offers an upgrade, without the upgrade

Callers saw their connection closed without a response. Cause: the caller port destroyed the socket on every offered upgrade, although HTTP lets a server ignore the offer. Node.js does not parse what follows such a request, so its response closes the connection. CONNECT is still closed.

--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -85,7 +85,6 @@
     this._server.on('timeout', (socket: Socket) => {
       this._closeUnlessRequestReceived(socket).catch(() => socket.destroy())
     })
-    this._server.on('upgrade', (_message: IncomingMessage, socket: Socket) => socket.destroy())
     this._server.on('connect', (_message: IncomingMessage, socket: Socket) => socket.destroy())
     _options.configuration.onReplaced(({ configuration }) => {
       this._applyLimits(configuration.limits)
@@ -279,7 +278,9 @@
   }
 
   private _closingFields (response: ServerResponse): readonly string[] {
-    return this._stopBounds === undefined ? NO_FIELDS : this._connections.closeAfterIfNewest(response)
+    // Node.js does not parse what follows a request that offers an upgrade.
+    const isKept = this._stopBounds === undefined && response.req.headers.upgrade === undefined
+    return isKept ? NO_FIELDS : this._connections.closeAfterIfNewest(response)
   }
 
   /** Handles a parser error. While a request of the connection is in progress, nothing may be written that looks like its response. */
