Forward the fields of a request as received; refuse two request IDs

Cause: Node.js joins or drops repeated fields in 'headers' and keeps them as properties of an object; 'rawHeaders' has them all. Now fields are forwarded from rawHeaders, with lower-case names as before, and a request with two hosts or two IDs gets 400. Ruled out: to keep the letter case of names, which the fingerprint of a request and other readers do not need.

--- a/src/gate/HeaderRules.ts
+++ b/src/gate/HeaderRules.ts
@@ -9,13 +9,16 @@
   readonly maximumBytes: number
   /** Maximum size of the request target in bytes. */
   readonly maximumTargetBytes: number
+  /** Lower-case names of the fields that may occur once only. */
+  readonly singleFields: ReadonlySet<string>
 }
 
 /** Defaults of `HeaderRules`. */
 export const DEFAULT_HEADER_RULES_OPTIONS: IHeaderRulesOptions = Object.freeze({
   maximumFields: 100,
   maximumBytes: 16_384,
-  maximumTargetBytes: 8_192
+  maximumTargetBytes: 8_192,
+  singleFields: new Set(['host'])
 })
 
 /** Hop-by-hop fields; `expect` is handled by the server itself. */
@@ -32,7 +35,6 @@
 
 /** Fields that delimit the body. */
 const FRAMING_FIELDS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding'])
-const HOST_FIELD: ReadonlySet<string> = new Set(['host'])
 
 const FORBIDDEN_IN_VALUE = /[\0\r\n]/
 const CHUNKED = 'chunked'
@@ -49,20 +51,45 @@
   return new Set(value.toLowerCase().split(',').map((name) => name.trim()))
 }
 
-const NO_NAMES: ReadonlySet<string> = new Set()
-
-/** A copy of `headers` without hop-by-hop fields. The fields in `required` are kept even if `connection` names them. */
-export function endToEndHeaders (headers: IncomingHttpHeaders, required = NO_NAMES): IncomingHttpHeaders {
+/** A copy of `headers` without hop-by-hop fields. */
+export function endToEndHeaders (headers: IncomingHttpHeaders): IncomingHttpHeaders {
   const listed = namesInConnection(headers.connection)
   const kept: IncomingHttpHeaders = {}
   for (const name in headers) {
     if (HOP_BY_HOP_FIELDS.has(name)) continue
-    if (listed !== undefined && listed.has(name) && !required.has(name)) continue
+    if (listed !== undefined && listed.has(name)) continue
     kept[name] = headers[name]
   }
   return kept
 }
 
+/**
+ * Lower-case names and values, alternating, of the fields accepted by `isKept`, without hop-by-hop fields. Takes fields as received, since
+ * Node.js joins or drops repeated ones in its `headers`. The fields in `required` are kept even if `connection` names them.
+ */
+export function endToEndFields (received: readonly string[], required: ReadonlySet<string>, isKept: (name: string) => boolean): string[] {
+  const listed = namesInConnection(connectionOf(received))
+  const fields: string[] = []
+  for (let index = 0; index < received.length; index += 2) {
+    const name = received[index]?.toLowerCase() ?? ''
+    if (HOP_BY_HOP_FIELDS.has(name) || !isKept(name)) continue
+    if (listed !== undefined && listed.has(name) && !required.has(name)) continue
+    fields.push(name, received[index + 1] ?? '')
+  }
+  return fields
+}
+
+/** Values of the `connection` fields, joined by commas; undefined if there is none. */
+function connectionOf (received: readonly string[]): string | undefined {
+  let connection: string | undefined
+  for (let index = 0; index < received.length; index += 2) {
+    if (received[index]?.toLowerCase() !== 'connection') continue
+    const value = received[index + 1] ?? ''
+    connection = connection === undefined ? value : `${connection},${value}`
+  }
+  return connection
+}
+
 /** Alternating names and values of the fields accepted by `isKept`; a field with several values is repeated for each. */
 export function fieldsOf (headers: IncomingHttpHeaders, isKept: (name: string) => boolean): string[] {
   const fields: string[] = []
@@ -108,7 +135,9 @@
     const target = message.url ?? ''
     if (target.length > this._options.maximumTargetBytes) return 'request target too long'
     if (!TARGET_PATTERN.test(target)) return 'request target is not a path'
-    if (countFields(message.rawHeaders, HOST_FIELD) > 1) return 'host given twice'
+    for (const name of this._options.singleFields) {
+      if (countFields(message.rawHeaders, (candidate) => candidate === name) > 1) return `${name} given twice`
+    }
     return this._faultOfFields(message.rawHeaders) ?? faultOfFraming(message)
   }
 
@@ -131,14 +160,14 @@
   if (hasUnsupportedTransferCoding(message.headers)) return 'unsupported transfer-encoding'
   if (encoding === undefined && length === undefined) return undefined
   if (length !== undefined && !DIGITS_PATTERN.test(length)) return 'content-length is not a number'
-  return countFields(message.rawHeaders, FRAMING_FIELDS) > 1 ? 'content-length or transfer-encoding given twice' : undefined
+  return countFields(message.rawHeaders, (name) => FRAMING_FIELDS.has(name)) > 1 ? 'content-length or transfer-encoding given twice' : undefined
 }
 
-/** Number of fields with one of these lower-case names. */
-function countFields (fields: readonly string[], names: ReadonlySet<string>): number {
+/** Number of fields whose lower-case names are counted by `isCounted`. */
+function countFields (fields: readonly string[], isCounted: (name: string) => boolean): number {
   let count = 0
   for (let index = 0; index < fields.length; index += 2) {
-    if (names.has(fields[index]?.toLowerCase() ?? '')) count++
+    if (isCounted(fields[index]?.toLowerCase() ?? '')) count++
   }
   return count
 }
--- a/src/gate/HttpInbound.ts
+++ b/src/gate/HttpInbound.ts
@@ -20,6 +20,8 @@
   public readonly path: string
   /** End-to-end headers only. */
   public readonly headers: IncomingHttpHeaders
+  /** All fields as received, as alternating names and values. */
+  public readonly receivedFields: readonly string[]
   /** Undefined if the request has no body. */
   public readonly body: Readable | undefined
   /** Size of the body from `content-length`; undefined if unknown. */
@@ -30,6 +32,7 @@
     this.method = _message.method ?? ''
     this.path = _message.url ?? ''
     this.headers = endToEndHeaders(_message.headers)
+    this.receivedFields = _message.rawHeaders
     this.bodyBytes = contentLength(_message.headers)
     const isChunked = _message.headers['transfer-encoding'] !== undefined
     this.body = isChunked || (this.bodyBytes ?? 0) > 0 ? _message : undefined
--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -34,8 +34,10 @@
   callerRequestId (headers: IncomingHttpHeaders): string | undefined
   /** The caller's timeout; undefined if the caller does not state one. */
   callerTimeout (headers: IncomingHttpHeaders): Milliseconds | undefined
-  /** The fields of a caller's request that are forwarded to the endpoint, as alternating names and values. */
-  forwardedFields (headers: IncomingHttpHeaders): readonly string[]
+  /** Lower-case names of the fields that a request may have once only. */
+  readonly singleFields: ReadonlySet<string>
+  /** The fields of a caller's request that are forwarded to the endpoint; all fields as alternating names and values. */
+  forwardedFields (receivedFields: readonly string[]): readonly string[]
   /** The fields that the mesh itself adds for the endpoint. `expected`: the incarnation that should run the request. */
   endpointFields (call: IMeshCall, expected: EndpointId, remaining: Milliseconds): readonly string[]
   readResponseHead (status: number, headers: IncomingHttpHeaders): IEndpointResponseHead
--- a/src/mesh/calls/CallerPort.ts
+++ b/src/mesh/calls/CallerPort.ts
@@ -62,10 +62,7 @@
 /** Accepts requests, matches their routes, and writes the final responses. */
 export class CallerPort implements IService {
   private readonly _server: Server
-  private readonly _rules = new HeaderRules({
-    maximumBytes: MAXIMUM_HEAD_BYTES, maximumFields: MAXIMUM_FIELDS, maximumTargetBytes: MAXIMUM_HEAD_BYTES
-  })
-
+  private readonly _rules: HeaderRules
   private readonly _latency: Histogram
   private readonly _connections = new CallerConnections()
   private readonly _bodies: RequestBodyReader
@@ -75,6 +72,12 @@
   private _isRefusing = false
 
   constructor (private readonly _options: ICallerPortOptions) {
+    this._rules = new HeaderRules({
+      maximumBytes: MAXIMUM_HEAD_BYTES,
+      maximumFields: MAXIMUM_FIELDS,
+      maximumTargetBytes: MAXIMUM_HEAD_BYTES,
+      singleFields: _options.format.singleFields
+    })
     this._termination = new CallTermination(_options.clock)
     this._bodies = new RequestBodyReader({ ..._options, budget: _options.requestBodies, step: 'caller.body' })
     this._server = createServer({
@@ -195,7 +198,7 @@
       callerService: localService.name,
       method: inbound.method,
       path: inbound.path,
-      fields: this._options.format.forwardedFields(message.headers),
+      fields: this._options.format.forwardedFields(inbound.receivedFields),
       body,
       arrivedAt,
       deadlineAt,
--- a/src/mesh/endpoint/GateServer.ts
+++ b/src/mesh/endpoint/GateServer.ts
@@ -129,7 +129,7 @@
       path: inbound.path,
       headers: inbound.headers,
       callerRequestId: format.callerRequestId(inbound.headers),
-      fields: format.forwardedFields(inbound.headers),
+      fields: format.forwardedFields(inbound.receivedFields),
       body: undefined
     }, clock.now())
   }
