A row with an unknown service takes no address from a node

What callers saw: a row of another writer, with a service that the configuration does not contain and the gate address of a live node, hid the endpoint of that node from all nodes until the node had written its row again: at least 0.5 s, and as long as the store refused its writes. With that endpoint alone able to serve, every request got 503. Cause: NodeTable gave a gate address to the row written last, whatever that row says. Class: a row that names no endpoint to use still decided about the endpoint of another node. Why it works: a row with an endpoint whose service is not in the configuration in force hides no node. It is hidden itself by a later row only. The table is computed again when the configuration changes, so that a true row gets the address with the configuration that names its service; nothing could be sent to its endpoint before. While no configuration is known everything is as it was. Ruled out: a row without an endpoint still takes the address, since every new VM writes one before its endpoint reports; a row with a known service cannot be told from that of a new VM, and is answered by writing the own row again as before. Cost: if a new VM with a service that the configuration lacks has the address of a VM that ended, the old row stays visible; its requests reach the new node, which refuses them without running them, and the endpoint is paused for 0.5 s each time.

--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -112,7 +112,14 @@
     dependsOn: FOUNDATION,
     create: () => new ConfigurationService({ ...foundationOf(kernel), decoder: adapter.decoder })
   })
-  kernel.register({ key: MESH_KEY.nodes, dependsOn: FOUNDATION, create: () => new NodeTable(foundationOf(kernel)) })
+  kernel.register({
+    key: MESH_KEY.nodes,
+    dependsOn: [...FOUNDATION, IConfigurationService],
+    create: () => {
+      const configuration = kernel.get(IConfigurationService)
+      return new NodeTable({ ...foundationOf(kernel), services: () => configuration.current?.configuration.services })
+    }
+  })
   kernel.register({
     key: MESH_KEY.transport,
     dependsOn: FOUNDATION,
--- a/src/mesh/view/NodeTable.test.ts
+++ b/src/mesh/view/NodeTable.test.ts
@@ -1,8 +1,10 @@
 /** Rows that arrive out of order, cannot be decoded, or reuse the address of another node. */
 import { expect } from 'chai'
-import type { RowKey, StorePosition } from '../../platform/Types.js'
+import type { EndpointId, Milliseconds, NetworkAddress, ServiceName } from '../../common/Types.js'
+import type { IChangedRow, RowKey, StorePosition } from '../../platform/Types.js'
 import { batch, nodeOf, NOW, row } from '../../../testing/mesh/NodeRows.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
+import type { IEndpointRecord } from '../Types.js'
 import { encodeNodeRow } from './NodeRowCodec.js'
 import { NodeTable } from './NodeTable.js'
 
@@ -39,3 +41,67 @@
     expect([...table.nodes.keys()]).to.deep.equal(['heir', 'other'])
   })
 })
+
+const KNOWN = 'known' as ServiceName
+const LATER = 'later' as ServiceName
+const UNKNOWN = 'x765582' as ServiceName
+
+/** Services of the configuration in force; undefined until one is known. */
+class ServicesStandIn {
+  public current: ReadonlySet<ServiceName> | undefined = new Set([KNOWN])
+}
+
+const ADDRESS = '10.0.0.9:1'
+
+/** A row of a node whose endpoint runs `service`. */
+function servingRow (name: string, position: number, service: ServiceName, address?: string): IChangedRow {
+  const endpoint: IEndpointRecord = {
+    id: `i-${name}` as EndpointId,
+    bornAt: 5,
+    service,
+    address: '10.0.0.7:80' as NetworkAddress,
+    slots: 4,
+    phase: 'serving',
+    warmUpLeft: 0 as Milliseconds
+  }
+  return row(name, position, encodeNodeRow({ ...nodeOf(name, 'r1', false, address), endpoint }))
+}
+
+describe('NodeTable with a row of another writer', () => {
+  let services: ServicesStandIn
+  let table: NodeTable
+
+  beforeEach(() => {
+    services = new ServicesStandIn()
+    table = new NodeTable({ log: new RecordingLog(), services: () => services.current })
+  })
+
+  function endpointsOf (service: ServiceName): string[] {
+    return table.endpoints(service).map(({ endpoint }) => endpoint.id)
+  }
+
+  // A row that names no endpoint to use hid the live node at its address until that node wrote its row again.
+  it('does not hide the endpoint of a node whose address a row with an unknown service has', () => {
+    table.apply(batch([servingRow('live', 4, KNOWN, ADDRESS), servingRow('odd', 5, UNKNOWN, ADDRESS)], 5), NOW)
+    expect(endpointsOf(KNOWN)).to.deep.equal(['i-live'])
+  })
+
+  it('gives an address to the later row as soon as the configuration has its service', () => {
+    table.apply(batch([servingRow('gone', 4, KNOWN, ADDRESS), servingRow('heir', 5, LATER, ADDRESS)], 5), NOW)
+    expect(endpointsOf(KNOWN)).to.deep.equal(['i-gone'])
+    services.current = new Set([KNOWN, LATER])
+    expect([endpointsOf(KNOWN), endpointsOf(LATER)]).to.deep.equal([[], ['i-heir']])
+  })
+
+  it('gives an address to a later row without an endpoint, which a new node writes before its endpoint reports', () => {
+    const heir = encodeNodeRow(nodeOf('heir', 'r1', false, ADDRESS))
+    table.apply(batch([servingRow('gone', 4, KNOWN, ADDRESS), row('heir', 5, heir)], 5), NOW)
+    expect(endpointsOf(KNOWN)).to.deep.equal([])
+  })
+
+  it('gives an address to the later row while no configuration is known', () => {
+    services.current = undefined
+    table.apply(batch([servingRow('gone', 4, KNOWN, ADDRESS), servingRow('heir', 5, LATER, ADDRESS)], 5), NOW)
+    expect([endpointsOf(KNOWN), endpointsOf(LATER)]).to.deep.equal([[], ['i-heir']])
+  })
+})
--- a/src/mesh/view/NodeTable.ts
+++ b/src/mesh/view/NodeTable.ts
@@ -8,9 +8,14 @@
 import type { IKnownNode, IMeshEndpoint, NodeName } from '../Types.js'
 import { decodeNodeRow } from './NodeRowCodec.js'
 
+/** Names of services. */
+type ServiceSet = Pick<ReadonlySet<ServiceName>, 'has'>
+
 /** Dependencies of `NodeTable`. */
 export interface INodeTableOptions {
   readonly log: ILogService
+  /** Services of the configuration in force; returns undefined while none is known. */
+  readonly services?: () => ServiceSet | undefined
 }
 
 const NO_ROWS: readonly IChangedRow[] = Object.freeze([])
@@ -23,6 +28,8 @@
   private readonly _nodes = new Map<NodeName, IKnownNode>()
   private _currentNodes: ReadonlyMap<NodeName, IKnownNode> | undefined
   private _endpoints: ReadonlyMap<ServiceName, readonly IMeshEndpoint[]> | undefined
+  /** Services for which `_currentNodes` and `_endpoints` were computed. */
+  private _services: ServiceSet | undefined
   private _position = 0 as StorePosition
 
   constructor (private readonly _options: INodeTableOptions) {}
@@ -31,8 +38,12 @@
     return this._position
   }
 
-  /** All nodes, except those whose gate address appears in the later row of another node. */
+  /**
+   * All nodes, except those whose gate address appears in the later row of another node. A row with an endpoint of a service that the
+   * configuration does not contain hides no other node.
+   */
   public get nodes (): ReadonlyMap<NodeName, IKnownNode> {
+    this._updateServices()
     this._currentNodes ??= this._selectAddressOwners()
     return this._currentNodes
   }
@@ -43,6 +54,7 @@
   }
 
   public endpoints (service: ServiceName): readonly IMeshEndpoint[] {
+    this._updateServices()
     this._endpoints ??= indexEndpoints(this.nodes.values())
     return this._endpoints.get(service) ?? NO_ENDPOINTS
   }
@@ -70,21 +82,44 @@
     const changed = rows.filter((row) => this._applyRow(row, now))
     this._position = Math.max(this._position, batch.position) as StorePosition
     if (changed.length === 0) return
+    this._forgetComputed()
+    this._onChanged.fire({ rows: changed, position: this._position, isWhole: false })
+  }
+
+  /** Drops what was computed with the services of an earlier configuration. */
+  private _updateServices (): void {
+    const services = this._options.services?.()
+    if (services === this._services) return
+    this._services = services
+    this._forgetComputed()
+  }
+
+  private _forgetComputed (): void {
     this._endpoints = undefined
     this._currentNodes = undefined
-    this._onChanged.fire({ rows: changed, position: this._position, isWhole: false })
   }
 
-  /** Keeps, of the nodes with the same gate address, only the one whose row was written last. */
+  /** True unless the row of the node names an endpoint of a service that the configuration does not contain. */
+  private _hasUsableService ({ endpoint }: IKnownNode): boolean {
+    return endpoint === undefined || this._services === undefined || this._services.has(endpoint.service)
+  }
+
+  /**
+   * Keeps, of the nodes with the same gate address, only the one whose row was written last. A row without a usable service is possibly
+   * not from a node, and must not hide one: it is left out of this comparison, and hidden only by a later row.
+   */
   private _selectAddressOwners (): ReadonlyMap<NodeName, IKnownNode> {
-    const owners = new Map<NetworkAddress, IChangedRow>()
+    const latest = new Map<NetworkAddress, StorePosition>()
     for (const [name, node] of this._nodes) {
-      const row = this._rows.get(name as string as RowKey)
-      const owner = owners.get(node.gateAddress)
-      if (row !== undefined && (owner === undefined || owner.position < row.position)) owners.set(node.gateAddress, row)
+      if (!this._hasUsableService(node)) continue
+      const position = Math.max(latest.get(node.gateAddress) ?? 0, this._positionOf(name)) as StorePosition
+      latest.set(node.gateAddress, position)
     }
-    const addressOwners = [...this._nodes].filter(([name, node]) => owners.get(node.gateAddress)?.key === name as string)
-    return new Map(addressOwners)
+    return new Map([...this._nodes].filter(([name, node]) => this._positionOf(name) >= (latest.get(node.gateAddress) ?? 0)))
+  }
+
+  private _positionOf (name: NodeName): StorePosition {
+    return this._rows.get(name as string as RowKey)?.position ?? 0 as StorePosition
   }
 
   /** Deletions of rows that are missing from a read of the complete table: they were deleted before the read or at the same moment. */
