A row that names no endpoint to use leaves the state of its node

What callers saw: a row of another writer under the name of a live node took the endpoint of that node away from all nodes until the node had written its row again, which takes as long as the store refuses its writes. If the row had a crash report before, the crashes of that node were forgotten as well, and a request that ends its endpoints was executed again. Cause: NodeTable dropped the known state of a node as soon as a later row with its name arrived, even if that row could not be read or named a service that the configuration does not contain. Class: what another writer says was believed of an endpoint. Three of the new tests of NodeTable use the new method nodeIn and so could not pass before; the two on the address of an ended node passed before, and guard the change. Why it works: the state in use is that of the latest usable row. An unreadable row changes nothing. A row with a service that the configuration lacks is set aside if the state before has an endpoint of a service that it contains. Each state keeps the position of its own row, so that a row written over that of an ended node does not take the address back from the new VM there. A row that can be used, or the deletion of the row, ends it, and a configuration that names the service uses the row that was set aside. Crash reports are taken only from rows that are in use. Ruled out: to keep the state under a readable row without an endpoint (a node writes such a row while its endpoint is in doubt). To send the row before to nodes that start later: they get the endpoint when the node has written its row again, as before.

--- a/src/mesh/daemon/MeshServices.ts
+++ b/src/mesh/daemon/MeshServices.ts
@@ -30,7 +30,6 @@
 import { IConfigurationService, IViewService, type IMeshAdapter, type INodeControl, type INodeIdentity } from '../Services.js'
 import { NodeTable } from '../view/NodeTable.js'
 import { ViewService } from '../view/ViewService.js'
-import type { NodeName } from '../Types.js'
 import type { IMeshSettings } from './MeshSettings.js'
 import { EventLoopDelayMonitor } from './EventLoopDelayMonitor.js'
 import { MESH_KEY } from './ServiceKeys.js'
@@ -157,9 +156,9 @@
       const nodes = kernel.get(MESH_KEY.nodes)
       const crashes = new CrashRegistry({ ...foundation, clock, self: settings().mesh.node })
       nodes.onChanged(({ rows }) => {
-        for (const { key } of rows) {
-          const node = nodes.node(key as string as NodeName)
-          // The row of a node that was removed, or that cannot be read, leaves its crashes as they were.
+        for (const row of rows) {
+          const node = nodes.nodeIn(row)
+          // The row of a node that was removed, or that is not used, leaves its crashes as they were.
           if (node !== undefined) crashes.applyReport(node.node, node.crashReport, clock.now())
         }
       })
--- a/src/mesh/view/NodeTable.test.ts
+++ b/src/mesh/view/NodeTable.test.ts
@@ -4,7 +4,7 @@
 import type { IChangedRow, RowKey, StorePosition } from '../../platform/Types.js'
 import { batch, nodeOf, NOW, row } from '../../../testing/mesh/NodeRows.js'
 import { RecordingLog } from '../../../testing/RecordingLog.js'
-import type { IEndpointRecord } from '../Types.js'
+import type { IEndpointRecord, NodeName } from '../Types.js'
 import { encodeNodeRow } from './NodeRowCodec.js'
 import { NodeTable } from './NodeTable.js'
 
@@ -104,4 +104,35 @@
     table.apply(batch([servingRow('gone', 4, KNOWN, ADDRESS), servingRow('heir', 5, LATER, ADDRESS)], 5), NOW)
     expect([endpointsOf(KNOWN), endpointsOf(LATER)]).to.deep.equal([[], ['i-heir']])
   })
+
+  for (const [description, value] of Object.entries({ 'cannot be read': 'no JSON', 'has an unknown service': servingRow('live', 5, UNKNOWN).value })) {
+    // A row under the name of a live node took its endpoint away until the node wrote its row again.
+    it(`keeps the state of a node if a row under its name ${description}, until a usable row or the deletion of the row`, () => {
+      const odd = row('live', 5, value)
+      table.apply(batch([servingRow('live', 4, KNOWN)], 4), NOW)
+      table.apply(batch([odd, row('live', 6, value)], 6), NOW)
+      expect([endpointsOf(KNOWN), endpointsOf(UNKNOWN), table.nodeIn(odd)]).to.deep.equal([['i-live'], [], undefined])
+      table.apply(batch([row('live', 7)], 7), NOW)
+      expect([endpointsOf(KNOWN), table.nodes.size]).to.deep.equal([[], 1])
+      table.apply(batch([servingRow('live', 8, KNOWN), row('live', 9, value)], 9), NOW)
+      table.apply(batch([{ key: 'live' as RowKey, position: 10 as StorePosition }], 10), NOW)
+      expect([endpointsOf(KNOWN), table.nodes.size, table.node('live' as NodeName)]).to.deep.equal([[], 0, undefined])
+    })
+
+    it(`keeps the address of a node if a row under the name of an ended node that had it ${description}`, () => {
+      table.apply(batch([servingRow('live', 4, KNOWN, ADDRESS), servingRow('heir', 5, KNOWN, ADDRESS)], 5), NOW)
+      table.apply(batch([row('live', 6, value)], 6), NOW)
+      expect(endpointsOf(KNOWN)).to.deep.equal(['i-heir'])
+    })
+  }
+
+  it('uses the latest row of a node whose service the configuration gets later, or that had no endpoint before', () => {
+    const latest = servingRow('live', 5, LATER)
+    table.apply(batch([servingRow('live', 4, KNOWN), latest], 5), NOW)
+    services.current = new Set([KNOWN, LATER])
+    expect([endpointsOf(KNOWN), endpointsOf(LATER), table.nodeIn(latest)?.endpoint?.service]).to.deep.equal([[], ['i-live'], LATER])
+    const first = servingRow('new', 7, UNKNOWN)
+    table.apply(batch([row('new', 6), first], 7), NOW)
+    expect(table.nodeIn(first)?.endpoint?.service).to.equal(UNKNOWN)
+  })
 })
--- a/src/mesh/view/NodeTable.ts
+++ b/src/mesh/view/NodeTable.ts
@@ -21,11 +21,25 @@
 const NO_ROWS: readonly IChangedRow[] = Object.freeze([])
 const NO_ENDPOINTS: readonly IMeshEndpoint[] = Object.freeze([])
 
-/** Updates may arrive out of order: of two states of a row the one with the later position wins. */
+/** State of a node, and the position of the row that contains it. */
+interface INodeState {
+  readonly node: IKnownNode
+  readonly position: StorePosition
+}
+
+/**
+ * Updates may arrive out of order: of two states of a row the one with the later position wins. A row that cannot be read is possibly not
+ * from the node with its name: the state before stays in use. The same holds for a row with an endpoint of a service that the
+ * configuration does not contain, if the state before has an endpoint of a service that it contains. Any other row replaces the state, and
+ * the deletion of the row removes it.
+ */
 export class NodeTable implements INodeTable {
   private readonly _onChanged = new Emitter<IChangeBatch>()
   private readonly _rows = new Map<RowKey, IChangedRow>()
-  private readonly _nodes = new Map<NodeName, IKnownNode>()
+  /** Latest valid state of each node. */
+  private readonly _states = new Map<NodeName, INodeState>()
+  /** Latest state with an endpoint of a known service, for nodes for which `_states` has a later one with an unknown service. */
+  private readonly _earlierStates = new Map<NodeName, INodeState>()
   private _currentNodes: ReadonlyMap<NodeName, IKnownNode> | undefined
   private _endpoints: ReadonlyMap<ServiceName, readonly IMeshEndpoint[]> | undefined
   /** Services for which `_currentNodes` and `_endpoints` were computed. */
@@ -59,9 +73,17 @@
     return this._endpoints.get(service) ?? NO_ENDPOINTS
   }
 
-  /** Latest valid state of a node, even if its gate address appears in the later row of another node. */
+  /** The state in use of a node, even if its gate address appears in the later row of another node. */
   public node (name: NodeName): IKnownNode | undefined {
-    return this._nodes.get(name)
+    this._updateServices()
+    return this._stateOf(name)?.node
+  }
+
+  /** The state of a node that `row` contains; undefined if it is not the state in use. */
+  public nodeIn ({ key, position }: IChangedRow): IKnownNode | undefined {
+    this._updateServices()
+    const state = this._stateOf(key as string as NodeName)
+    return state?.position === position ? state.node : undefined
   }
 
   /** Latest state of a row; undefined if there is none or it was deleted. */
@@ -104,22 +126,25 @@
     return endpoint === undefined || this._services === undefined || this._services.has(endpoint.service)
   }
 
+  /** The state of a node that is in use. */
+  private _stateOf (name: NodeName): INodeState | undefined {
+    const state = this._states.get(name)
+    return state === undefined || this._hasUsableService(state.node) ? state : this._earlierStates.get(name) ?? state
+  }
+
   /**
    * Keeps, of the nodes with the same gate address, only the one whose row was written last. A row without a usable service is possibly
    * not from a node, and must not hide one: it is left out of this comparison, and hidden only by a later row.
    */
   private _selectAddressOwners (): ReadonlyMap<NodeName, IKnownNode> {
+    const states = [...this._states].map(([name, state]) => this._stateOf(name) ?? state)
     const latest = new Map<NetworkAddress, StorePosition>()
-    for (const [name, node] of this._nodes) {
+    for (const { node, position } of states) {
       if (!this._hasUsableService(node)) continue
-      const position = Math.max(latest.get(node.gateAddress) ?? 0, this._positionOf(name)) as StorePosition
-      latest.set(node.gateAddress, position)
+      latest.set(node.gateAddress, Math.max(latest.get(node.gateAddress) ?? 0, position) as StorePosition)
     }
-    return new Map([...this._nodes].filter(([name, node]) => this._positionOf(name) >= (latest.get(node.gateAddress) ?? 0)))
-  }
-
-  private _positionOf (name: NodeName): StorePosition {
-    return this._rows.get(name as string as RowKey)?.position ?? 0 as StorePosition
+    const owners = states.filter(({ node, position }) => position >= (latest.get(node.gateAddress) ?? 0))
+    return new Map(owners.map(({ node }) => [node.node, node]))
   }
 
   /** Deletions of rows that are missing from a read of the complete table: they were deleted before the read or at the same moment. */
@@ -139,25 +164,44 @@
     if (known !== undefined && known.position >= row.position) return false
     this._rows.set(row.key, row)
     const name = row.key as string as NodeName
-    const previous = this._nodes.get(name)
-    this._nodes.delete(name)
-    if (row.value !== undefined) this._decode(name, row.value, now)
-    this._logChange(row, previous)
+    const before = this.node(name)
+    if (row.value === undefined) this._forgetNode(name)
+    else this._decode(row, row.value, now)
+    this._logChange(row, before)
     return true
   }
 
-  private _decode (name: NodeName, value: string, now: Timestamp): void {
+  private _forgetNode (name: NodeName): void {
+    this._states.delete(name)
+    this._earlierStates.delete(name)
+  }
+
+  private _decode ({ key, position }: IChangedRow, value: string, now: Timestamp): void {
+    const name = key as string as NodeName
+    const { log } = this._options
     try {
       const { row, ignoredCrashes } = decodeNodeRow(value, name)
-      this._nodes.set(name, { ...row, learntAt: now })
-      if (ignoredCrashes > 0) this._options.log.log(CRASH_REPORT_IGNORED, { step: 'nodes.decode', peer: name, entries: ignoredCrashes })
+      this._setState(name, { node: { ...row, learntAt: now }, position })
+      if (ignoredCrashes > 0) log.log(CRASH_REPORT_IGNORED, { step: 'nodes.decode', peer: name, entries: ignoredCrashes })
     } catch (error) {
-      this._options.log.log(NODE_ROW_IGNORED, { step: 'nodes.decode', peer: name, reason: String(error) })
+      log.log(NODE_ROW_IGNORED, { step: 'nodes.decode', peer: name, reason: String(error) })
+    }
+  }
+
+  private _setState (name: NodeName, state: INodeState): void {
+    const previous = this._stateOf(name)
+    this._states.set(name, state)
+    if (this._hasUsableService(state.node)) {
+      this._earlierStates.delete(name)
+      return
     }
+    const reason = `service ${state.node.endpoint?.service} is not in the configuration`
+    this._options.log.log(NODE_ROW_IGNORED, { step: 'nodes.decode', peer: name, reason })
+    if (previous?.node.endpoint !== undefined && this._hasUsableService(previous.node)) this._earlierStates.set(name, previous)
   }
 
   private _logChange (row: IChangedRow, before: IKnownNode | undefined): void {
-    const node = this._nodes.get(row.key as string as NodeName)
+    const node = this.node(row.key as string as NodeName)
     this._options.log.log(NODE_ROW_CHANGED, {
       step: 'nodes.apply',
       peer: row.key,
