A probe counts only if a node has responded

What callers saw: possibly a longer wait. If a process that is not a node listened at the gate address of a node that had ended and answered any HTTP request, its response to a probe ended the suspicion of that node, so that a request was sent towards it again, and again after each probe; it also discarded the token by which requests sent to the process before are queried. Cause: NodeQueries took any complete HTTP response for that of a node. Calls and new connections already required the process token, which every response of a node has. Why it works: without a token there is no probe response. A restarted node and another node at the address have a token of their own, and count as before. Ruled out: settle queries.

--- a/src/mesh/exchange/NodeQueries.ts
+++ b/src/mesh/exchange/NodeQueries.ts
@@ -27,7 +27,7 @@
 /** Response to a probe. */
 export interface IProbeResponse {
   readonly load: IEndpointLoad | undefined
-  readonly processToken: string | undefined
+  readonly processToken: string
 }
 
 /** Response to a settle query. */
@@ -51,7 +51,7 @@
 export class NodeQueries {
   constructor (private readonly _options: INodeQueriesOptions) {}
 
-  /** Undefined if there is no response in time. */
+  /** Undefined if there is no response in time, or if it is not that of a node. */
   public async probe (address: NetworkAddress, timeout = this._options.timeout): Promise<IProbeResponse | undefined> {
     const end = await this._query(address, PROBE_FIELDS, timeout)
     return probeResponseOf(end)
@@ -106,10 +106,11 @@
   }
 }
 
+/** Undefined if the response has no process token: every node sends one, so another process listens at the address. */
 function probeResponseOf (end: ExchangeResult): IProbeResponse | undefined {
   if (end.kind !== 'answer') return undefined
-  const token = end.headers[NODE_HEADER.processToken]
-  return { load: loadOf(end.headers), processToken: typeof token === 'string' ? token : undefined }
+  const processToken = end.headers[NODE_HEADER.processToken]
+  return typeof processToken === 'string' ? { load: loadOf(end.headers), processToken } : undefined
 }
 
 function loadOf (headers: IncomingHttpHeaders): IEndpointLoad | undefined {
