Followers do not take an empty row for a deleted one

What callers saw: if another writer put a row without content under the name of a live node, the nodes that follow another node dropped its endpoint until the node had written its row again; only the node that reads the store kept it. Cause: in messages between nodes an empty value marks a deleted row, and a stored row with an empty value was sent the same way. Class: what another writer says was believed of an endpoint. Why it works: an empty value is sent as a space, which no node can read as a row either. Nodes never write an empty row.

--- a/src/mesh/view/ViewMessages.ts
+++ b/src/mesh/view/ViewMessages.ts
@@ -9,6 +9,11 @@
 
 /** Largest configuration accepted from another node, in bytes; several times the size limit of a row of the platform. */
 const MAXIMUM_CONFIGURATION_BYTES = 2_097_152
+/**
+ * Stands for the empty value of a row, since an empty value in a message marks a deleted row. No node writes such a row, and a receiver can
+ * read neither value.
+ */
+const EMPTY_ROW_VALUE = ' '
 
 /** Text of one version of the configuration. */
 export interface IVersionedConfiguration {
@@ -37,8 +42,9 @@
   return decodeBody(update.configuration, base, hash, { peer, maximumBytes: MAXIMUM_CONFIGURATION_BYTES })
 }
 
+/** Rows of an update; see `decodeRows`. */
 export function encodeRows (rows: readonly IChangedRow[]): NonNullable<ViewUpdate['rows']> {
-  return rows.map(({ key, position, value }) => ({ key, position, value: value ?? '' }))
+  return rows.map(({ key, position, value }) => ({ key, position, value: value === '' ? EMPTY_ROW_VALUE : value ?? '' }))
 }
 
 /** Decodes the rows of an update; an empty value marks a deleted row. */
