Long rows of another writer do not end the transfer of the view

What callers saw: 503 for every request at a node that starts while it cannot reach the store, for as long as it cannot, if other writers have put many rows of the maximum size (64 KiB) into the node table (20 in the test). Cause: a node sends a new follower all rows in one message, also those that cannot be read, and a message longer than 1 MiB is refused. Class: rows of another writer cost more than what they name. Why it works: an unreadable row of more than 2,048 characters is sent as the value that stands for an empty one. The receiver cannot read either, and keeps the state of the node with that name. Ruled out: to leave the rows out (positions and deletions would then differ between nodes); to re-encode long rows that can be read (it would drop what a later build has written). Remains (by reading, not run): long rows that can be read, or enough unreadable ones of 2 KiB, still make one message of more than 1 MiB. An update would have to be divided; not done here.

--- a/src/mesh/view/ViewMessages.ts
+++ b/src/mesh/view/ViewMessages.ts
@@ -5,15 +5,18 @@
 import type { ViewUpdate, ReceivedViewUpdate } from '../../generated/savoryknot/ViewUpdate.js'
 import type { IChangeBatch, IChangedRow, RowKey, StorePosition } from '../../platform/Types.js'
 import type { IConfigurationService } from '../Services.js'
-import type { ConfigurationVersion } from '../Types.js'
+import type { ConfigurationVersion, NodeName } from '../Types.js'
+import { decodeNodeRow } from './NodeRowCodec.js'
 
 /** Largest configuration accepted from another node, in bytes; several times the size limit of a row of the platform. */
 const MAXIMUM_CONFIGURATION_BYTES = 2_097_152
 /**
- * Stands for the empty value of a row, since an empty value in a message marks a deleted row. No node writes such a row, and a receiver can
- * read neither value.
+ * Stands for a row that cannot be read, where its value is empty, which marks a deleted row in a message, or long. Such rows are from
+ * another writer, and a receiver cannot read this value either.
  */
-const EMPTY_ROW_VALUE = ' '
+const UNREADABLE_ROW_VALUE = ' '
+/** Rows of nodes have a few hundred characters without crash reports. Shorter unreadable rows are sent: a later build may read them. */
+const MAXIMUM_UNREADABLE_CHARACTERS = 2_048
 
 /** Text of one version of the configuration. */
 export interface IVersionedConfiguration {
@@ -42,9 +45,24 @@
   return decodeBody(update.configuration, base, hash, { peer, maximumBytes: MAXIMUM_CONFIGURATION_BYTES })
 }
 
-/** Rows of an update; see `decodeRows`. */
+/** Rows of an update; see `decodeRows`. Rows that cannot be read must not make a message longer than a node accepts. */
 export function encodeRows (rows: readonly IChangedRow[]): NonNullable<ViewUpdate['rows']> {
-  return rows.map(({ key, position, value }) => ({ key, position, value: value === '' ? EMPTY_ROW_VALUE : value ?? '' }))
+  return rows.map((row) => ({ key: row.key, position: row.position, value: valueToSend(row) }))
+}
+
+function valueToSend ({ key, value }: IChangedRow): string {
+  if (value === undefined) return ''
+  const isReplaced = value === '' || (value.length > MAXIMUM_UNREADABLE_CHARACTERS && !isReadableRow(value, key))
+  return isReplaced ? UNREADABLE_ROW_VALUE : value
+}
+
+function isReadableRow (value: string, key: RowKey): boolean {
+  try {
+    decodeNodeRow(value, key as string as NodeName)
+    return true
+  } catch {
+    return false
+  }
 }
 
 /** Decodes the rows of an update; an empty value marks a deleted row. */
