--- a/src/mesh/Services.ts
+++ b/src/mesh/Services.ts
@@ -101,8 +101,8 @@
   readonly reportedAt: Timestamp | undefined
   /** True while it is uncertain whether the endpoint with this record has ended. */
   readonly isDoubted: boolean
-  /** Restores the record that an earlier process of this node published. */
-  restore (record: IEndpointRecord, now: Timestamp): void
+  /** Restores the record that an earlier process of this node published. Returns false if it cannot be from such a process. */
+  restore (record: IEndpointRecord, now: Timestamp): boolean
   /** Why the report cannot be from the endpoint of this VM; undefined if it can be. */
   faultOf (report: IEndpointReport, now: Timestamp): string | undefined
   report (report: IEndpointReport, now: Timestamp): ReportOutcome
--- a/src/mesh/daemon/MeshDaemon.ts
+++ b/src/mesh/daemon/MeshDaemon.ts
@@ -177,8 +177,8 @@
     const nodes = this._kernel.get(MESH_KEY.nodes)
     const row = nodes.row(node as string as RowKey)
     const { endpoint, crashReport } = nodes.node(node) ?? {}
-    if (endpoint !== undefined) this._kernel.get(MESH_KEY.endpoint).restore(endpoint, this._clock.now())
-    if (crashReport !== undefined) this._kernel.get(MESH_KEY.crashes).restore(crashReport, this._clock.now())
+    const isForeign = endpoint !== undefined && !this._kernel.get(MESH_KEY.endpoint).restore(endpoint, this._clock.now())
+    if (crashReport !== undefined && !isForeign) this._kernel.get(MESH_KEY.crashes).restore(crashReport, this._clock.now())
     if (row !== undefined) this._kernel.get(MESH_KEY.retryBudget).recordRestart(this._clock.now())
     const storedRow = row?.value === undefined ? undefined : { revision: String(row.position) as RowRevision, value: row.value }
     this._kernel.get(MESH_KEY.registration).startWriting(storedRow)
--- a/src/mesh/endpoint/LocalEndpoint.ts
+++ b/src/mesh/endpoint/LocalEndpoint.ts
@@ -85,23 +85,24 @@
   /**
    * Adopts the endpoint record that an earlier process of this node stored, unless the endpoint has reported to this process. If
    * the incarnation is already known, only a later phase (draining or deregistered) is adopted: a phase never goes back within an
-   * incarnation, whichever process learnt it.
+   * incarnation, whichever process learnt it. Returns false if the record cannot be that of the endpoint of this VM.
    */
-  public restore (record: IEndpointRecord, now: Timestamp): void {
+  public restore (record: IEndpointRecord, now: Timestamp): boolean {
     const fault = this._options.authority.faultOf(record, false)
     if (fault !== undefined) {
       this._options.log.log(NODE_ROW_IGNORED, {
         step: 'endpoint.restore', endpoint: record.id, service: record.service, address: record.address, reason: fault
       })
-      return
+      return false
     }
     const current = this._incarnation
-    if (current !== undefined && hasUnknownStart(record, current.record)) return
+    if (current !== undefined && hasUnknownStart(record, current.record)) return false
     const order = current === undefined ? 1 : compareIncarnations(record, current.record)
     if (order > 0 && this.reportedAt === undefined) this._replace({ record: this._toAdoptedRecord(record), sequence: NO_SEQUENCE, reportedAt: now }, 'adopted')
-    if (current === undefined || order !== 0 || record.phase === 'serving') return
+    if (current === undefined || order !== 0 || record.phase === 'serving') return true
     const phase = laterPhase(current.record.phase, record.phase)
     if (phase !== current.record.phase) this._replace({ ...current, record: { ...current.record, phase } }, 'adopted')
+    return true
   }
 
   /**
--- a/src/mesh/endpoint/RegistrationService.ts
+++ b/src/mesh/endpoint/RegistrationService.ts
@@ -207,7 +207,8 @@
     const { endpoint, crashes, clock, log } = this._options
     try {
       const { row } = decodeNodeRow(value, this._options.self.name)
-      if (row.endpoint !== undefined) endpoint.restore(row.endpoint, clock.now())
+      // A row with a foreign endpoint is from another writer, and so are its crashes.
+      if (row.endpoint !== undefined && !endpoint.restore(row.endpoint, clock.now())) return
       if (row.crashReport !== undefined) crashes.restore(row.crashReport, clock.now())
     } catch (error) {
       log.log(NODE_ROW_IGNORED, { step: 'registration.decode', peer: this._reference.key, reason: String(error) })
--- a/testing/mesh/MeshRig.ts
+++ b/testing/mesh/MeshRig.ts
@@ -102,7 +102,7 @@
     await node.daemon['_kernel'].stop()
     const log = new RecordingLog()
     const { settingsFile } = node
-    const daemon = new MeshDaemon({ settings: settingsFile.content, adapter: new Adapter(), log, readSettings: () => settingsFile.content })
+    const daemon = new MeshDaemon({ settings: node.settings, adapter: new Adapter(), log, readSettings: () => settingsFile.content })
     const next = { ...node, daemon, log, started: daemon.start() }
     this.nodes.splice(this.nodes.indexOf(node), 1, next)
     return next
