Soak: heartbeats and rows of another writer

Two guarantees without excuse: an endpoint is told the service of the VM where a request began, and a foreign report is not acknowledged. The settings of the soak's nodes name the endpoint's address.

--- a/bench/soak/EndpointReports.ts
+++ b/bench/soak/EndpointReports.ts
@@ -1,13 +1,12 @@
 /** Heartbeats and drain reports from an endpoint of the soak to its local node. */
-import { request as sendRequest } from 'node:http'
 import type { EndpointStandIn } from '../../testing/mesh/EndpointStandIn.js'
+import type { IHeartbeatBody } from './ForeignMessages.js'
+import { sendHeartbeat } from './HeartbeatRequest.js'
 import type { Subject } from './Types.js'
 
 const HOST = '127.0.0.1'
 /** Time between two heartbeats. */
 export const HEARTBEAT_MS = 200
-/** A heartbeat without a response is aborted after this time. */
-const RESPONSE_TIMEOUT_MS = 1_000
 
 /** Options of EndpointReports. */
 export interface IEndpointReportsOptions {
@@ -29,6 +28,18 @@
 
   constructor (private readonly _options: IEndpointReportsOptions) {}
 
+  /** Address that the endpoint states in its heartbeats. */
+  public get address (): string {
+    return `${HOST}:${this._options.endpointPort}`
+  }
+
+  /** Body of the heartbeat with the present sequence number. */
+  public get lastHeartbeat (): IHeartbeatBody {
+    const { endpoint, service } = this._options
+    const heartbeat = JSON.parse(endpoint.heartbeat(service, this._sequence, this._state)) as IHeartbeatBody
+    return { ...heartbeat, address: this.address }
+  }
+
   /** Starts the heartbeats; a second call has no effect. */
   public start (): void {
     this._timer ??= setInterval(() => { this.send().catch(() => undefined) }, HEARTBEAT_MS)
@@ -54,20 +65,9 @@
 
   /** Sends one heartbeat; resolves with the status of its acknowledgement, 0 without one. */
   public send (): Promise<number> {
-    const { endpoint, service, controlPort, endpointPort } = this._options
-    const heartbeat = JSON.parse(endpoint.heartbeat(service, ++this._sequence, this._state)) as Record<string, unknown>
-    const body = JSON.stringify({ ...heartbeat, address: `${HOST}:${endpointPort}` })
-    const path = `/api/instances/${endpoint.id}/heartbeat`
-    return new Promise((resolve) => {
-      const target = { host: HOST, port: controlPort, method: 'POST', path, agent: false, timeout: RESPONSE_TIMEOUT_MS }
-      const request = sendRequest(target, (response) => {
-        response.resume()
-        response.on('close', () => resolve(response.complete ? response.statusCode ?? 0 : 0))
-      })
-      request.on('timeout', () => request.destroy())
-      request.on('error', () => resolve(0))
-      request.end(body)
-    })
+    const { endpoint, controlPort } = this._options
+    this._sequence++
+    return sendHeartbeat({ controlPort, id: endpoint.id, body: JSON.stringify(this.lastHeartbeat) })
   }
 }
 
--- a/bench/soak/Guarantees.test.ts
+++ b/bench/soak/Guarantees.test.ts
@@ -22,6 +22,7 @@
     deployment.callerRecords.push({
       id,
       node: 'n0',
+      service: 'status',
       kind,
       path,
       sentAt,
@@ -35,7 +36,7 @@
       incarnation: 1,
       ...overrides
     })
-    deployment.runs.set(id, nodes.map((node) => ({ id, node, path, startedAt: sentAt + 5, abandonedAt: undefined })))
+    deployment.runs.set(id, nodes.map((node) => ({ id, node, path, callerService: 'status', startedAt: sentAt + 5, abandonedAt: undefined })))
   }
 
   function disturb (kind: DisruptionKind, subject: string, from: number, until: number): void {
@@ -106,6 +107,19 @@
     expect(brokenGuarantees()).to.deep.equal(['no request starts at a draining endpoint', 'service recovers fully after the faults'])
   })
 
+  it('are violated if an endpoint is told another caller service than that of the VM, whatever was disturbed', () => {
+    addRequest('a', 'read', { status: 200 }, ['n1'])
+    addRequest('b', 'pay', { status: 200, service: 'fee' }, ['n1'])
+    disturb('killed', 'n0', 9_000, 11_000)
+    expect(brokenGuarantees()).to.deep.equal(['the caller service is that of the VM where the request began'])
+  })
+
+  it('are violated if a foreign report is acknowledged', () => {
+    const report = { node: 'n0', sentAt: 10_000, fault: 'unnamed service', id: 'i-foreign', body: '{}' }
+    deployment.foreignReports.push({ ...report, status: 400 }, { ...report, status: 503 }, { ...report, status: 202 })
+    expect(brokenGuarantees()).to.deep.equal(['a foreign report is not acknowledged'])
+  })
+
   it('are violated if a planned stop cuts off a request that its node must have read', () => {
     disturb('stopping', 'n0', 10_000, 13_000)
     addRequest('a', 'read', { status: 0, sentAt: 11_000, endedAt: 11_400 }, [])
@@ -123,7 +137,7 @@
       const sentAt = 10_000
       addRequest(id, kind, { status: 0, sentAt, endedAt: sentAt + 40, hasLeft: true, ...overrides }, [])
       const path = `/${kind}/usual/${id}`
-      deployment.runs.set(id, [{ id, node: 'n1', path, startedAt: sentAt + startDelay, abandonedAt: sentAt + startDelay + 10 }])
+      deployment.runs.set(id, [{ id, node: 'n1', path, callerService: 'status', startedAt: sentAt + startDelay, abandonedAt: sentAt + startDelay + 10 }])
     }
 
     it('are violated if a request runs that was not sent completely', () => {
--- a/bench/soak/Guarantees.ts
+++ b/bench/soak/Guarantees.ts
@@ -8,6 +8,9 @@
 const REFUSALS = [429, 503]
 const NOT_FOUND = 404
 const ANSWERED = 200
+/** Range of the statuses that acknowledge a report. */
+const MINIMUM_SUCCESS = 200
+const MAXIMUM_SUCCESS = 299
 /** Time within which a confirmed configuration becomes active. */
 const CONFIGURATION_LIMIT_MS = 5_000
 /** Faults that separate a node from the store, or from the nodes that read the store. */
@@ -39,6 +42,7 @@
     this._checkConfiguration()
     this._breaches.push(...new DisconnectGuarantees(this._deployment).check())
     this._checkDrains()
+    this._checkForeignReports()
     this._checkProcesses()
     this._checkRecovery(undisturbedSince)
     return this._breaches
@@ -51,6 +55,8 @@
     if (record.kind === 'pay' && isRefusal && runs.length > 0) this._addBreach('a refused non-idempotent request does not run', record, runs)
     if (isRefusal && !((record.retryAfter ?? 0) > 0)) this._addBreach('a refusal states when to retry', record, runs)
     if (record.status === ANSWERED && !isMatchingResponse(record, runs)) this._addBreach('a response is complete and for its request', record, runs)
+    const misstated = runs.filter(({ callerService }) => callerService !== record.service)
+    if (misstated.length > 0) this._addBreach('the caller service is that of the VM where the request began', record, misstated)
     if (this._isOverdue(record)) this._addBreach('a final response arrives in time', record, runs)
     if (this._isLost(record, runs)) this._addBreach('no request is lost in planned operations', record, runs)
   }
@@ -115,6 +121,11 @@
     }
   }
 
+  private _checkForeignReports (): void {
+    const acknowledged = this._deployment.foreignReports.filter(({ status }) => status >= MINIMUM_SUCCESS && status <= MAXIMUM_SUCCESS)
+    for (const report of acknowledged) this._breaches.push({ guarantee: 'a foreign report is not acknowledged', detail: JSON.stringify(report) })
+  }
+
   private _checkProcesses (): void {
     for (const { identity, unexpectedExits, overdueStops } of this._deployment.nodes) {
       if (unexpectedExits.length > 0) {
--- a/bench/soak/Main.ts
+++ b/bench/soak/Main.ts
@@ -6,6 +6,7 @@
 import { RandomService } from '../../src/common/RandomService.js'
 import { knownRedGuarantees, readKnownRed } from '../../testing/KnownRed.js'
 import { ProcessSuspensions } from './ProcessSuspensions.js'
+import { ForeignWriter } from './ForeignWriter.js'
 import { Guarantees } from './Guarantees.js'
 import { REGRESSION_SEEDS } from './RegressionSeeds.js'
 import { SoakCallers } from './SoakCallers.js'
@@ -45,6 +46,7 @@
   const callers = new SoakCallers(deployment, new RandomService(seed))
   const faults = new SoakFaults(deployment, new RandomService(seed + FAULT_SEED_OFFSET))
   const suspensions = new ProcessSuspensions(deployment, callers, new RandomService(seed + 2 * FAULT_SEED_OFFSET))
+  const foreignWriter = new ForeignWriter(deployment, new RandomService(seed + 3 * FAULT_SEED_OFFSET))
   const handleSignal = (): void => killProcessesAndExit(deployment)
   for (const signal of SIGNALS) process.once(signal, handleSignal)
   try {
@@ -52,8 +54,9 @@
     callers.start()
     faults.start()
     suspensions.start()
+    foreignWriter.start()
     await sleep(minutes * MS_PER_MINUTE)
-    await Promise.all([faults.stop(), suspensions.stop()])
+    await Promise.all([faults.stop(), suspensions.stop(), foreignWriter.stop()])
     await sleep(RECOVERY_MS)
     await suspensions.stopWithoutOtherFaults()
     await sleep(RECOVERY_MS)
@@ -61,7 +64,8 @@
     await sleep(UNDISTURBED_MS)
     await callers.stop()
     const breaches = new Guarantees(deployment).check(undisturbedSince)
-    printRun(seed, deployment, new Map([...faults.counts, ['late reader', suspensions.count]]), breaches)
+    const ownCounts = [['late reader', suspensions.count], ['foreign report', foreignWriter.heartbeats], ['foreign row', foreignWriter.rows]] as const
+    printRun(seed, deployment, new Map([...faults.counts, ...ownCounts]), breaches)
     if (breaches.length > 0) await keepLogs(seed, folder)
     return breaches
   } finally {
--- a/bench/soak/SoakDeployment.ts
+++ b/bench/soak/SoakDeployment.ts
@@ -1,12 +1,13 @@
 /** All nodes of the soak, the store, the operator, and the records of requests, runs and faults. */
 import { findFreePorts } from '../../testing/demonstration/FreePorts.js'
 import { configurationText, type IRigRoute } from '../../testing/mesh/ConfigurationText.js'
+import type { IExecutedRequest } from '../../testing/mesh/EndpointStandIn.js'
 import { StoreStandIn } from '../../testing/mesh/StoreStandIn.js'
 import { DisruptionLog } from './DisruptionLog.js'
 import { PORT_NAMES, SoakNode, type ISoakNodeIdentity, type SoakPorts } from './SoakNode.js'
-import type { ICallerRecord, IDrain, IRunRecord, Moment } from './Types.js'
+import type { ICallerRecord, IDrain, IForeignReport, IRunRecord, Moment } from './Types.js'
 
-const SERVICES = ['status', 'fee']
+export const SERVICES: readonly string[] = Object.freeze(['status', 'fee'])
 const DOMAINS = [{ failureDomain: 'z1', region: 'r1' }, { failureDomain: 'z2', region: 'r1' }, { failureDomain: 'z3', region: 'r2' }]
 /** Shorter than the execution time of some requests. */
 export const SHORT_TIMEOUT_MS = 150
@@ -31,6 +32,10 @@
   public readonly runs = new Map<string, IRunRecord[]>()
   public readonly callerRecords: ICallerRecord[] = []
   public readonly drains: IDrain[] = []
+  /** Heartbeats of another writer that a node answered. */
+  public readonly foreignReports: IForeignReport[] = []
+  /** Called after each start of a node's process. */
+  public onProcessStarted: (node: SoakNode) => void = () => undefined
   /** Time at which each version of the configuration was confirmed. */
   public readonly versions = new Map<number, Moment>()
   private readonly _startedAt = performance.now()
@@ -76,14 +81,16 @@
       return table === 'nodes' ? this.nodes.find((node) => node.identity.name === key)?.replacePorts(text) ?? text : text
     }
     const node = await SoakNode.create(identity, assignPorts(number, freePorts), this.store, folder, replaceAddresses)
-    node.endpoint.onRun = (run) => this._recordRun(run.id, identity.name, run.path)
+    node.endpoint.onRun = (run) => this._recordRun(run, identity.name)
     node.endpoint.onAbandoned = (id) => this._recordAbandoned(id, identity.name)
+    node.onStarted = () => this.onProcessStarted(node)
     node.endpoint.workTimeOf = (path) => path.includes('/long/') ? LONG_WORK_MS : SHORT_WORK_MS
     return node
   }
 
-  private _recordRun (id: string, node: string, path: string): void {
-    this.runs.set(id, [...this.runs.get(id) ?? [], { id, node, path, startedAt: this.now(), abandonedAt: undefined }])
+  private _recordRun ({ id, path, caller }: IExecutedRequest, node: string): void {
+    const run = { id, node, path, callerService: caller, startedAt: this.now(), abandonedAt: undefined }
+    this.runs.set(id, [...this.runs.get(id) ?? [], run])
   }
 
   private _recordAbandoned (id: string, node: string): void {
--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -40,6 +40,8 @@
   public readonly overdueStops: number[] = []
   /** True while a fault is applied to the process; other faults skip it. */
   public hasProcessFault = false
+  /** Called after each start of the process. */
+  public onStarted: () => void = () => undefined
   private _isExitExpected = false
   private _startedAt = 0
 
@@ -67,9 +69,9 @@
     }
     await Promise.all(Object.values(links).map((link) => link.start()))
     const file = join(folder, `${identity.name}.ini`)
-    await writeFile(file, writeSettings(identity, ports, links.store.port))
     const { name, service } = identity
     const reports = new EndpointReports({ endpoint, node: name, service, controlPort: ports.control, endpointPort: links.endpoint.port })
+    await writeFile(file, writeSettings({ identity, ports, storePort: links.store.port, endpointAddress: reports.address }))
     const daemon = new DaemonProcess({ file, nodeArguments: NODE_ARGUMENTS, logFile: join(folder, `${name}.log`) })
     return new SoakNode(identity, ports, links, endpoint, reports, daemon)
   }
@@ -78,6 +80,18 @@
     return this._ports.caller
   }
 
+  public get controlPort (): number {
+    return this._ports.control
+  }
+
+  public get gateAddress (): string {
+    return `${HOST}:${this._ports.gate}`
+  }
+
+  public get peerAddress (): string {
+    return `${HOST}:${this._ports.peer}`
+  }
+
   public get processId (): number {
     return this._daemon.processId
   }
@@ -103,6 +117,7 @@
     this._startedAt = performance.now()
     this._daemon.exit.then((code) => { if (!this._isExitExpected) this._recordExit(code) }, () => undefined)
     this.reports.start()
+    this.onStarted()
   }
 
   /** Stops the process as planned and records a wrong exit code or an overlong stop. */
@@ -150,10 +165,20 @@
   }
 }
 
-function writeSettings (identity: ISoakNodeIdentity, ports: SoakPorts, storePort: number): string {
+/** Contents of a settings file. */
+interface ISoakSettings {
+  readonly identity: ISoakNodeIdentity
+  readonly ports: SoakPorts
+  readonly storePort: number
+  readonly endpointAddress: string
+}
+
+/** Names the service and the address of the endpoint, as deploy/node.ini does. */
+function writeSettings ({ identity, ports, storePort, endpointAddress }: ISoakSettings): string {
   const addresses = Object.entries(ports).map(([name, port]) => `${name}-address = ${HOST}:${port}`)
   return [
-    '[mesh]', `node = ${identity.name}`, `failure-domain = ${identity.failureDomain}`, `region = ${identity.region}`, `service = ${identity.service}`, ...addresses,
+    '[mesh]', `node = ${identity.name}`, `failure-domain = ${identity.failureDomain}`, `region = ${identity.region}`, `service = ${identity.service}`,
+    `endpoint-address = ${endpointAddress}`, ...addresses,
     '[store]', `address = ${HOST}:${storePort}`, '[bounds]', `heartbeat = ${HEARTBEAT_MS} ms`, `stop = ${STOP_SECONDS} s`, ''
   ].join('\n')
 }
--- a/bench/soak/Types.ts
+++ b/bench/soak/Types.ts
@@ -25,6 +25,8 @@
 export interface ICallerRecord {
   readonly id: string
   readonly node: Subject
+  /** Service of the VM of this node. */
+  readonly service: string
   readonly kind: RequestKind
   readonly path: string
   readonly sentAt: Moment
@@ -50,11 +52,25 @@
   /** Local node of the endpoint. */
   readonly node: Subject
   readonly path: string
+  /** Service that the endpoint was told as the caller. */
+  readonly callerService: string
   readonly startedAt: Moment
   /** Time at which the connection closed before the response; undefined if it did not. */
   abandonedAt: Moment | undefined
 }
 
+/** A heartbeat of another writer and the status of its response. */
+export interface IForeignReport {
+  readonly node: Subject
+  readonly sentAt: Moment
+  readonly status: number
+  /** The respect in which it is foreign. */
+  readonly fault: string
+  readonly id: string
+  /** The bytes that were sent, as Latin-1 text. */
+  readonly body: string
+}
+
 /** Interval in which an endpoint drained after its node had acknowledged the report. */
 export interface IDrain {
   readonly node: Subject
--- a/testing/mesh/StoreStandIn.ts
+++ b/testing/mesh/StoreStandIn.ts
@@ -98,6 +98,12 @@
     this._rows.set(`${table} ${key}`, { table, key, value: Buffer.from(value).toString('base64'), ver: this._version })
   }
 
+  /** Deletes a row unconditionally. */
+  public remove (table: string, key: string): void {
+    this._version++
+    this._rows.set(`${table} ${key}`, { table, key, ver: this._version })
+  }
+
   /** Text of a row; undefined if there is none. */
   public get (table: string, key: string): string | undefined {
     const value = this._rows.get(`${table} ${key}`)?.value
