Soak: settings that change without a signal, and which service each VM runs

The settings file of a node gets another service and address, and its endpoint is replaced by one of the new service. Guarantees: the new endpoint is acknowledged and used in time; a request runs only at an endpoint of its route's service.

--- a/bench/soak/Guarantees.test.ts
+++ b/bench/soak/Guarantees.test.ts
@@ -6,11 +6,16 @@
 
 const UNDISTURBED_SINCE = 100_000
 
+function serviceOf (kind: RequestKind): string {
+  return kind === 'pay' ? 'fee' : 'status'
+}
+
 describe('Guarantees of the soak', () => {
   let deployment: SoakDeployment
 
   beforeEach(() => {
     deployment = new SoakDeployment()
+    for (const node of ['n0', 'n1']) deployment.services.start(node, 'status', 0)
     addRequest('afterwards', 'read', { status: 200, sentAt: UNDISTURBED_SINCE + 1 }, ['n1'])
   })
 
@@ -22,7 +27,6 @@
     deployment.callerRecords.push({
       id,
       node: 'n0',
-      service: 'status',
       kind,
       path,
       sentAt,
@@ -36,7 +40,7 @@
       incarnation: 1,
       ...overrides
     })
-    deployment.runs.set(id, nodes.map((node) => ({ id, node, path, callerService: 'status', startedAt: sentAt + 5, abandonedAt: undefined })))
+    deployment.runs.set(id, nodes.map((node) => ({ id, node, path, service: serviceOf(kind), callerService: 'status', startedAt: sentAt + 5, abandonedAt: undefined })))
   }
 
   function disturb (kind: DisruptionKind, subject: string, from: number, until: number): void {
@@ -109,7 +113,8 @@
 
   it('are violated if an endpoint is told another caller service than that of the VM, whatever was disturbed', () => {
     addRequest('a', 'read', { status: 200 }, ['n1'])
-    addRequest('b', 'pay', { status: 200, service: 'fee' }, ['n1'])
+    addRequest('b', 'pay', { status: 200, node: 'n5' }, ['n1'])
+    deployment.services.start('n5', 'fee', 0)
     disturb('killed', 'n0', 9_000, 11_000)
     expect(brokenGuarantees()).to.deep.equal(['the caller service is that of the VM where the request began'])
   })
@@ -120,6 +125,39 @@
     expect(brokenGuarantees()).to.deep.equal(['a foreign report is not acknowledged'])
   })
 
+  it('are violated if a request runs at an endpoint of another service than that of its route', () => {
+    addRequest('a', 'pay', { status: 200, path: '/pay/usual/a' }, ['n1'])
+    deployment.runs.set('a', [{ id: 'a', node: 'n1', path: '/pay/usual/a', service: 'status', callerService: 'status', startedAt: 10_005, abandonedAt: undefined }])
+    expect(brokenGuarantees()).to.deep.equal(['a request runs at an endpoint of the service of its route'])
+  })
+
+  it('allow both services while that of a VM changes, and only the new one afterwards', () => {
+    deployment.services.start('n5', 'fee', 0)(10_000)
+    deployment.services.start('n5', 'status', 9_500)
+    const addWithCaller = (id: string, sentAt: number, callerService: string): void => {
+      addRequest(id, 'read', { status: 200, node: 'n5', sentAt }, ['n1'])
+      deployment.runs.set(id, (deployment.runs.get(id) ?? []).map((run) => ({ ...run, callerService })))
+    }
+    addWithCaller('a', 9_600, 'fee')
+    addWithCaller('b', 9_600, 'status')
+    expect(brokenGuarantees()).to.deep.equal([])
+    addWithCaller('c', 9_000, 'status')
+    addWithCaller('d', 10_100, 'fee')
+    expect(brokenGuarantees()).to.deep.equal(Array.from({ length: 2 }, () => 'the caller service is that of the VM where the request began'))
+  })
+
+  it('are violated if a new endpoint of changed settings is refused or unused for long, unless the process or the way to it was disturbed', () => {
+    const change = { node: 'n0', service: 'fee', changedAt: 10_000 }
+    deployment.settingsChanges.push({ ...change, acknowledgedAt: 11_000, usedAt: 12_000 })
+    expect(brokenGuarantees()).to.deep.equal([])
+    deployment.settingsChanges.push({ ...change, acknowledgedAt: 12_000, usedAt: 12_100 })
+    deployment.settingsChanges.push({ ...change, acknowledgedAt: 10_100, usedAt: undefined })
+    deployment.settingsChanges.push({ ...change, acknowledgedAt: undefined, usedAt: undefined })
+    expect(brokenGuarantees()).to.deep.equal(Array.from({ length: 3 }, () => 'changed settings take effect in time'))
+    disturb('killed', 'n0', 9_000, 9_500)
+    expect(brokenGuarantees()).to.deep.equal([])
+  })
+
   it('are violated if a planned stop cuts off a request that its node must have read', () => {
     disturb('stopping', 'n0', 10_000, 13_000)
     addRequest('a', 'read', { status: 0, sentAt: 11_000, endedAt: 11_400 }, [])
@@ -137,7 +175,7 @@
       const sentAt = 10_000
       addRequest(id, kind, { status: 0, sentAt, endedAt: sentAt + 40, hasLeft: true, ...overrides }, [])
       const path = `/${kind}/usual/${id}`
-      deployment.runs.set(id, [{ id, node: 'n1', path, callerService: 'status', startedAt: sentAt + startDelay, abandonedAt: sentAt + startDelay + 10 }])
+      deployment.runs.set(id, [{ id, node: 'n1', path, service: serviceOf(kind), callerService: 'status', startedAt: sentAt + startDelay, abandonedAt: sentAt + startDelay + 10 }])
     }
 
     it('are violated if a request runs that was not sent completely', () => {
--- a/bench/soak/Guarantees.ts
+++ b/bench/soak/Guarantees.ts
@@ -1,7 +1,7 @@
 /** Checks the records of callers and endpoints against the guarantees of the mesh. */
-import { endpointIdPrefix } from './EndpointReports.js'
+import { endpointIdPrefix, HEARTBEAT_MS } from './EndpointReports.js'
 import { DisconnectGuarantees } from './DisconnectGuarantees.js'
-import { ROUTES, SHORT_TIMEOUT_MS, versionPrefix, type SoakDeployment } from './SoakDeployment.js'
+import { ROUTES, SHORT_TIMEOUT_MS, VERSION_SERVICE, versionPrefix, type SoakDeployment } from './SoakDeployment.js'
 import { STOP_SECONDS } from './SoakNode.js'
 import { FAILURE_KINDS, type DisruptionKind, type IBreach, type ICallerRecord, type IRunRecord } from './Types.js'
 
@@ -27,6 +27,16 @@
 const DRAIN_LIMIT_MS = 500
 /** Maximum age of a request that is still in flight, unread by the node, when a planned stop closes its connection. */
 const UNREAD_AGE_MS = 500
+/** Faults of a process. */
+const PROCESS_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'late', 'stopping']
+/** Faults that keep requests from the endpoint of a node. */
+const USE_KINDS: readonly DisruptionKind[] = [...PROCESS_KINDS, 'link', 'endpoint', 'store']
+/** Maximum time between two reads of the settings because of heartbeats that contradict them. */
+const SETTINGS_READ_INTERVAL_MS = 1_000
+/** Time within which a new endpoint of changed settings is acknowledged: by the second heartbeat after the settings were read. */
+const SETTINGS_LIMIT_MS = SETTINGS_READ_INTERVAL_MS + 2 * HEARTBEAT_MS + 300
+/** Time from its first acknowledgement within which the endpoint gets a request. */
+const USE_LIMIT_MS = 2_000
 /** Minimum share of served requests among those sent after all faults, in percent. */
 const MINIMUM_SERVED_PERCENT = 99
 
@@ -43,6 +53,7 @@
     this._breaches.push(...new DisconnectGuarantees(this._deployment).check())
     this._checkDrains()
     this._checkForeignReports()
+    this._checkSettingsChanges()
     this._checkProcesses()
     this._checkRecovery(undisturbedSince)
     return this._breaches
@@ -55,8 +66,11 @@
     if (record.kind === 'pay' && isRefusal && runs.length > 0) this._addBreach('a refused non-idempotent request does not run', record, runs)
     if (isRefusal && !((record.retryAfter ?? 0) > 0)) this._addBreach('a refusal states when to retry', record, runs)
     if (record.status === ANSWERED && !isMatchingResponse(record, runs)) this._addBreach('a response is complete and for its request', record, runs)
-    const misstated = runs.filter(({ callerService }) => callerService !== record.service)
+    const misstated = runs.filter(({ callerService, startedAt }) => {
+      return !this._deployment.services.isValid(record.node, callerService, record.sentAt, startedAt)
+    })
     if (misstated.length > 0) this._addBreach('the caller service is that of the VM where the request began', record, misstated)
+    if (runs.some((run) => run.service !== serviceOf(record))) this._addBreach('a request runs at an endpoint of the service of its route', record, runs)
     if (this._isOverdue(record)) this._addBreach('a final response arrives in time', record, runs)
     if (this._isLost(record, runs)) this._addBreach('no request is lost in planned operations', record, runs)
   }
@@ -126,6 +140,18 @@
     for (const report of acknowledged) this._breaches.push({ guarantee: 'a foreign report is not acknowledged', detail: JSON.stringify(report) })
   }
 
+  private _checkSettingsChanges (): void {
+    const { settingsChanges, disruptions } = this._deployment
+    for (const change of settingsChanges) {
+      const { node, changedAt, acknowledgedAt = Infinity, usedAt = Infinity } = change
+      const isRefused = acknowledgedAt > changedAt + SETTINGS_LIMIT_MS &&
+        disruptions.isUndisturbed([node], PROCESS_KINDS, changedAt, changedAt + SETTINGS_LIMIT_MS)
+      const useLimit = acknowledgedAt + USE_LIMIT_MS
+      const isUnused = usedAt > useLimit && disruptions.isUndisturbed([node], USE_KINDS, acknowledgedAt, useLimit)
+      if (isRefused || isUnused) this._breaches.push({ guarantee: 'changed settings take effect in time', detail: JSON.stringify(change) })
+    }
+  }
+
   private _checkProcesses (): void {
     for (const { identity, unexpectedExits, overdueStops } of this._deployment.nodes) {
       if (unexpectedExits.length > 0) {
@@ -166,6 +192,10 @@
   return Math.min(DEADLINE_MS, kind === 'short' ? SHORT_TIMEOUT_MS : ROUTES[0]?.timeout ?? DEADLINE_MS)
 }
 
+function serviceOf ({ path }: ICallerRecord): string {
+  return ROUTES.find(({ prefix }) => path.startsWith(prefix))?.service ?? VERSION_SERVICE
+}
+
 function versionOf ({ path }: ICallerRecord): number {
   return Number(path.split('/')[1]?.split('-')[1])
 }
--- a/bench/soak/LoopbackProxy.ts
+++ b/bench/soak/LoopbackProxy.ts
@@ -21,13 +21,14 @@
   private _mode: LinkMode = 'well'
   private readonly _connections = new Set<IProxiedConnection>()
   private readonly _server: Server
+  private _port = 0
 
-  constructor (private readonly _target: number) {
+  constructor (private _target: number) {
     this._server = createServer({ allowHalfOpen: true }, (clientSocket) => this._accept(clientSocket))
   }
 
   public get port (): number {
-    return (this._server.address() as AddressInfo).port
+    return this._port
   }
 
   /** Number of open connections on which bytes were lost. */
@@ -36,7 +37,19 @@
   }
 
   public start (): Promise<void> {
-    return new Promise((resolve) => { this._server.listen(0, HOST, resolve) })
+    return new Promise((resolve) => {
+      this._server.listen(0, HOST, () => {
+        this._port = (this._server.address() as AddressInfo).port
+        resolve()
+      })
+    })
+  }
+
+  /** Resets every connection and starts again at another port, for another target. */
+  public async moveTo (target: number): Promise<void> {
+    this.stop()
+    this._target = target
+    await this.start()
   }
 
   public stop (): void {
--- a/bench/soak/Main.ts
+++ b/bench/soak/Main.ts
@@ -9,6 +9,7 @@
 import { ForeignWriter } from './ForeignWriter.js'
 import { Guarantees } from './Guarantees.js'
 import { REGRESSION_SEEDS } from './RegressionSeeds.js'
+import { SettingsChanges } from './SettingsChanges.js'
 import { SoakCallers } from './SoakCallers.js'
 import { sleep, SoakDeployment } from './SoakDeployment.js'
 import { SoakFaults } from './SoakFaults.js'
@@ -47,6 +48,7 @@
   const faults = new SoakFaults(deployment, new RandomService(seed + FAULT_SEED_OFFSET))
   const suspensions = new ProcessSuspensions(deployment, callers, new RandomService(seed + 2 * FAULT_SEED_OFFSET))
   const foreignWriter = new ForeignWriter(deployment, new RandomService(seed + 3 * FAULT_SEED_OFFSET))
+  const settingsChanges = new SettingsChanges(deployment, new RandomService(seed + 4 * FAULT_SEED_OFFSET))
   const handleSignal = (): void => killProcessesAndExit(deployment)
   for (const signal of SIGNALS) process.once(signal, handleSignal)
   try {
@@ -55,8 +57,9 @@
     faults.start()
     suspensions.start()
     foreignWriter.start()
+    settingsChanges.start()
     await sleep(minutes * MS_PER_MINUTE)
-    await Promise.all([faults.stop(), suspensions.stop(), foreignWriter.stop()])
+    await Promise.all([faults.stop(), suspensions.stop(), foreignWriter.stop(), settingsChanges.stop()])
     await sleep(RECOVERY_MS)
     await suspensions.stopWithoutOtherFaults()
     await sleep(RECOVERY_MS)
@@ -64,7 +67,10 @@
     await sleep(UNDISTURBED_MS)
     await callers.stop()
     const breaches = new Guarantees(deployment).check(undisturbedSince)
-    const ownCounts = [['late reader', suspensions.count], ['foreign report', foreignWriter.heartbeats], ['foreign row', foreignWriter.rows]] as const
+    const ownCounts = [
+      ['late reader', suspensions.count], ['foreign report', foreignWriter.heartbeats], ['foreign row', foreignWriter.rows],
+      ['settings change', settingsChanges.count]
+    ] as const
     printRun(seed, deployment, new Map([...faults.counts, ...ownCounts]), breaches)
     if (breaches.length > 0) await keepLogs(seed, folder)
     return breaches
--- a/bench/soak/SoakCallers.ts
+++ b/bench/soak/SoakCallers.ts
@@ -124,8 +124,7 @@
         clearTimeout(bodyTimer)
         const endedAt = this._deployment.now()
         const observed = { sentAt, endedAt, status, body, signature, retryAfter, hasLeft, isWholeSent, incarnation }
-        const { name, service } = node.identity
-        resolve({ id, node: name, service, kind, path, ...observed })
+        resolve({ id, node: node.identity.name, kind, path, ...observed })
       }
       const length = sentBody === '' ? {} : { 'content-length': String(sentBody.length) }
       const headers = { host: 'mesh.example', 'x-savoryknot-attempt-id': id, 'x-savoryknot-deadline-ms': String(DEADLINE_MS), ...length }
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -144,13 +144,16 @@
   /** The guarantee applies from the acknowledgement, unless the process that acknowledged has exited. A drained endpoint is replaced. */
   private async _drain (node: SoakNode): Promise<void> {
     await this._injectExclusively(node, async () => {
-      const { incarnation } = node
+      const { incarnation, endpoint: { born } } = node
       const isAcknowledged = await node.reports.drain() === ACKNOWLEDGED
       const from = this._deployment.now()
       await this._waitFaultDuration()
       const drain = { node: node.identity.name, from, until: this._deployment.now() }
+      const keepsId = this._random.fraction() < SAME_ID_SHARE
+      // A change of the settings has replaced the drained endpoint in the meantime.
+      if (born !== node.endpoint.born) return
       if (isAcknowledged && incarnation === node.incarnation) this._deployment.drains.push(drain)
-      node.reports.replaceEndpoint(this._random.fraction() < SAME_ID_SHARE)
+      node.reports.replaceEndpoint(keepsId)
     })
   }
 
--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -1,5 +1,5 @@
 /** One VM of the soak: a daemon in a process of its own, its endpoint, and the proxied links of both. */
-import { writeFile } from 'node:fs/promises'
+import { rename, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { DaemonProcess } from '../../testing/demonstration/DaemonProcess.js'
 import { REPOSITORY } from '../../testing/demonstration/Repository.js'
@@ -14,7 +14,7 @@
 /** Stop timeout of the daemon, in seconds. */
 export const STOP_SECONDS = 3
 
-/** Name of a node, its location and the service of its endpoint. */
+/** Name of a node, its location and the service of its first endpoint. */
 export interface ISoakNodeIdentity {
   readonly name: string
   readonly failureDomain: string
@@ -48,6 +48,7 @@
   private constructor (
     public readonly identity: ISoakNodeIdentity,
     private readonly _ports: SoakPorts,
+    private readonly _settingsFile: string,
     public readonly links: Readonly<Record<LinkName, LoopbackProxy>>,
     public readonly endpoint: EndpointStandIn,
     public readonly reports: EndpointReports,
@@ -64,16 +65,17 @@
     const links = {
       gate: new LoopbackProxy(ports.gate),
       peer: new LoopbackProxy(ports.peer),
-      endpoint: new LoopbackProxy(Number(endpoint.address.split(':')[1])),
+      endpoint: new LoopbackProxy(portOf(endpoint)),
       store: new LoopbackProxy(storePort)
     }
     await Promise.all(Object.values(links).map((link) => link.start()))
     const file = join(folder, `${identity.name}.ini`)
     const { name, service } = identity
-    const reports = new EndpointReports({ endpoint, node: name, service, controlPort: ports.control, endpointPort: links.endpoint.port })
-    await writeFile(file, writeSettings({ identity, ports, storePort: links.store.port, endpointAddress: reports.address }))
+    const reports = new EndpointReports({ endpoint, link: links.endpoint, node: name, service, controlPort: ports.control })
     const daemon = new DaemonProcess({ file, nodeArguments: NODE_ARGUMENTS, logFile: join(folder, `${name}.log`) })
-    return new SoakNode(identity, ports, links, endpoint, reports, daemon)
+    const node = new SoakNode(identity, ports, file, links, endpoint, reports, daemon)
+    await node._writeSettings()
+    return node
   }
 
   public get callerPort (): number {
@@ -149,6 +151,19 @@
     if (this._daemon.lastLines.length > 0) this._daemon.reload()
   }
 
+  /**
+   * Replaces the endpoint by one of another service at another address, of which the settings file tells before the first heartbeat. The
+   * process gets no signal. The heartbeats are stopped.
+   */
+  public async changeService (service: string): Promise<void> {
+    this.reports.stop()
+    this.endpoint.stop()
+    await this.endpoint.start()
+    await this.links.endpoint.moveTo(portOf(this.endpoint))
+    this.reports.changeService(service)
+    await this._writeSettings()
+  }
+
   /** Stops the process, the endpoint and the links of this node. */
   public async shutDown (): Promise<void> {
     this.reports.stop()
@@ -158,6 +173,14 @@
     for (const link of Object.values(this.links)) link.stop()
   }
 
+  /** Replaces the file at once, so that the process does not read a part of it. */
+  private async _writeSettings (): Promise<void> {
+    const { identity, links, reports, _ports: ports, _settingsFile: file } = this
+    const { address: endpointAddress, service } = reports
+    await writeFile(`${file}.new`, settingsText({ identity, service, ports, storePort: links.store.port, endpointAddress }))
+    await rename(`${file}.new`, file)
+  }
+
   private _recordExit (code: number | null): void {
     const age = Math.round(performance.now() - this._startedAt)
     const lastLine = this._daemon.lastLines.at(-1) ?? ''
@@ -165,19 +188,24 @@
   }
 }
 
+function portOf ({ address }: EndpointStandIn): number {
+  return Number(address.split(':')[1])
+}
+
 /** Contents of a settings file. */
 interface ISoakSettings {
   readonly identity: ISoakNodeIdentity
+  readonly service: string
   readonly ports: SoakPorts
   readonly storePort: number
   readonly endpointAddress: string
 }
 
 /** Names the service and the address of the endpoint, as deploy/node.ini does. */
-function writeSettings ({ identity, ports, storePort, endpointAddress }: ISoakSettings): string {
+function settingsText ({ identity, service, ports, storePort, endpointAddress }: ISoakSettings): string {
   const addresses = Object.entries(ports).map(([name, port]) => `${name}-address = ${HOST}:${port}`)
   return [
-    '[mesh]', `node = ${identity.name}`, `failure-domain = ${identity.failureDomain}`, `region = ${identity.region}`, `service = ${identity.service}`,
+    '[mesh]', `node = ${identity.name}`, `failure-domain = ${identity.failureDomain}`, `region = ${identity.region}`, `service = ${service}`,
     `endpoint-address = ${endpointAddress}`, ...addresses,
     '[store]', `address = ${HOST}:${storePort}`, '[bounds]', `heartbeat = ${HEARTBEAT_MS} ms`, `stop = ${STOP_SECONDS} s`, ''
   ].join('\n')
--- a/bench/soak/Types.ts
+++ b/bench/soak/Types.ts
@@ -2,10 +2,10 @@
 import type { EndpointMode } from '../../testing/mesh/EndpointStandIn.js'
 
 /** Kind of a disruption of a node, its links, its endpoint or the store. Reloads and new configurations excuse no breach: not listed. */
-export type DisruptionKind = 'killed' | 'paused' | 'late' | 'link' | 'endpoint' | 'store' | 'stopping'
+export type DisruptionKind = 'killed' | 'paused' | 'late' | 'link' | 'endpoint' | 'replaced' | 'store' | 'stopping'
 
 /** Failures of a VM, a link or an endpoint, during which a request may be lost. */
-export const FAILURE_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'late', 'link', 'endpoint']
+export const FAILURE_KINDS: readonly DisruptionKind[] = ['killed', 'paused', 'late', 'link', 'endpoint', 'replaced']
 
 /** Name of a node, or EVERYTHING. */
 export type Subject = string
@@ -25,8 +25,6 @@
 export interface ICallerRecord {
   readonly id: string
   readonly node: Subject
-  /** Service of the VM of this node. */
-  readonly service: string
   readonly kind: RequestKind
   readonly path: string
   readonly sentAt: Moment
@@ -52,6 +50,8 @@
   /** Local node of the endpoint. */
   readonly node: Subject
   readonly path: string
+  /** Service of the endpoint. */
+  readonly service: string
   /** Service that the endpoint was told as the caller. */
   readonly callerService: string
   readonly startedAt: Moment
@@ -71,6 +71,19 @@
   readonly body: string
 }
 
+/** A change of the service and the address of a VM's endpoint in the settings file of its node. */
+export interface ISettingsChange {
+  readonly node: Subject
+  /** The new service. */
+  readonly service: string
+  /** Time at which the file had been written and the new endpoint sent its first heartbeat. */
+  readonly changedAt: Moment
+  /** Time of the first acknowledgement of the new endpoint; undefined if there was none. */
+  readonly acknowledgedAt: Moment | undefined
+  /** Start of the first run at the new endpoint after that; undefined if there was none. */
+  readonly usedAt: Moment | undefined
+}
+
 /** Interval in which an endpoint drained after its node had acknowledged the report. */
 export interface IDrain {
   readonly node: Subject
