--- a/bench/soak/EndpointReports.ts
+++ b/bench/soak/EndpointReports.ts
@@ -19,6 +19,8 @@
   /** Local node of the endpoint. */
   readonly node: Subject
   readonly service: string
+  /** Failure domain of the endpoint. */
+  readonly zone: string
   /** Port of the node that accepts reports. */
   readonly controlPort: number
 }
@@ -49,7 +51,7 @@
     return {
       address: this.address,
       born: this._options.endpoint.born,
-      nodeInfo: { service: this._service, version: 'v1', zone: 'z1', slots: SLOTS },
+      nodeInfo: { service: this._service, version: 'v1', zone: this._options.zone, slots: SLOTS },
       status: { state: this._state, sequence: this._sequence, coldLeftMs: 0 }
     }
   }
--- a/bench/soak/SoakNode.ts
+++ b/bench/soak/SoakNode.ts
@@ -70,8 +70,8 @@
     }
     await Promise.all(Object.values(links).map((link) => link.start()))
     const file = join(folder, `${identity.name}.ini`)
-    const { name, service } = identity
-    const reports = new EndpointReports({ endpoint, link: links.endpoint, node: name, service, controlPort: ports.control })
+    const { name, service, failureDomain: zone } = identity
+    const reports = new EndpointReports({ endpoint, link: links.endpoint, node: name, service, zone, controlPort: ports.control })
     const daemon = new DaemonProcess({ file, nodeArguments: NODE_ARGUMENTS, logFile: join(folder, `${name}.log`) })
     const node = new SoakNode(identity, ports, file, links, endpoint, reports, daemon)
     await node._writeSettings()
