--- a/bench/soak/RegressionSeeds.ts
+++ b/bench/soak/RegressionSeeds.ts
@@ -20,6 +20,6 @@
   { seed: 7, nodes: 9, minutes: 2, cause: 'requests were sent although the event loop was blocked after the last read of pending input; PendingInput.test.ts; and a response that arrived after the notification that it was sent was treated as lost; RemoteNode.test.ts' },
   { seed: 2316, nodes: 6, minutes: 0.4, cause: 'a request was sent after its process had been suspended in the iteration between its dispatch and its first byte, with the disconnect of its caller unread; CallerDisconnectWhileBlocked.test.ts' },
   { seed: 2324, nodes: 6, minutes: 0.4, cause: 'the same as 2316' },
-  { seed: 1, nodes: 6, minutes: 0.5, cause: 'the same as 2316; and a heartbeat that is not valid UTF-8 was acknowledged, open, no test of its own yet' },
-  { seed: 108, nodes: 6, minutes: 0.4, cause: 'an unreadable row under the name of a node ended a running request, open, no test of its own yet' }
+  { seed: 1, nodes: 6, minutes: 0.5, cause: 'the same as 2316; and a heartbeat that is not valid UTF-8 was acknowledged; Decoders.test.ts' },
+  { seed: 108, nodes: 6, minutes: 0.4, cause: 'an unreadable row under the name of a node ended a running request; OddEntries.test.ts' }
 ])
