--- a/bench/soak/Main.ts
+++ b/bench/soak/Main.ts
@@ -62,7 +62,7 @@
     await Promise.all([faults.stop(), suspensions.stop(), foreignWriter.stop(), settingsChanges.stop()])
     await sleep(RECOVERY_MS)
     await suspensions.stopWithoutOtherFaults()
-    await sleep(RECOVERY_MS)
+    await Promise.all([sleep(RECOVERY_MS), settingsChanges.changeWithoutOtherFaults()])
     const undisturbedSince = deployment.now()
     await sleep(UNDISTURBED_MS)
     await callers.stop()
--- a/bench/soak/SettingsChanges.ts
+++ b/bench/soak/SettingsChanges.ts
@@ -14,6 +14,8 @@
 const DRAIN_MS = 1_200
 /** Time after which an endpoint that is not acknowledged, or gets no requests, is no longer observed. */
 const OBSERVATION_LIMIT_MS = 10_000
+/** Longer than the effects of an earlier fault. */
+const CALM_MS = 2_600
 const CHECK_INTERVAL_MS = 20
 const ACKNOWLEDGED = 200
 
@@ -36,6 +38,14 @@
     await this._loop
   }
 
+  /** Changes one node while no other fault is active nor has effects, so that nothing excuses a late effect of the change. */
+  public async changeWithoutOtherFaults (): Promise<void> {
+    await sleep(CALM_MS)
+    const changeable = this._deployment.nodes.filter((node) => this._canChange(node))
+    const node = changeable[this._random.integer(changeable.length)]
+    if (node !== undefined) await this._change(node, false)
+  }
+
   private async _run (): Promise<void> {
     while (!this._isStopped) {
       await sleep(MINIMUM_PAUSE_MS + this._random.integer(MAXIMUM_PAUSE_MS - MINIMUM_PAUSE_MS))
